--- /dev/null
+++ b/hemlockhook-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! The load and experiment tool.
+
+fn main() {}
--- /dev/null
+++ b/hemlockhook-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry.
--- /dev/null
+++ b/hemlockhook-inventory/src/lib.rs
@@ -0,0 +1,1 @@
+//! The inventory, the rules and the publishing rule.
--- /dev/null
+++ b/hemlockhook-ownership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shard ownership, fencing and start records.
--- /dev/null
+++ b/hemlockhook-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform's log and workers.
--- /dev/null
+++ b/hemlockhook-runtime/src/lib.rs
@@ -0,0 +1,1 @@
+//! Executors, clock, HTTP, gRPC glue, signals, logs, metrics and settings.
--- /dev/null
+++ b/hemlockhook-schedule/src/lib.rs
@@ -0,0 +1,1 @@
+//! Queueing, grants, estimates, quotas and upstream health.
--- /dev/null
+++ b/hemlockhook-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the upstreams.
--- /dev/null
+++ b/hemlockhook-types/src/clock.rs
@@ -0,0 +1,67 @@
+//! The clock, passed in as an interface.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime};
+
+/// Source of time for everything that decides by it.
+pub trait Clock: Send + Sync {
+    /// Returns the monotonic time.
+    fn now(&self) -> Instant;
+
+    /// Returns the calendar time, for logs and records only.
+    fn wall(&self) -> SystemTime;
+}
+
+/// The operating system's clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that moves only when told to.
+#[derive(Debug)]
+pub struct ManualClock {
+    start: Instant,
+    wall_start: SystemTime,
+    elapsed_ns: AtomicU64,
+}
+
+impl ManualClock {
+    /// Moves the clock forward.
+    pub fn advance(&self, by: Duration) {
+        self.elapsed_ns
+            .fetch_add(by.as_nanos() as u64, Ordering::SeqCst);
+    }
+
+    fn elapsed(&self) -> Duration {
+        Duration::from_nanos(self.elapsed_ns.load(Ordering::SeqCst))
+    }
+}
+
+impl Default for ManualClock {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+            wall_start: SystemTime::UNIX_EPOCH,
+            elapsed_ns: AtomicU64::new(0),
+        }
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        self.start + self.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.wall_start + self.elapsed()
+    }
+}
--- /dev/null
+++ b/hemlockhook-types/src/lib.rs
@@ -0,0 +1,16 @@
+//! Ids, ballots, jobs, answers and the clock interface shared by all crates of hemlockhook.
+
+pub mod answer;
+pub mod ballot;
+pub mod clock;
+pub mod id;
+pub mod job;
+
+pub use answer::{Answer, AnswerKind, Reason, TaskEnd, TaskResult};
+pub use ballot::{Ballot, ParseStampError, Stamp};
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use id::{
+    Incarnation, JobKey, SHARD_COUNT, ServiceName, ShardId, TaskIndex, TeamName, new_incarnation,
+    shard_of,
+};
+pub use job::{Job, Task};
--- /dev/null
+++ b/hemlockhook/src/bin/hemlockhook-agent.rs
@@ -0,0 +1,3 @@
+//! The hemlockhook-agent daemon.
+
+fn main() {}
--- /dev/null
+++ b/hemlockhook/src/bin/hemlockhook-entry.rs
@@ -0,0 +1,3 @@
+//! The hemlockhook-entry daemon.
+
+fn main() {}
--- /dev/null
+++ b/hemlockhook/src/bin/hemlockhook-standin.rs
@@ -0,0 +1,3 @@
+//! The hemlockhook-standin daemon.
+
+fn main() {}
--- /dev/null
+++ b/hemlockhook/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
