Add the gate, the owner and takeovers as a library without I/O

Additions that the shells need:

- `OwnerConfig.announce_interval`; both configs have a `Default`, so write `OwnerConfig { window, ..Default::default() }`.
- `OwnerAction::Requeue { agent, key, index }`: a start that was lost with a broken link; treat it as a refusal (dispatcher `refused`).
- `OwnerAction::Withdraw { agent, ballot, withdrawal }`: before a job is answered as not run, one agent of its service marks it with `Gate::withdraw(now, ballot, &withdrawal)`; the result goes back through `Owner::on_withdrawn(now, agent, &key, outcome)`.
`Settled` comes after it.
Without it an owner that was superseded without knowing could tell a caller "not run" about a job that the new owner runs for the same caller's resubmission.
It needs one message each way on the link (key, fingerprint, shard, service, reason, ballot counter; back: key and refusal).
- `FenceReport` also carries `withdrawn` and `adopted`; both go over the wire.
- `Record::Left { incarnation, custodian: Option<Incarnation> }`, with `Gate::seal` and `Gate::adopt` for handing records to another agent.
Without a custodian an agent that left counts as unaccounted for the window.
- The low 16 bits of a ballot's counter hold an epoch.
Stamps (`stamp`, `owned`) carry it; floors and starts use epoch 0.
`saw_ballot` and `admit` take either.
- `History`: feed it the membership records that an agent reads (offset, `log_time(now, age)`, interval), and call `Gate::join` only if it `reaches_back` for the announce interval from now.

A link is one stream: when a new link of a pair is up, the shell drops what is left of the older one. Agents append their record again within `announce_interval` while the log is up.

--- /dev/null
+++ b/hemlockhook-ownership/src/owner/admit.rs
@@ -0,0 +1,208 @@
+//! Admission of submissions.
+
+use std::time::{Duration, Instant};
+
+use hemlockhook_types::{Answer, Job, JobKey, Reason, ShardId, Stamp};
+
+use super::job::{JobState, TaskState};
+use super::takeover::Takeover;
+use super::{Admission, LookUp, Owner, Role};
+use crate::epoch::{MAX_COUNTER, base, epoch_length, epoch_of};
+use crate::history::log_time;
+
+/// What a submission's stamp says of a key that is not known here.
+enum Age {
+    /// Only this owner can have started it, and would know.
+    Fresh,
+    /// It may have been started under an earlier ballot, inside the window.
+    Old,
+    /// It may have been started before the window.
+    TooOld,
+    /// It cannot be told how old it is.
+    Unbounded,
+}
+
+impl Owner {
+    /// Takes in a submission, with the stamp that the caller held when it made the key.
+    pub fn admit(&mut self, now: Instant, job: &Job, stamp: Option<Stamp>) -> Admission {
+        let shard = job.shard();
+        if stamp.is_some_and(|stamp| stamp.counter >= MAX_COUNTER) {
+            return Admission::Answered(unknown(Reason::KeyTooOld, "no owner gave out the stamp"));
+        }
+        if self.cfg.rules.stamp_above
+            && let Some(stamp) = stamp
+        {
+            self.saw_ballot(now, shard, stamp);
+        }
+        let takeover = match self.shards.get(&shard).map(|state| state.role) {
+            None | Some(Role::None) => return Admission::NotOwner,
+            Some(Role::Retry { .. }) => return Admission::Fencing,
+            Some(Role::Held(id)) => &self.takeovers[&id],
+        };
+        if !takeover.ready {
+            return Admission::Fencing;
+        }
+        assert!(
+            !self.cfg.rules.stamp_above || stamp.is_none_or(|stamp| base(stamp) <= takeover.ballot),
+            "an owner serves no stamp above its ballot"
+        );
+
+        match self.jobs.get(&job.key) {
+            Some(known) if known.fingerprint != job.fingerprint => Admission::KeyReused,
+            Some(_) => self.admit_known(now, job),
+            None => self.admit_new(now, job, stamp),
+        }
+    }
+
+    /// Returns what is known of a key, without submitting it.
+    pub fn look_up(&self, key: &JobKey) -> LookUp {
+        if self.serving(hemlockhook_types::shard_of(key)).is_none() {
+            return LookUp::Unknown;
+        }
+        let Some(job) = self.jobs.get(key) else {
+            return LookUp::NotFound;
+        };
+        match job.answer.clone().or_else(|| job.verdict()) {
+            Some(answer) => LookUp::Answered(answer),
+            None if job.admitted || job.idle().is_empty() => LookUp::Pending,
+            None => LookUp::Unknown,
+        }
+    }
+
+    fn admit_known(&mut self, now: Instant, job: &Job) -> Admission {
+        let complete = self.accounts_for_job(now, job);
+        let known = self.jobs.get_mut(&job.key).expect("it is known");
+        if let Some(answer) = &known.answer {
+            return Admission::Answered(answer.clone());
+        }
+        if known.admitted {
+            return Admission::Pending;
+        }
+        if let Some(answer) = known.verdict() {
+            known.admitted = true;
+            self.answer(now, &job.key, answer.clone());
+            return Admission::Answered(answer);
+        }
+
+        let idle = known.idle();
+        if !idle.is_empty() && !complete {
+            return Admission::Answered(unknown(
+                Reason::AccountIncomplete,
+                "an agent that may have started tasks of the job has not reported",
+            ));
+        }
+        known.admitted = true;
+        known.touched = now;
+        match idle.is_empty() {
+            true => Admission::Pending,
+            false => Admission::Run(idle),
+        }
+    }
+
+    fn admit_new(&mut self, now: Instant, job: &Job, stamp: Option<Stamp>) -> Admission {
+        match self.age(now, job.shard(), stamp) {
+            Age::Fresh => {}
+            Age::Old if self.accounts_for_job(now, job) => {}
+            Age::Old | Age::Unbounded => {
+                return Admission::Answered(unknown(
+                    Reason::AccountIncomplete,
+                    "an agent that may have started tasks of the job has not reported",
+                ));
+            }
+            Age::TooOld => {
+                return Admission::Answered(unknown(
+                    Reason::KeyTooOld,
+                    "the key was made before the window for which starts are kept",
+                ));
+            }
+        }
+
+        let state = JobState {
+            shard: job.shard(),
+            fingerprint: job.fingerprint,
+            service: job.service.clone(),
+            idempotent: job.idempotent,
+            job_tasks: job.tasks.len() as u32,
+            tasks: vec![TaskState::Idle; job.tasks.len()],
+            admitted: true,
+            refusing: None,
+            answer: None,
+            touched: now,
+        };
+        match self.jobs.len() {
+            held if held < self.cfg.max_jobs => {
+                self.jobs.insert(job.key.clone(), state);
+                Admission::Run(state_indexes(job))
+            }
+            held if held < self.cfg.max_jobs * 2 => {
+                self.jobs.insert(job.key.clone(), state);
+                self.settle(now, &job.key, overloaded());
+                Admission::Pending
+            }
+            _ => Admission::Answered(unknown(
+                Reason::Overloaded,
+                "too many jobs are held to note that this one is refused",
+            )),
+        }
+    }
+
+    fn age(&self, now: Instant, shard: ShardId, stamp: Option<Stamp>) -> Age {
+        let rules = self.cfg.rules;
+        let takeover = self.serving(shard).expect("it is served");
+        let Some(stamp) = stamp else {
+            return Age::Old;
+        };
+        let own = match rules.stamp_owner {
+            true => base(stamp) == takeover.ballot,
+            false => base(stamp).counter == takeover.ballot.counter,
+        };
+        let passed = self.epochs(epoch_of(stamp));
+        if own {
+            let age = now.saturating_duration_since(takeover.began + passed);
+            return match age < self.cfg.window || !rules.window {
+                true => Age::Fresh,
+                false => Age::TooOld,
+            };
+        }
+
+        let begins = &self.shards[&shard].begins;
+        let Some((_, begin)) = begins.iter().find(|(ballot, _)| *ballot == base(stamp)) else {
+            return Age::Unbounded;
+        };
+        let made = *begin + passed;
+        let age = log_time(now, Duration::ZERO).saturating_duration_since(made);
+        match age < self.cfg.window || !rules.window {
+            true => Age::Old,
+            false => Age::TooOld,
+        }
+    }
+
+    /// Returns the length of a number of epochs.
+    fn epochs(&self, count: u64) -> Duration {
+        epoch_length(self.cfg.window).saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
+    }
+
+    fn accounts_for_job(&self, now: Instant, job: &Job) -> bool {
+        self.serving(job.shard())
+            .is_some_and(|takeover: &Takeover| self.accounts_for(now, takeover, Some(&job.service)))
+    }
+}
+
+fn state_indexes(job: &Job) -> Vec<u32> {
+    (0..job.tasks.len() as u32).collect()
+}
+
+fn overloaded() -> Answer {
+    Answer::NotRun {
+        reason: Reason::Overloaded,
+        detail: "the owner can hold no more jobs".to_owned(),
+        retry_after: None,
+    }
+}
+
+pub(super) fn unknown(reason: Reason, detail: &str) -> Answer {
+    Answer::Unknown {
+        reason,
+        detail: detail.to_owned(),
+    }
+}
--- /dev/null
+++ b/hemlockhook-ownership/src/owner/run.rs
@@ -0,0 +1,285 @@
+//! Starts, refusals, ends and reports of tasks.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use hemlockhook_types::{Answer, Incarnation, JobKey, ShardId, TaskIndex, TaskResult};
+
+use super::job::{JobState, TaskState};
+use super::{Owner, OwnerAction, RefusedOutcome};
+use crate::order::{FenceReport, StartOrder, StartRecord, StartRefusal, Withdrawal};
+
+impl Owner {
+    /// Decides to start a task at an agent. Returns `None` if the job is settled, the task is not
+    /// to be started any more, or the shard is not owned: the task is dropped then.
+    pub fn start(
+        &mut self,
+        now: Instant,
+        key: &JobKey,
+        index: TaskIndex,
+        agent: Incarnation,
+    ) -> Option<StartOrder> {
+        let job = self.jobs.get(key)?;
+        let ballot = self.serving(job.shard)?.ballot;
+        let job = self.jobs.get_mut(key)?;
+        if !job.admitted || job.answer.is_some() || job.refusing.is_some() {
+            return None;
+        }
+        let task = &mut job.tasks[index as usize];
+        assert!(
+            !matches!(task, TaskState::Sent { .. }),
+            "a task is started once by its owner"
+        );
+        if !matches!(task, TaskState::Idle) {
+            return None;
+        }
+
+        let state = self.members.entry(agent);
+        let link = state.link;
+        state.outstanding.insert((key.clone(), index));
+        *task = TaskState::Sent { agent, link };
+        job.touched = now;
+        Some(StartOrder {
+            key: key.clone(),
+            index,
+            job_tasks: job.job_tasks,
+            fingerprint: job.fingerprint,
+            shard: job.shard,
+            ballot,
+            service: job.service.clone(),
+            idempotent: job.idempotent,
+        })
+    }
+
+    /// Takes in that an agent refused a start.
+    pub fn refused(
+        &mut self,
+        now: Instant,
+        agent: Incarnation,
+        key: &JobKey,
+        index: TaskIndex,
+        refusal: StartRefusal,
+    ) -> RefusedOutcome {
+        let Some(job) = self.jobs.get(key) else {
+            return RefusedOutcome::Nothing;
+        };
+        let shard = job.shard;
+        match job.tasks.get(index as usize) {
+            Some(TaskState::Sent { agent: at, .. }) if *at == agent => {}
+            _ => return RefusedOutcome::Nothing,
+        }
+
+        match refusal {
+            StartRefusal::StaleBallot(floor) => self.saw_ballot(now, shard, floor),
+            StartRefusal::AlreadyStarted => {
+                self.set_task(key, index, TaskState::Running { agent });
+                self.fence_agent(agent);
+                return RefusedOutcome::Nothing;
+            }
+            StartRefusal::NotJoined | StartRefusal::Leaving | StartRefusal::Full => {}
+        }
+        if self.jobs.contains_key(key) {
+            self.set_task(key, index, TaskState::Idle);
+        }
+        match self.jobs.get(key) {
+            Some(job) if job.answer.is_none() => RefusedOutcome::Requeue,
+            _ => RefusedOutcome::Nothing,
+        }
+    }
+
+    /// Takes in the end of a task. A second end of the same task is ignored.
+    pub fn done(
+        &mut self,
+        now: Instant,
+        agent: Incarnation,
+        key: &JobKey,
+        index: TaskIndex,
+        result: TaskResult,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        match job.tasks.get(index as usize) {
+            Some(TaskState::Idle | TaskState::Lost) => {}
+            Some(TaskState::Sent { agent: at, .. } | TaskState::Running { agent: at })
+                if *at == agent => {}
+            _ => return,
+        }
+        job.touched = now;
+        self.set_task(key, index, TaskState::Ended(result));
+        self.conclude(now, key);
+    }
+
+    /// Returns the tasks of a job that run or may run, with their agents.
+    pub fn running(&self, key: &JobKey) -> Vec<(Incarnation, TaskIndex)> {
+        self.jobs
+            .get(key)
+            .map(JobState::running)
+            .unwrap_or_default()
+    }
+
+    /// Takes in the starts that an agent reported for shards that are held.
+    pub(super) fn merge(
+        &mut self,
+        now: Instant,
+        agent: Incarnation,
+        shards: &BTreeSet<ShardId>,
+        report: &FenceReport,
+    ) {
+        let mut held = BTreeSet::new();
+        let mut changed = BTreeSet::new();
+        for record in &report.records {
+            if !shards.contains(&record.shard) {
+                continue;
+            }
+            held.insert((record.key.clone(), record.index));
+            if self.merge_record(now, agent, record) {
+                changed.insert(record.key.clone());
+            }
+        }
+        for withdrawal in &report.withdrawn {
+            if shards.contains(&withdrawal.shard) {
+                self.merge_withdrawal(now, withdrawal);
+            }
+        }
+        changed.extend(self.requeue_unseen(agent, shards, &held));
+        for key in changed {
+            if self.jobs.get(&key).is_some_and(|job| job.admitted) {
+                self.conclude(now, &key);
+            }
+        }
+    }
+
+    /// Marks every task at an agent as lost.
+    pub(super) fn lose_tasks(&mut self, now: Instant, agent: Incarnation) {
+        let Some(state) = self.members.get_mut(agent) else {
+            return;
+        };
+        let lost = std::mem::take(&mut state.outstanding);
+        let keys: BTreeSet<_> = lost.iter().map(|(key, _)| key.clone()).collect();
+        for (key, index) in &lost {
+            self.set_task(key, *index, TaskState::Lost);
+        }
+        for key in keys {
+            self.conclude(now, &key);
+        }
+    }
+
+    /// Sets a task's state, and keeps the agents' lists of outstanding tasks.
+    pub(super) fn set_task(&mut self, key: &JobKey, index: TaskIndex, state: TaskState) {
+        let job = self.jobs.get_mut(key).expect("it is known");
+        let Some(task) = job.tasks.get_mut(index as usize) else {
+            return;
+        };
+        let entry = (key.clone(), index);
+        if let Some(agent) = task.agent().and_then(|agent| self.members.get_mut(agent)) {
+            agent.outstanding.remove(&entry);
+        }
+        if let Some(agent) = state.agent() {
+            self.members.entry(agent).outstanding.insert(entry);
+        }
+        *task = state;
+        if job.answer.is_some() {
+            job.trim();
+        }
+    }
+
+    /// Takes in one reported start. Returns whether it changed anything.
+    fn merge_record(&mut self, now: Instant, agent: Incarnation, record: &StartRecord) -> bool {
+        let job = self
+            .jobs
+            .entry(record.key.clone())
+            .or_insert_with(|| JobState {
+                shard: record.shard,
+                fingerprint: record.fingerprint,
+                service: record.service.clone(),
+                idempotent: record.idempotent,
+                job_tasks: record.job_tasks,
+                tasks: vec![TaskState::Idle; record.job_tasks as usize],
+                admitted: false,
+                refusing: None,
+                answer: None,
+                touched: now,
+            });
+        if job.touched == now && !job.admitted {
+            self.expiry.push_back((now, record.key.clone()));
+        }
+        let state = match (job.tasks.get(record.index as usize), &record.result) {
+            (None, _) => return false,
+            (Some(TaskState::Ended(_) | TaskState::Past), _) => return false,
+            (Some(_), Some(result)) => TaskState::Ended(result.clone()),
+            (Some(_), None) => TaskState::Running { agent },
+        };
+        job.touched = now;
+        self.set_task(&record.key, record.index, state);
+        true
+    }
+
+    /// Takes in that an earlier owner may have refused a job as not run.
+    fn merge_withdrawal(&mut self, now: Instant, withdrawal: &Withdrawal) {
+        if self.jobs.contains_key(&withdrawal.key) {
+            return;
+        }
+        let answer = Answer::NotRun {
+            reason: withdrawal.reason,
+            detail: "an earlier owner of the shard refused the job".to_owned(),
+            retry_after: None,
+        };
+        let state = JobState {
+            shard: withdrawal.shard,
+            fingerprint: withdrawal.fingerprint,
+            service: withdrawal.service.clone(),
+            idempotent: false,
+            job_tasks: 0,
+            tasks: Vec::new(),
+            admitted: true,
+            refusing: None,
+            answer: Some(answer),
+            touched: now,
+        };
+        self.jobs.insert(withdrawal.key.clone(), state);
+        self.expiry.push_back((now, withdrawal.key.clone()));
+    }
+
+    /// Puts tasks back whose start was sent on an earlier link and is not among those reported:
+    /// it was lost with that link. Starts sent on this link may be behind the report.
+    fn requeue_unseen(
+        &mut self,
+        agent: Incarnation,
+        shards: &BTreeSet<ShardId>,
+        held: &BTreeSet<(JobKey, TaskIndex)>,
+    ) -> Vec<JobKey> {
+        let Some(state) = self.members.get(agent) else {
+            return Vec::new();
+        };
+        let current = state.link;
+        let unseen: Vec<_> = state.outstanding.difference(held).cloned().collect();
+        let mut changed = Vec::new();
+        for (key, index) in unseen {
+            let Some(job) = self.jobs.get(&key) else {
+                continue;
+            };
+            if !shards.contains(&job.shard) {
+                continue;
+            }
+            match job.tasks.get(index as usize) {
+                Some(TaskState::Sent { link, .. })
+                    if *link < current || !self.cfg.rules.link_epoch =>
+                {
+                    let answered = job.answer.is_some();
+                    self.set_task(&key, index, TaskState::Idle);
+                    if !answered {
+                        self.actions
+                            .push(OwnerAction::Requeue { agent, key, index });
+                    }
+                }
+                Some(TaskState::Running { .. }) => {
+                    self.set_task(&key, index, TaskState::Lost);
+                    changed.push(key);
+                }
+                _ => {}
+            }
+        }
+        changed
+    }
+}
--- /dev/null
+++ b/hemlockhook-ownership/src/owner/settle.rs
@@ -0,0 +1,271 @@
+//! Answers: given once, kept for the window.
+
+use std::time::Instant;
+
+use hemlockhook_types::{Answer, Incarnation, JobKey, Reason, ShardId, TaskIndex};
+
+use super::job::Refusing;
+use super::{Owner, OwnerAction};
+use crate::order::{StartRefusal, Withdrawal};
+
+impl Owner {
+    /// Settles a job with an answer other than its tasks' results: its deadline passed, it was
+    /// rejected. An answer that the job has already stands.
+    ///
+    /// # Panics
+    ///
+    /// If the answer is "not run" although a task was started.
+    pub fn settle(&mut self, now: Instant, key: &JobKey, answer: Answer) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        if job.answer.is_some() || job.refusing.is_some() {
+            return;
+        }
+        assert!(
+            !matches!(answer, Answer::NotRun { .. }) || !job.any_started(),
+            "what is answered as not run was not started"
+        );
+        match answer {
+            Answer::NotRun { .. } if self.cfg.rules.withdraw => self.refuse(now, key, answer),
+            _ => self.answer(now, key, answer),
+        }
+    }
+
+    /// Cancels a job. Returns the tasks to stop.
+    pub fn cancel(&mut self, now: Instant, key: &JobKey) -> Vec<(Incarnation, TaskIndex)> {
+        let Some(job) = self.jobs.get(key) else {
+            return Vec::new();
+        };
+        let running = job.running();
+        let detail = "the caller cancelled the job".to_owned();
+        let answer = match job.any_started() {
+            true => Answer::Failed {
+                reason: Reason::Cancelled,
+                task: None,
+                detail,
+            },
+            false => Answer::NotRun {
+                reason: Reason::Cancelled,
+                detail,
+                retry_after: None,
+            },
+        };
+        self.settle(now, key, answer);
+        running
+    }
+
+    /// Takes in an agent's answer to [`OwnerAction::Withdraw`].
+    pub fn on_withdrawn(
+        &mut self,
+        now: Instant,
+        agent: Incarnation,
+        key: &JobKey,
+        outcome: Result<(), StartRefusal>,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let shard = job.shard;
+        match &mut job.refusing {
+            Some(refusing) if refusing.agent == agent => {}
+            _ => return,
+        }
+        match outcome {
+            Ok(()) => {
+                let refusing = job.refusing.take().expect("it is being refused");
+                self.refusing.remove(key);
+                self.answer(now, key, refusing.answer);
+            }
+            Err(StartRefusal::StaleBallot(floor)) => {
+                self.saw_ballot(now, shard, floor);
+                self.ask_next(now, key);
+            }
+            Err(_) => self.ask_next(now, key),
+        }
+    }
+
+    /// Asks other agents for what an agent whose link broke may not have marked.
+    pub(super) fn withdraw_elsewhere(&mut self, now: Instant, agent: Incarnation) {
+        let keys: Vec<_> = self
+            .refusing
+            .iter()
+            .filter(|key| {
+                let refusing = self.jobs.get(*key).and_then(|job| job.refusing.as_ref());
+                refusing.is_some_and(|refusing| refusing.agent == agent)
+            })
+            .cloned()
+            .collect();
+        for key in keys {
+            self.ask_next(now, &key);
+        }
+    }
+
+    /// Answers an unanswered job if the states of its tasks decide it.
+    pub(super) fn conclude(&mut self, now: Instant, key: &JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        if job.answer.is_some() {
+            return;
+        }
+        if let Some(answer) = job.verdict() {
+            self.answer(now, key, answer);
+        }
+    }
+
+    /// Gives a job its final answer.
+    pub(super) fn answer(&mut self, now: Instant, key: &JobKey, answer: Answer) {
+        let job = self.jobs.get_mut(key).expect("it is known");
+        assert!(job.answer.is_none(), "an answer is settled once");
+        assert!(
+            !matches!(answer, Answer::NotRun { .. }) || !job.any_started(),
+            "what is answered as not run was not started"
+        );
+        job.answer = Some(answer.clone());
+        job.refusing = None;
+        job.touched = now;
+        job.trim();
+        self.refusing.remove(key);
+        self.expiry.push_back((now, key.clone()));
+
+        if let Answer::Complete(results) = &answer {
+            self.answer_bytes += results.iter().map(|body| body.len()).sum::<usize>();
+            self.kept.push_back(key.clone());
+        }
+        self.evict();
+        self.actions.push(OwnerAction::Settled {
+            key: key.clone(),
+            answer,
+        });
+    }
+
+    /// Forgets what has been settled longer ago than the window.
+    pub(super) fn forget_jobs(&mut self, now: Instant) {
+        while let Some((at, _)) = self.expiry.front() {
+            if now.saturating_duration_since(*at) <= self.cfg.window {
+                return;
+            }
+            let Some((_, key)) = self.expiry.pop_front() else {
+                return;
+            };
+            let Some(job) = self.jobs.get(&key) else {
+                continue;
+            };
+            let live = job.admitted && job.answer.is_none() || !job.running().is_empty();
+            if live || now.saturating_duration_since(job.touched) <= self.cfg.window {
+                self.expiry.push_back((now, key));
+                continue;
+            }
+            self.forget_job(&key);
+        }
+    }
+
+    /// Forgets a shard's jobs. Returns those that were admitted and have no answer, in order.
+    pub(super) fn forget_shard(&mut self, shard: ShardId) -> Vec<JobKey> {
+        let mut keys: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.shard == shard)
+            .map(|(key, job)| (key.clone(), job.admitted && job.answer.is_none()))
+            .collect();
+        keys.sort();
+        for (key, _) in &keys {
+            self.forget_job(key);
+        }
+        keys.retain(|(_, unfinished)| *unfinished);
+        keys.into_iter().map(|(key, _)| key).collect()
+    }
+
+    fn forget_job(&mut self, key: &JobKey) {
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        self.refusing.remove(key);
+        for (agent, index) in job.running() {
+            if let Some(agent) = self.members.get_mut(agent) {
+                agent.outstanding.remove(&(key.clone(), index));
+            }
+        }
+        self.answer_bytes -= job.answer.as_ref().map_or(0, answer_bytes);
+    }
+
+    /// Starts to refuse a job as not run.
+    ///
+    /// Another entry may own the shard by now. Any that would start the job needs the reports of
+    /// all agents of its service, so that one agent which marks the job while its floor is still
+    /// the own ballot keeps every later owner from starting it.
+    fn refuse(&mut self, now: Instant, key: &JobKey, answer: Answer) {
+        let job = self.jobs.get_mut(key).expect("it is known");
+        job.refusing = Some(Refusing {
+            answer,
+            agent: 0,
+            tried: Vec::new(),
+        });
+        self.refusing.insert(key.clone());
+        self.ask_next(now, key);
+    }
+
+    fn ask_next(&mut self, now: Instant, key: &JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let Some(refusing) = &job.refusing else {
+            return;
+        };
+        let next = self
+            .members
+            .iter()
+            .filter(|(_, agent)| agent.up && agent.services.contains(&job.service))
+            .map(|(agent, _)| agent)
+            .filter(|agent| *agent != refusing.agent && !refusing.tried.contains(agent))
+            .min_by_key(|agent| agent ^ job.fingerprint);
+        let ballot = self.serving(job.shard).map(|takeover| takeover.ballot);
+        let job = self.jobs.get_mut(key).expect("it is known");
+        let refusing = job.refusing.as_mut().expect("it is being refused");
+        let reason = refusing.answer.reason().unwrap_or(Reason::Overloaded);
+        let (Some(agent), Some(ballot)) = (next, ballot) else {
+            job.refusing = None;
+            let detail = "no agent could confirm that the job was not run".to_owned();
+            return self.answer(now, key, Answer::Unknown { reason, detail });
+        };
+
+        refusing.tried.push(refusing.agent);
+        refusing.agent = agent;
+        let withdrawal = Withdrawal {
+            key: key.clone(),
+            fingerprint: job.fingerprint,
+            shard: job.shard,
+            service: job.service.clone(),
+            reason,
+        };
+        self.actions.push(OwnerAction::Withdraw {
+            agent,
+            ballot,
+            withdrawal,
+        });
+    }
+
+    /// Drops the oldest complete answers until the rest fits its bound. The keys stay.
+    fn evict(&mut self) {
+        while self.answer_bytes > self.cfg.max_result_bytes {
+            let Some(key) = self.kept.pop_front() else {
+                return;
+            };
+            let Some(job) = self.jobs.get_mut(&key) else {
+                continue;
+            };
+            if let Some(answer @ Answer::Complete(_)) = &mut job.answer {
+                self.answer_bytes -= answer_bytes(answer);
+                *answer = super::job::evicted();
+            }
+        }
+    }
+}
+
+fn answer_bytes(answer: &Answer) -> usize {
+    match answer {
+        Answer::Complete(results) => results.iter().map(|body| body.len()).sum(),
+        _ => 0,
+    }
+}
