Bound how long an agent counts by a lease on its announcement

An agent that died silently was to be forgotten a window after its last announcement. Counter-example: an agent and an old owner are cut off together from the log and from the new owner; the new owner forgets the agent, calls its account complete and starts a key that the agent starts as well. So the gate closes when its announcement has not been appended again within the lease (6 hours by default, longer than the log's outages), and owners remember an agent for the lease and the window. An agent that left, or whose address a newer incarnation has taken, is forgotten after the window alone.

Shells call `Gate::announced(sent)` with the time at which a successful announcement was sent; without that call the lease is not enforced.

--- a/hemlockhook-ownership/src/epoch.rs
+++ b/hemlockhook-ownership/src/epoch.rs
@@ -14,6 +14,9 @@
 /// Epochs in a window.
 pub const EPOCHS_PER_WINDOW: u32 = 8;
 
+/// Starts are kept for the window and this part of it more.
+const KEEP_MARGIN_DIVISOR: u32 = 4;
+
 /// Highest epoch of a ballot.
 pub const MAX_EPOCH: u64 = (1 << EPOCH_BITS) - 1;
 
@@ -56,3 +59,9 @@
     let length = epoch_length(window).as_nanos().max(1);
     u64::try_from(since.as_nanos() / length).map_or(MAX_EPOCH, |epoch| epoch.min(MAX_EPOCH))
 }
+
+/// Returns the time for which starts are kept: longer than the window, as owners bound the age of
+/// a key with some error.
+pub fn keep_time(window: Duration) -> Duration {
+    window + window / KEEP_MARGIN_DIVISOR
+}
--- a/hemlockhook-ownership/src/gate.rs
+++ b/hemlockhook-ownership/src/gate.rs
@@ -7,13 +7,13 @@
     Ballot, Incarnation, JobKey, ServiceName, ShardId, TaskEnd, TaskIndex, TaskResult,
 };
 
-use crate::epoch::base;
+use crate::epoch::{base, keep_time};
 use crate::order::{Custody, FenceReport, StartOrder, StartRecord, StartRefusal, Withdrawal};
 use crate::record::Record;
 use crate::rules::Rules;
 
-/// Markers are kept for the window and this part of it more.
-const KEEP_MARGIN_DIVISOR: u32 = 4;
+/// Default time for which starts are taken after an announcement: 6 hours.
+pub const LEASE: Duration = Duration::from_secs(6 * 60 * 60);
 
 /// Bounds of a [`Gate`].
 #[derive(Clone, Debug)]
@@ -24,6 +24,9 @@
     pub max_starts: usize,
     /// Highest number of bytes of results held.
     pub max_result_bytes: usize,
+    /// Time for which starts are taken after the announcement was last appended. All processes
+    /// must have the same.
+    pub lease: Duration,
     #[doc(hidden)]
     pub rules: Rules,
 }
@@ -34,6 +37,7 @@
             window: Duration::from_secs(600),
             max_starts: 100_000,
             max_result_bytes: 8 << 20,
+            lease: LEASE,
             rules: Rules::default(),
         }
     }
@@ -59,6 +63,8 @@
     /// Agents whose records are held here, with the time of their adoption.
     adopted: Vec<(Incarnation, Instant)>,
     joined: bool,
+    /// When the last announcement was sent that is in the log.
+    announced: Option<Instant>,
     leaving: bool,
     sealed: bool,
 }
@@ -80,6 +86,7 @@
             withdrawn_at: VecDeque::new(),
             adopted: Vec::new(),
             joined: false,
+            announced: None,
             leaving: false,
             sealed: false,
         }
@@ -105,6 +112,13 @@
         self.joined = true;
     }
 
+    /// Takes in that an announcement of this incarnation was appended, with the time at which it
+    /// was sent. Owners forget an agent that has not been announced for its lease, so the gate
+    /// closes then.
+    pub fn announced(&mut self, sent: Instant) {
+        self.announced = self.announced.max(Some(sent));
+    }
+
     /// Returns whether the agent has joined.
     pub fn is_joined(&self) -> bool {
         self.joined
@@ -116,7 +130,7 @@
     }
 
     /// Decides on a start, and records it if it is allowed.
-    pub fn start(&mut self, _now: Instant, order: &StartOrder) -> Result<(), StartRefusal> {
+    pub fn start(&mut self, now: Instant, order: &StartOrder) -> Result<(), StartRefusal> {
         let rules = self.cfg.rules;
         let floor = self.floor(order.shard);
         if rules.floor && base(order.ballot) < floor {
@@ -128,7 +142,7 @@
         if self.withdrawn.contains_key(&order.key) {
             return Err(StartRefusal::AlreadyStarted);
         }
-        if rules.join && !self.joined {
+        if rules.join && !self.joined || rules.lease && self.lease_lapsed(now) {
             return Err(StartRefusal::NotJoined);
         }
         if self.leaving || self.sealed {
@@ -158,7 +172,7 @@
         if self.jobs.contains_key(&withdrawal.key) {
             return Err(StartRefusal::AlreadyStarted);
         }
-        if !self.joined {
+        if !self.joined || self.lease_lapsed(now) {
             return Err(StartRefusal::NotJoined);
         }
         if self.sealed {
@@ -308,6 +322,11 @@
         *floor = base(ballot).max(*floor);
     }
 
+    fn lease_lapsed(&self, now: Instant) -> bool {
+        self.announced
+            .is_some_and(|sent| now.saturating_duration_since(sent) > self.cfg.lease)
+    }
+
     fn has_marker(&self, key: &JobKey, index: TaskIndex) -> bool {
         self.jobs
             .get(key)
@@ -442,12 +461,6 @@
     index: TaskIndex,
 }
 
-/// Returns the time for which markers are kept: longer than the window, as owners bound the age of
-/// a key with some error.
-fn keep_time(window: Duration) -> Duration {
-    window + window / KEEP_MARGIN_DIVISOR
-}
-
 fn result_bytes(result: &TaskResult) -> usize {
     match &result.end {
         TaskEnd::Ok(body) => body.len(),
--- a/hemlockhook-ownership/src/history.rs
+++ b/hemlockhook-ownership/src/history.rs
@@ -17,15 +17,9 @@
 }
 
 /// What a reader of the membership stream knows of its past.
-///
-/// While the log is up, each member's record is appended again within the announcement interval.
-/// So a reader knows all members once what it read reaches back for that interval. A silence that
-/// lasts longer may be an outage, during which no member could append; it does not count.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct History {
     first: Option<FirstRecord>,
-    newest: Option<LogTime>,
-    silence: Duration,
 }
 
 /// The oldest record that was read.
@@ -36,24 +30,15 @@
 }
 
 impl History {
-    /// Takes in a record that was read, in order. Returns the length of the silence before it if
-    /// it was longer than `interval`, else zero.
-    pub fn on_record(&mut self, offset: u64, written: LogTime, interval: Duration) -> Duration {
+    /// Takes in a record that was read, in order.
+    pub fn on_record(&mut self, offset: u64, written: LogTime) {
         self.first.get_or_insert(FirstRecord { offset, written });
-        let newest = self.newest.unwrap_or(written);
-        self.newest = Some(newest.max(written));
-        let silence = written.saturating_duration_since(newest);
-        if silence <= interval {
-            return Duration::ZERO;
-        }
-        self.silence += silence;
-        silence
     }
 
-    /// Returns whether the records read reach back for `span` before `at`, without silences, or to
-    /// the beginning of the stream.
+    /// Returns whether the records read reach back for `span` before `at`, or to the beginning of
+    /// the stream.
     pub fn reaches_back(&self, at: LogTime, span: Duration) -> bool {
         self.first
-            .is_some_and(|first| first.offset == 0 || first.written + span + self.silence <= at)
+            .is_some_and(|first| first.offset == 0 || first.written + span <= at)
     }
 }
--- a/hemlockhook-ownership/src/owner.rs
+++ b/hemlockhook-ownership/src/owner.rs
@@ -14,6 +14,7 @@
 use hemlockhook_types::{Answer, Ballot, Incarnation, JobKey, ShardId, Stamp, TaskIndex};
 
 use crate::epoch::{base, with_epoch};
+use crate::gate::LEASE;
 use crate::order::Withdrawal;
 use crate::record::Record;
 use crate::rules::Rules;
@@ -32,8 +33,12 @@
     pub max_result_bytes: usize,
     /// Time after which shards are served although not every agent has reported.
     pub fence_timeout: Duration,
+    /// Time for which an agent takes starts after its announcement was last appended. All
+    /// processes must have the same, and the log must keep records for longer than this and two
+    /// windows.
+    pub lease: Duration,
     /// Longest time in which each agent and each owner appends its record again while the log is
-    /// up.
+    /// up. Shorter than the window.
     pub announce_interval: Duration,
     #[doc(hidden)]
     pub rules: Rules,
@@ -46,6 +51,7 @@
             max_jobs: 1_000_000,
             max_result_bytes: 64 << 20,
             fence_timeout: Duration::from_millis(500),
+            lease: LEASE,
             announce_interval: Duration::from_secs(300),
             rules: Rules::default(),
         }
@@ -265,6 +271,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.retry_takes(now);
         self.time_out_fences(now);
+        self.time_out_withdrawals(now);
         self.advance_epochs(now);
         self.repeat_records(now);
         self.members.expire(now);
--- a/hemlockhook-ownership/src/owner/account.rs
+++ b/hemlockhook-ownership/src/owner/account.rs
@@ -5,9 +5,12 @@
 
 use hemlockhook_types::{Ballot, Incarnation, JobKey, ServiceName, ShardId};
 
+use super::members::Announced;
 use super::takeover::{Append, Takeover};
 use super::{Owner, OwnerAction, Role};
-use crate::epoch::{base, epoch_after, epoch_length, epoch_of, next_counter, with_epoch};
+use crate::epoch::{
+    base, epoch_after, epoch_length, epoch_of, keep_time, next_counter, with_epoch,
+};
 use crate::history::{LogTime, log_time};
 use crate::order::FenceReport;
 use crate::record::Record;
@@ -55,15 +58,25 @@
     /// log's clock.
     pub fn on_record(&mut self, now: Instant, offset: u64, age: Duration, record: &Record) {
         let written = log_time(now, age);
-        let interval = self.cfg.announce_interval;
-        self.members.on_record(offset, written, interval);
+        self.members.on_record(offset, written);
         match record {
             Record::Entry { .. } => {}
             Record::Agent {
                 incarnation,
+                address,
                 services,
                 ..
-            } => self.on_announced(offset, written, *incarnation, services),
+            } => self.members.announced(
+                offset,
+                written,
+                Announced {
+                    incarnation: *incarnation,
+                    address,
+                    services,
+                    lease: self.cfg.lease,
+                    keep: keep_time(self.cfg.window),
+                },
+            ),
             Record::Takeover { shards, ballot } => {
                 self.on_recorded(now, offset, written, shards, *ballot);
             }
@@ -177,6 +190,7 @@
                 .iter()
                 .filter(|(_, agent)| agent.may_hold_starts(log_now))
                 .filter(|(_, agent)| agent.concerns(takeover))
+                .filter(|(_, agent)| rules.custody || !agent.left)
                 .filter(|(_, agent)| service.is_none_or(|name| agent.services.contains(name)))
                 .all(|(id, _)| takeover.accounted.contains(&id))
     }
@@ -250,9 +264,9 @@
         }
     }
 
-    /// Time after its last sign of life for which an agent may hold starts inside the window.
+    /// Time after its last sign of life for which an agent may hold starts that matter.
     pub(super) fn memory(&self) -> Duration {
-        self.cfg.window + self.cfg.announce_interval
+        self.cfg.lease + keep_time(self.cfg.window)
     }
 
     fn begin_takeover(&mut self, now: Instant, shards: BTreeSet<ShardId>, attempt: u32) {
@@ -405,20 +419,6 @@
         self.forget_shard(shard)
     }
 
-    fn on_announced(
-        &mut self,
-        offset: u64,
-        written: LogTime,
-        agent: Incarnation,
-        services: &[ServiceName],
-    ) {
-        let memory = self.memory();
-        let state = self.members.entry(agent);
-        state.offset.get_or_insert(offset);
-        state.services.extend(services.iter().cloned());
-        state.forget_at = state.forget_at.max(Some(written + memory));
-    }
-
     fn on_recorded(
         &mut self,
         now: Instant,
@@ -436,8 +436,7 @@
             return;
         }
 
-        let interval = self.cfg.announce_interval;
-        let covered = self.members.history().reaches_back(written, interval);
+        let covered = self.members.history().reaches_back(written, self.cfg.lease);
         for takeover in self.takeovers.values_mut() {
             if takeover.ballot == ballot && takeover.offset.is_none() {
                 takeover.offset = Some(offset);
@@ -463,10 +462,9 @@
     /// Takes in that an agent left. Its custodian, if any, is asked for the starts again, as it may
     /// have adopted them after it reported.
     fn on_left(&mut self, written: LogTime, agent: Incarnation, custodian: Option<Incarnation>) {
-        let memory = self.memory();
         let state = self.members.entry(agent);
         state.left = true;
-        state.forget_at = state.forget_at.max(Some(written + memory));
+        state.forget_at = Some(written + keep_time(self.cfg.window));
         if let Some(custodian) = custodian
             && self.members.get(custodian).is_some_and(|agent| agent.up)
         {
--- a/hemlockhook-ownership/src/owner/admit.rs
+++ b/hemlockhook-ownership/src/owner/admit.rs
@@ -64,7 +64,7 @@
         };
         match job.answer.clone().or_else(|| job.verdict()) {
             Some(answer) => LookUp::Answered(answer),
-            None if job.admitted || job.idle().is_empty() => LookUp::Pending,
+            None if job.admitted.is_some() || job.idle().is_empty() => LookUp::Pending,
             None => LookUp::Unknown,
         }
     }
@@ -75,11 +75,11 @@
         if let Some(answer) = &known.answer {
             return Admission::Answered(answer.clone());
         }
-        if known.admitted {
+        if known.admitted.is_some() {
             return Admission::Pending;
         }
         if let Some(answer) = known.verdict() {
-            known.admitted = true;
+            known.admitted = Some(now);
             self.answer(now, &job.key, answer.clone());
             return Admission::Answered(answer);
         }
@@ -91,7 +91,7 @@
                 "an agent that may have started tasks of the job has not reported",
             ));
         }
-        known.admitted = true;
+        known.admitted = Some(now);
         known.touched = now;
         match idle.is_empty() {
             true => Admission::Pending,
@@ -124,7 +124,7 @@
             idempotent: job.idempotent,
             job_tasks: job.tasks.len() as u32,
             tasks: vec![TaskState::Idle; job.tasks.len()],
-            admitted: true,
+            admitted: Some(now),
             refusing: None,
             answer: None,
             touched: now,
--- a/hemlockhook-ownership/src/owner/job.rs
+++ b/hemlockhook-ownership/src/owner/job.rs
@@ -49,6 +49,8 @@
     pub answer: Answer,
     /// The agent that was asked.
     pub agent: Incarnation,
+    /// When it was asked.
+    pub asked: Instant,
     /// The agents that were asked in vain.
     pub tried: Vec<Incarnation>,
 }
@@ -68,8 +70,8 @@
     pub job_tasks: u32,
     /// Its tasks; empty once it is answered and nothing of it runs.
     pub tasks: Vec<TaskState>,
-    /// Whether it was submitted to this owner, rather than only reported by agents.
-    pub admitted: bool,
+    /// When it was submitted to this owner, if it was not only reported by agents.
+    pub admitted: Option<Instant>,
     /// A refusal on its way.
     pub refusing: Option<Refusing>,
     /// Its final answer.
--- a/hemlockhook-ownership/src/owner/members.rs
+++ b/hemlockhook-ownership/src/owner/members.rs
@@ -13,6 +13,8 @@
 pub struct Agent {
     /// Every service that it was ever announced or linked with.
     pub services: BTreeSet<ServiceName>,
+    /// Where it is reached, once its announcement was read.
+    pub address: Option<String>,
     /// Offset of its first announcement, once read.
     pub offset: Option<u64>,
     /// Log time at which it may be forgotten: none of its starts is inside the window then.
@@ -45,6 +47,21 @@
     }
 }
 
+/// An announcement of an agent, with how long it counts.
+#[derive(Clone, Copy, Debug)]
+pub struct Announced<'a> {
+    /// The agent.
+    pub incarnation: Incarnation,
+    /// Where it is reached.
+    pub address: &'a str,
+    /// What it starts tasks of.
+    pub services: &'a [ServiceName],
+    /// Time for which it may start tasks after the announcement.
+    pub lease: Duration,
+    /// Time for which its starts matter.
+    pub keep: Duration,
+}
+
 /// The agents that an owner knows of, with what the log says of them.
 #[derive(Debug, Default)]
 pub struct Members {
@@ -53,12 +70,37 @@
 }
 
 impl Members {
-    /// Takes in that some record was read. A silence of the log postpones the forgetting of agents.
-    pub fn on_record(&mut self, offset: u64, written: LogTime, interval: Duration) {
-        let silence = self.history.on_record(offset, written, interval);
-        for agent in self.agents.values_mut() {
-            agent.forget_at = agent.forget_at.map(|at| at + silence);
+    /// Takes in that some record was read.
+    pub fn on_record(&mut self, offset: u64, written: LogTime) {
+        self.history.on_record(offset, written);
+    }
+
+    /// Takes in that an agent was announced. A new incarnation shows that the earlier ones at its
+    /// address have ended: an address is held by one process at a time.
+    pub fn announced(&mut self, offset: u64, written: LogTime, announced: Announced) {
+        let Announced {
+            incarnation,
+            address,
+            services,
+            lease,
+            keep,
+        } = announced;
+        let is_new = self
+            .agents
+            .get(&incarnation)
+            .is_none_or(|agent| agent.offset.is_none());
+        if is_new {
+            self.agents
+                .values_mut()
+                .filter(|agent| agent.address.as_deref() == Some(address))
+                .for_each(|agent| agent.forget_at = Some(written + keep));
         }
+
+        let agent = self.entry(incarnation);
+        agent.offset.get_or_insert(offset);
+        agent.address = Some(address.to_owned());
+        agent.services.extend(services.iter().cloned());
+        agent.forget_at = agent.forget_at.max(Some(written + lease + keep));
     }
 
     /// Returns what is known of the log's past.
--- a/hemlockhook-ownership/src/owner/run.rs
+++ b/hemlockhook-ownership/src/owner/run.rs
@@ -22,7 +22,8 @@
         let job = self.jobs.get(key)?;
         let ballot = self.serving(job.shard)?.ballot;
         let job = self.jobs.get_mut(key)?;
-        if !job.admitted || job.answer.is_some() || job.refusing.is_some() {
+        let is_stale = |at| now.saturating_duration_since(at) > self.cfg.window;
+        if job.admitted.is_none_or(is_stale) || job.answer.is_some() || job.refusing.is_some() {
             return None;
         }
         let task = &mut job.tasks[index as usize];
@@ -144,7 +145,11 @@
         }
         changed.extend(self.requeue_unseen(agent, shards, &held));
         for key in changed {
-            if self.jobs.get(&key).is_some_and(|job| job.admitted) {
+            if self
+                .jobs
+                .get(&key)
+                .is_some_and(|job| job.admitted.is_some())
+            {
                 self.conclude(now, &key);
             }
         }
@@ -196,12 +201,12 @@
                 idempotent: record.idempotent,
                 job_tasks: record.job_tasks,
                 tasks: vec![TaskState::Idle; record.job_tasks as usize],
-                admitted: false,
+                admitted: None,
                 refusing: None,
                 answer: None,
                 touched: now,
             });
-        if job.touched == now && !job.admitted {
+        if job.touched == now && job.admitted.is_none() {
             self.expiry.push_back((now, record.key.clone()));
         }
         let state = match (job.tasks.get(record.index as usize), &record.result) {
@@ -232,7 +237,7 @@
             idempotent: false,
             job_tasks: 0,
             tasks: Vec::new(),
-            admitted: true,
+            admitted: Some(now),
             refusing: None,
             answer: Some(answer),
             touched: now,
--- a/hemlockhook-ownership/src/owner/settle.rs
+++ b/hemlockhook-ownership/src/owner/settle.rs
@@ -87,12 +87,25 @@
 
     /// Asks other agents for what an agent whose link broke may not have marked.
     pub(super) fn withdraw_elsewhere(&mut self, now: Instant, agent: Incarnation) {
+        self.ask_next_where(now, |refusing| refusing.agent == agent);
+    }
+
+    /// Asks other agents where one did not answer in time.
+    pub(super) fn time_out_withdrawals(&mut self, now: Instant) {
+        let timeout = self.cfg.fence_timeout;
+        self.ask_next_where(now, |refusing| refusing.asked + timeout <= now);
+    }
+
+    fn ask_next_where<F>(&mut self, now: Instant, is_due: F)
+    where
+        F: Fn(&Refusing) -> bool,
+    {
         let keys: Vec<_> = self
             .refusing
             .iter()
             .filter(|key| {
                 let refusing = self.jobs.get(*key).and_then(|job| job.refusing.as_ref());
-                refusing.is_some_and(|refusing| refusing.agent == agent)
+                refusing.is_some_and(&is_due)
             })
             .cloned()
             .collect();
@@ -152,7 +165,7 @@
             let Some(job) = self.jobs.get(&key) else {
                 continue;
             };
-            let live = job.admitted && job.answer.is_none() || !job.running().is_empty();
+            let live = job.admitted.is_some() && job.answer.is_none() || !job.running().is_empty();
             if live || now.saturating_duration_since(job.touched) <= self.cfg.window {
                 self.expiry.push_back((now, key));
                 continue;
@@ -167,7 +180,7 @@
             .jobs
             .iter()
             .filter(|(_, job)| job.shard == shard)
-            .map(|(key, job)| (key.clone(), job.admitted && job.answer.is_none()))
+            .map(|(key, job)| (key.clone(), job.admitted.is_some() && job.answer.is_none()))
             .collect();
         keys.sort();
         for (key, _) in &keys {
@@ -200,6 +213,7 @@
         job.refusing = Some(Refusing {
             answer,
             agent: 0,
+            asked: now,
             tried: Vec::new(),
         });
         self.refusing.insert(key.clone());
@@ -232,6 +246,7 @@
 
         refusing.tried.push(refusing.agent);
         refusing.agent = agent;
+        refusing.asked = now;
         let withdrawal = Withdrawal {
             key: key.clone(),
             fingerprint: job.fingerprint,
--- a/hemlockhook-ownership/src/rules.rs
+++ b/hemlockhook-ownership/src/rules.rs
@@ -8,6 +8,8 @@
     pub floor: bool,
     /// An agent takes no start before it has joined.
     pub join: bool,
+    /// An agent takes no start once its lease has lapsed.
+    pub lease: bool,
     /// An agent refuses a task that it has started before.
     pub marker: bool,
     /// A key is fresh only if owner and counter of its stamp are those of the ballot.
@@ -37,6 +39,7 @@
         Self {
             floor: true,
             join: true,
+            lease: true,
             marker: true,
             stamp_owner: true,
             stamp_above: true,
