--- a/hemlockhook-ownership/src/owner/account.rs
+++ b/hemlockhook-ownership/src/owner/account.rs
@@ -384,7 +384,8 @@
     }
 
     fn back_off(&mut self, attempt: u32) -> Duration {
-        let longest = self.cfg.fence_timeout * (1 << attempt.min(MAX_BACK_OFF));
+        let doublings = (attempt - 1).min(MAX_BACK_OFF);
+        let longest = self.cfg.fence_timeout * (1 << doublings);
         longest.mul_f64(self.rng.f64())
     }
 
--- /dev/null
+++ b/hemlockhook-ownership/tests/world/mod.rs
@@ -0,0 +1,326 @@
+//! Owners, agents, clients, the log and the network of the randomised tests, with the checks of
+//! what must always hold.
+
+pub mod procs;
+pub mod steps;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlockhook_ownership::{
+    Admission, FenceReport, OwnerAction, Record, Rules, StartOrder, StartRefusal, Withdrawal,
+};
+use hemlockhook_types::{
+    Answer, Ballot, Incarnation, Job, JobKey, Reason, ShardId, Stamp, Task, TaskIndex, TaskResult,
+    shard_of,
+};
+
+use procs::{AgentProc, EntryProc};
+
+pub const ENTRIES: usize = 3;
+pub const AGENTS: usize = 3;
+pub const WINDOW: Duration = Duration::from_secs(8);
+pub const INTERVAL: Duration = Duration::from_secs(2);
+pub const LEASE: Duration = Duration::from_secs(12);
+pub const FENCE_TIMEOUT: Duration = Duration::from_millis(500);
+const RETENTION: Duration = Duration::from_secs(40);
+/// The shards in use.
+pub const SHARDS: [ShardId; 2] = [0, 1];
+
+/// A message from an entry to an agent.
+#[derive(Clone, Debug)]
+pub enum ToAgent {
+    Start(StartOrder),
+    Fence(u64, Vec<ShardId>, Ballot),
+    Withdraw(Ballot, Withdrawal),
+}
+
+/// A message from an agent to an entry.
+#[derive(Clone, Debug)]
+pub enum ToEntry {
+    Refusal(JobKey, TaskIndex, StartRefusal),
+    Done(JobKey, TaskIndex, TaskResult),
+    Report(u64, FenceReport),
+    Withdrawn(JobKey, Result<(), StartRefusal>),
+}
+
+/// One stream between an entry and an agent.
+#[derive(Debug)]
+pub struct Link {
+    pub entry: Incarnation,
+    pub agent: Incarnation,
+    pub to_agent: VecDeque<ToAgent>,
+    pub to_entry: VecDeque<ToEntry>,
+}
+
+/// An append that has not reached the log.
+#[derive(Debug)]
+pub struct Append {
+    pub from: Incarnation,
+    pub takeover: u64,
+    pub record: Record,
+    pub sent: Instant,
+}
+
+/// What a client holds of a job that it submitted.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    pub job: Job,
+    pub stamp: Option<Stamp>,
+    pub made: Instant,
+}
+
+/// Everything, with the record of what happened.
+pub struct World {
+    pub rules: Rules,
+    pub now: Instant,
+    pub entries: Vec<EntryProc>,
+    pub agents: Vec<AgentProc>,
+    /// The current links, by the places of entry and agent.
+    pub links: BTreeMap<(usize, usize), Link>,
+    /// Links that were superseded or broke, with what they had not delivered.
+    pub old_links: Vec<Link>,
+    pub log: Vec<(Instant, Record)>,
+    pub first_retained: usize,
+    pub log_up: bool,
+    pub appends: Vec<Append>,
+    pub submissions: Vec<Submission>,
+    /// Stamps that owners gave out.
+    pub stamps: Vec<(ShardId, Stamp)>,
+    pub gossip: Vec<(usize, ShardId, Ballot)>,
+    starts: BTreeMap<(JobKey, TaskIndex), u32>,
+    not_run: BTreeSet<JobKey>,
+    pub answers: BTreeMap<&'static str, u32>,
+    next_incarnation: Incarnation,
+}
+
+impl World {
+    pub fn new(rules: Rules) -> Self {
+        let mut world = Self {
+            rules,
+            now: Instant::now(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            links: BTreeMap::new(),
+            old_links: Vec::new(),
+            log: Vec::new(),
+            first_retained: 0,
+            log_up: true,
+            appends: Vec::new(),
+            submissions: Vec::new(),
+            stamps: Vec::new(),
+            gossip: Vec::new(),
+            starts: BTreeMap::new(),
+            not_run: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            next_incarnation: 1,
+        };
+        for _ in 0..ENTRIES {
+            let incarnation = world.new_incarnation();
+            world.entries.push(EntryProc::new(rules, incarnation));
+        }
+        for place in 0..AGENTS {
+            let incarnation = world.new_incarnation();
+            world.agents.push(AgentProc::new(rules, incarnation, place));
+        }
+        world.connect_all();
+        world.advance(INTERVAL);
+        world.calm();
+        for (entry, shards) in [(0, 1), (1, 2)] {
+            world.take(entry, shards);
+            world.calm();
+        }
+        world
+    }
+
+    /// Draws incarnations whose order is not that of their age, as random ones are.
+    pub fn new_incarnation(&mut self) -> Incarnation {
+        self.next_incarnation += 1;
+        self.next_incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1
+    }
+
+    /// Has a client make a job with the stamp that it holds.
+    pub fn make_job(&mut self, stamp_choice: usize, tasks: usize) -> usize {
+        let number = self.submissions.len();
+        let shard = SHARDS[number % SHARDS.len()];
+        let key: JobKey = (0..)
+            .map(|salt| format!("farm/{number}-{salt}"))
+            .find(|key| shard_of(key) == shard)
+            .expect("some key has the shard")
+            .into();
+        let held: Vec<_> = self.stamps.iter().filter(|(of, _)| *of == shard).collect();
+        let stamp = match stamp_choice {
+            0 => None,
+            age => held
+                .iter()
+                .rev()
+                .nth((age - 1) / 4)
+                .map(|(_, stamp)| *stamp),
+        };
+        let task = Task {
+            payload: Arc::from(&b""[..]),
+            declared: None,
+            class: "".into(),
+        };
+        let job = Job {
+            key,
+            fingerprint: number as u64,
+            team: "farm".into(),
+            service: ["quote", "hold"][number / 2 % 2].into(),
+            idempotent: false,
+            deadline: Duration::from_secs(5),
+            tasks: vec![task; tasks],
+        };
+        let made = self.now;
+        self.submissions.push(Submission { job, stamp, made });
+        number
+    }
+
+    /// Submits a job at an entry. A client without a stamp submits only inside the window.
+    pub fn submit(&mut self, entry: usize, number: usize) {
+        let Submission { job, stamp, made } = self.submissions[number].clone();
+        if stamp.is_none() && self.now > made + WINDOW {
+            return;
+        }
+        let now = self.now;
+        let proc = &mut self.entries[entry];
+        if proc.paused {
+            proc.inbox.push(number);
+            return;
+        }
+        match proc.owner.admit(now, &job, stamp) {
+            Admission::Run(indexes) => {
+                let tasks = indexes.into_iter().map(|index| (job.key.clone(), index));
+                proc.queue.extend(tasks);
+            }
+            Admission::Answered(answer) => self.check_answer(&job.key, &answer),
+            Admission::Fencing => proc.waiting.push(number),
+            Admission::Pending | Admission::NotOwner => {}
+            Admission::KeyReused => panic!("no key is used twice"),
+        }
+        self.act(entry);
+    }
+
+    /// Carries out what an owner asks for.
+    pub fn act(&mut self, entry: usize) {
+        let actions = self.entries[entry].owner.actions();
+        for action in actions {
+            match action {
+                OwnerAction::Fence {
+                    agent,
+                    takeover,
+                    shards,
+                    ballot,
+                } => self.send_to_agent(entry, agent, ToAgent::Fence(takeover, shards, ballot)),
+                OwnerAction::Withdraw {
+                    agent,
+                    ballot,
+                    withdrawal,
+                } => self.send_to_agent(entry, agent, ToAgent::Withdraw(ballot, withdrawal)),
+                OwnerAction::Append { takeover, record } => self.appends.push(Append {
+                    from: self.entries[entry].owner.incarnation(),
+                    takeover,
+                    record,
+                    sent: self.now,
+                }),
+                OwnerAction::ReadToEnd { takeover } => {
+                    self.entries[entry].reading.push(takeover);
+                }
+                OwnerAction::Ready { .. } => {
+                    let waiting = std::mem::take(&mut self.entries[entry].waiting);
+                    self.entries[entry].inbox.extend(waiting);
+                }
+                OwnerAction::StepDown { shard, .. } => {
+                    let queue = &mut self.entries[entry].queue;
+                    queue.retain(|(key, _)| shard_of(key) != shard);
+                }
+                OwnerAction::Settled { key, answer } => {
+                    self.entries[entry]
+                        .queue
+                        .retain(|(queued, _)| *queued != key);
+                    self.check_answer(&key, &answer);
+                }
+                OwnerAction::Requeue { key, index, .. } => {
+                    self.entries[entry].queue.push((key, index));
+                }
+            }
+        }
+    }
+
+    pub fn send_to_agent(&mut self, entry: usize, agent: Incarnation, message: ToAgent) {
+        for ((at, _), link) in &mut self.links {
+            if *at == entry && link.agent == agent {
+                link.to_agent.push_back(message.clone());
+            }
+        }
+    }
+
+    /// Checks that a start is the first one of its task, and of no job that was refused.
+    pub fn check_start(&mut self, order: &StartOrder) {
+        let count = self
+            .starts
+            .entry((order.key.clone(), order.index))
+            .or_default();
+        *count += 1;
+        assert!(
+            *count == 1,
+            "task {}/{} started twice",
+            order.key,
+            order.index
+        );
+        assert!(
+            !self.not_run.contains(&order.key),
+            "{} was answered as not run and started",
+            order.key
+        );
+    }
+
+    /// Checks an answer against what was started.
+    fn check_answer(&mut self, key: &JobKey, answer: &Answer) {
+        *self.answers.entry(answer.kind().into()).or_default() += 1;
+        match answer {
+            Answer::Complete(results) => {
+                for (index, body) in (0..).zip(results) {
+                    assert_eq!(
+                        body[..],
+                        body_of(key, index)[..],
+                        "a result of another task"
+                    );
+                    assert!(self.starts.contains_key(&(key.clone(), index)));
+                }
+                let job = &self.submission(key).job;
+                assert_eq!(results.len(), job.tasks.len(), "a partial answer");
+            }
+            Answer::NotRun { .. } => {
+                let started = self.starts.keys().any(|(started, _)| started == key);
+                assert!(!started, "{key} was started and answered as not run");
+                self.not_run.insert(key.clone());
+            }
+            Answer::Failed { reason, .. } => {
+                let started = self.starts.keys().any(|(started, _)| started == key);
+                let by_task = matches!(reason, Reason::UpstreamFailed | Reason::ResultEvicted);
+                assert!(started || !by_task, "{key} failed without a start");
+            }
+            Answer::Unknown { .. } => {}
+        }
+    }
+
+    fn submission(&self, key: &JobKey) -> &Submission {
+        let found = self.submissions.iter().find(|made| made.job.key == *key);
+        found.expect("it was submitted")
+    }
+
+    /// Drops what the log retains no longer.
+    pub fn retain_log(&mut self) {
+        let now = self.now;
+        let expired = |(written, _): &&(Instant, Record)| now > *written + RETENTION;
+        let gone = self.log.iter().take_while(expired).count();
+        self.first_retained = gone.max(self.first_retained);
+    }
+}
+
+/// Returns the body with which the upstream answers a task.
+pub fn body_of(key: &JobKey, index: TaskIndex) -> Vec<u8> {
+    format!("{key}/{index}").into_bytes()
+}
