Check the age of a key also where part of its job is reported

Admission of a job that is known only by reports now passes the same checks of age and account as an unknown one.

--- a/hemlockhook-ownership/src/owner/admit.rs
+++ b/hemlockhook-ownership/src/owner/admit.rs
@@ -49,7 +49,7 @@
 
         match self.jobs.get(&job.key) {
             Some(known) if known.fingerprint != job.fingerprint => Admission::KeyReused,
-            Some(_) => self.admit_known(now, job),
+            Some(_) => self.admit_known(now, job, stamp),
             None => self.admit_new(now, job, stamp),
         }
     }
@@ -69,8 +69,8 @@
         }
     }
 
-    fn admit_known(&mut self, now: Instant, job: &Job) -> Admission {
-        let complete = self.accounts_for_job(now, job);
+    fn admit_known(&mut self, now: Instant, job: &Job, stamp: Option<Stamp>) -> Admission {
+        let doubt = self.doubt(now, job, stamp);
         let known = self.jobs.get_mut(&job.key).expect("it is known");
         if let Some(answer) = &known.answer {
             return Admission::Answered(answer.clone());
@@ -85,11 +85,9 @@
         }
 
         let idle = known.idle();
-        if !idle.is_empty() && !complete {
-            return Admission::Answered(unknown(
-                Reason::AccountIncomplete,
-                "an agent that may have started tasks of the job has not reported",
-            ));
+        match doubt {
+            Some(doubt) if !idle.is_empty() => return Admission::Answered(doubt),
+            _ => {}
         }
         known.admitted = Some(now);
         known.touched = now;
@@ -99,22 +97,26 @@
         }
     }
 
-    fn admit_new(&mut self, now: Instant, job: &Job, stamp: Option<Stamp>) -> Admission {
+    /// Returns the answer for a submission whose tasks may have been started unless they are known
+    /// to have been.
+    fn doubt(&self, now: Instant, job: &Job, stamp: Option<Stamp>) -> Option<Answer> {
         match self.age(now, job.shard(), stamp) {
-            Age::Fresh => {}
-            Age::Old if self.accounts_for_job(now, job) => {}
-            Age::Old | Age::Unbounded => {
-                return Admission::Answered(unknown(
-                    Reason::AccountIncomplete,
-                    "an agent that may have started tasks of the job has not reported",
-                ));
-            }
-            Age::TooOld => {
-                return Admission::Answered(unknown(
-                    Reason::KeyTooOld,
-                    "the key was made before the window for which starts are kept",
-                ));
-            }
+            Age::Fresh => None,
+            Age::Old if self.accounts_for_job(now, job) => None,
+            Age::Old | Age::Unbounded => Some(unknown(
+                Reason::AccountIncomplete,
+                "an agent that may have started tasks of the job has not reported",
+            )),
+            Age::TooOld => Some(unknown(
+                Reason::KeyTooOld,
+                "the key was made before the window for which starts are kept",
+            )),
+        }
+    }
+
+    fn admit_new(&mut self, now: Instant, job: &Job, stamp: Option<Stamp>) -> Admission {
+        if let Some(doubt) = self.doubt(now, job, stamp) {
+            return Admission::Answered(doubt);
         }
 
         let state = JobState {
