--- a/hemlockhook-ownership/src/owner/run.rs
+++ b/hemlockhook-ownership/src/owner/run.rs
@@ -277,7 +277,8 @@
                 Some(TaskState::Sent { link, .. })
                     if *link == current && self.cfg.rules.link_epoch => {}
                 Some(TaskState::Sent { at, .. })
-                    if now.saturating_duration_since(*at) < self.cfg.window =>
+                    if now.saturating_duration_since(*at) < self.cfg.window
+                        || !self.cfg.rules.forgotten =>
                 {
                     let answered = job.answer.is_some();
                     self.set_task(&key, index, TaskState::Idle);
--- a/hemlockhook-ownership/src/rules.rs
+++ b/hemlockhook-ownership/src/rules.rs
@@ -24,6 +24,8 @@
     pub window: bool,
     /// A report judges only starts that were sent on an earlier link.
     pub link_epoch: bool,
+    /// A start whose marker may have been forgotten counts as lost.
+    pub forgotten: bool,
     /// A refusal as not run is marked at an agent before it is given.
     pub withdraw: bool,
     /// A leaving agent that no other agent stands for counts as unaccounted.
@@ -47,6 +49,7 @@
             reports: true,
             window: true,
             link_epoch: true,
+            forgotten: true,
             withdraw: true,
             custody: true,
             history: true,
