--- a/hemlockhook-ownership/tests/random.rs
+++ b/hemlockhook-ownership/tests/random.rs
@@ -164,7 +164,7 @@
 ];
 
 /// Entry 0 goes on and starts the job at agent 1.
-const START_AT_AGENT_1: [Step; 4] = [
+const START_AT_AGENT_1: [Step; 6] = [
     Step::PauseEntry(0, false),
     Step::Connect { entry: 0, agent: 1 },
     Step::Dispatch {
@@ -172,6 +172,14 @@
         task: 0,
         agent: 1,
     },
+    Step::Deliver {
+        message: 0,
+        count: 4,
+    },
+    Step::Deliver {
+        message: 1,
+        count: 4,
+    },
     Step::Calm,
 ];
 
--- a/hemlockhook-ownership/tests/world/steps.rs
+++ b/hemlockhook-ownership/tests/world/steps.rs
@@ -729,7 +729,7 @@
 
     fn note_stamps(&mut self, entry: usize) {
         for stamp in self.entries[entry].owner.owned() {
-            if self.stamps.last() != Some(&stamp) {
+            if !self.stamps.contains(&stamp) {
                 self.stamps.push(stamp);
             }
         }
