--- /dev/null
+++ b/hemlockhook-runtime/src/grpc.rs
@@ -0,0 +1,177 @@
+//! tonic services and clients over hyper, without tokio's runtime.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use futures_lite::FutureExt;
+use http::uri::{Authority, Scheme};
+use http::{Request, Response, Uri};
+use hyper::body::Incoming;
+use hyper::client::conn::http2::SendRequest;
+use hyper::service::service_fn;
+use hyper::{client, server};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use tonic::body::Body;
+use tower_service::Service;
+
+use crate::executor::{Executor, HyperExecutor};
+use crate::http::accept;
+use crate::tasks::TaskSet;
+
+/// Bytes that a peer may have in flight on one stream.
+const STREAM_WINDOW: u32 = 4 * 1024 * 1024;
+
+/// Bytes that a peer may have in flight on one connection.
+const CONNECTION_WINDOW: u32 = 16 * 1024 * 1024;
+
+/// Longest HTTP/2 frame taken, in bytes.
+const MAX_FRAME: u32 = 256 * 1024;
+
+/// Bytes buffered for sending on one stream.
+const SEND_BUFFER: usize = 1024 * 1024;
+
+/// Requests that a peer may have open on one connection.
+const MAX_STREAMS: u32 = 4096;
+
+/// Time without traffic after which a connection is pinged.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
+/// Time for a ping to be answered, after which the connection is closed.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Serves a generated tonic service over HTTP/2.
+///
+/// When `stop` is closed it stops accepting, lets calls in flight finish and returns. Dropping the
+/// future closes the listener and every connection.
+pub async fn serve<S>(ex: Arc<Executor>, listener: TcpListener, stop: Receiver<()>, service: S)
+where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let connections = TaskSet::new(ex.clone());
+    while let Some(stream) = accept(&listener, &stop).await {
+        let conn = serve_connection(ex.clone(), stream, stop.clone(), service.clone());
+        connections.spawn(conn);
+    }
+    drop(listener);
+    connections.join().await;
+}
+
+async fn serve_connection<S>(ex: Arc<Executor>, stream: TcpStream, stop: Receiver<()>, service: S)
+where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let service = service_fn(move |req| service.clone().call(req));
+    let conn = server::conn::http2::Builder::new(HyperExecutor(ex))
+        .timer(SmolTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_frame_size(MAX_FRAME)
+        .max_send_buf_size(SEND_BUFFER)
+        .max_concurrent_streams(MAX_STREAMS)
+        .keep_alive_interval(KEEP_ALIVE)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut conn = pin!(conn);
+
+    let stopped = async {
+        let _ = stop.recv().await;
+        true
+    };
+    let ended = async {
+        // A connection that broke concerns only its client.
+        let _ = conn.as_mut().await;
+        false
+    };
+    if stopped.or(ended).await {
+        conn.as_mut().graceful_shutdown();
+        let _ = conn.await;
+    }
+}
+
+/// A connection to a process, for generated tonic clients. Clones share the connection.
+#[derive(Clone, Debug)]
+pub struct Channel {
+    sender: SendRequest<Body>,
+    authority: Authority,
+}
+
+impl Channel {
+    /// Returns whether the connection has been closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+/// Connects to a process within `timeout`. The connection is driven by a task on `ex` and is closed
+/// when the last clone of the channel and the last call on it are dropped.
+pub async fn connect(
+    ex: Arc<Executor>,
+    addr: SocketAddr,
+    timeout: Duration,
+) -> io::Result<Channel> {
+    let expire = async {
+        Timer::after(timeout).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    open(ex, addr).or(expire).await
+}
+
+async fn open(ex: Arc<Executor>, addr: SocketAddr) -> io::Result<Channel> {
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    let (sender, driver) = client::conn::http2::Builder::new(HyperExecutor(ex.clone()))
+        .timer(SmolTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_frame_size(MAX_FRAME)
+        .max_send_buf_size(SEND_BUFFER)
+        .keep_alive_interval(KEEP_ALIVE)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .handshake(FuturesIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    ex.spawn(async move {
+        // Calls on a connection that broke report it.
+        let _ = driver.await;
+    })
+    .detach();
+
+    let authority = Authority::try_from(addr.to_string()).map_err(io::Error::other)?;
+    Ok(Channel { sender, authority })
+}
+
+impl Service<Request<Body>> for Channel {
+    type Response = Response<Incoming>;
+    type Error = hyper::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.sender.poll_ready(cx)
+    }
+
+    fn call(&mut self, mut req: Request<Body>) -> Self::Future {
+        let mut parts = std::mem::take(req.uri_mut()).into_parts();
+        parts.scheme = Some(Scheme::HTTP);
+        parts.authority = Some(self.authority.clone());
+        *req.uri_mut() = Uri::from_parts(parts).expect("a generated client sets a path");
+        Box::pin(self.sender.send_request(req))
+    }
+}
--- /dev/null
+++ b/hemlockhook-runtime/src/http/body.rs
@@ -0,0 +1,76 @@
+//! Reading of bodies within limits.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use bytes::{Bytes, BytesMut};
+use futures_lite::FutureExt;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use thiserror::Error;
+
+/// Why a body was not read.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// The body is longer than allowed.
+    #[error("the body is longer than {0} bytes")]
+    TooLarge(usize),
+    /// The body did not arrive in time.
+    #[error("the body did not arrive within {0:?}")]
+    Timeout(Duration),
+    /// The connection broke, or the body is malformed.
+    #[error("the body could not be read: {0}")]
+    Broken(#[from] hyper::Error),
+}
+
+impl BodyError {
+    /// Returns the status that a server answers with.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Timeout(_) => StatusCode::REQUEST_TIMEOUT,
+            Self::Broken(_) => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// Reads a whole body of at most `max` bytes within `timeout`.
+pub async fn read_body(body: Incoming, max: usize, timeout: Duration) -> Result<Bytes, BodyError> {
+    let expire = async {
+        Timer::after(timeout).await;
+        Err(BodyError::Timeout(timeout))
+    };
+    collect(body, max).or(expire).await
+}
+
+/// Reads a whole body of at most `max` bytes.
+pub(crate) async fn collect(mut body: Incoming, max: usize) -> Result<Bytes, BodyError> {
+    if body.size_hint().lower() > max as u64 {
+        return Err(BodyError::TooLarge(max));
+    }
+
+    let mut first = Bytes::new();
+    let mut rest = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if first.len() + rest.len() + data.len() > max {
+            return Err(BodyError::TooLarge(max));
+        }
+        // A body that comes in one piece is not copied.
+        match first.is_empty() {
+            true => first = data,
+            false => rest.extend_from_slice(&data),
+        }
+    }
+
+    if rest.is_empty() {
+        return Ok(first);
+    }
+    let mut whole = BytesMut::with_capacity(first.len() + rest.len());
+    whole.extend_from_slice(&first);
+    whole.extend_from_slice(&rest);
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/hemlockhook-runtime/src/http/client.rs
@@ -0,0 +1,228 @@
+//! Pooled HTTP/1 client to one address.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use async_net::TcpStream;
+use bytes::Bytes;
+use futures_lite::{FutureExt, future};
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use smol_hyper::rt::FuturesIo;
+use thiserror::Error;
+
+use super::body::{BodyError, collect};
+use crate::executor::Executor;
+
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why a request got no response.
+#[derive(Debug, Error)]
+pub enum HttpError {
+    /// No connection could be made: the request was not sent.
+    #[error("could not connect: {0}")]
+    Connect(io::Error),
+    /// The response did not arrive in time.
+    #[error("no response within {0:?}")]
+    Timeout(Duration),
+    /// The connection broke, or the response is malformed.
+    #[error("the exchange broke: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The response's body could not be read.
+    #[error("response: {0}")]
+    Body(#[from] BodyError),
+}
+
+/// Pooled HTTP/1 client to one address.
+///
+/// Dropping the future of [`HttpClient::send`] closes the connection that it uses.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    addr: SocketAddr,
+    host: HeaderValue,
+    pool: Arc<Pool>,
+}
+
+impl HttpClient {
+    /// Creates a client that opens at most `max_connections`, as requests need them.
+    pub fn new(ex: Arc<Executor>, addr: SocketAddr, max_connections: usize) -> Self {
+        assert!(max_connections > 0, "a client needs a connection");
+        let (free, permits) = async_channel::bounded(max_connections);
+        for _ in 0..max_connections {
+            let sent = free.try_send(());
+            assert!(sent.is_ok(), "the channel has room for every permit");
+        }
+
+        let pool = Arc::new(Pool {
+            idle: Mutex::default(),
+            free,
+            permits,
+        });
+        let weak = Arc::downgrade(&pool);
+        ex.spawn(async move {
+            loop {
+                Timer::after(IDLE_TIMEOUT).await;
+                match weak.upgrade() {
+                    Some(pool) => pool.close_idle(Instant::now()),
+                    None => return,
+                }
+            }
+        })
+        .detach();
+
+        let host = HeaderValue::from_str(&addr.to_string()).expect("an address is a valid header");
+        Self { addr, host, pool }
+    }
+
+    /// Sends a request and reads its whole response, of at most `max_body` bytes.
+    ///
+    /// `timeout` covers the wait for a connection as well.
+    pub async fn send(
+        &self,
+        req: Request<Full<Bytes>>,
+        max_body: usize,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let expire = async {
+            Timer::after(timeout).await;
+            Err(HttpError::Timeout(timeout))
+        };
+        self.exchange(req, max_body).or(expire).await
+    }
+
+    async fn exchange(
+        &self,
+        mut req: Request<Full<Bytes>>,
+        max_body: usize,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let permit = self.pool.permit().await;
+        req.headers_mut()
+            .entry(header::HOST)
+            .or_insert_with(|| self.host.clone());
+
+        let mut conn = match self.pool.idle_connection().await {
+            Some(conn) => conn,
+            None => Conn::open(self.addr).await?,
+        };
+        let res = conn.exchange(req, max_body).await?;
+        permit.keep(conn);
+        Ok(res)
+    }
+}
+
+/// Connections that wait for a request, and the permits to use one.
+#[derive(Debug)]
+struct Pool {
+    /// The one used last is at the end and is used first.
+    idle: Mutex<Vec<Conn>>,
+    free: Sender<()>,
+    permits: Receiver<()>,
+}
+
+impl Pool {
+    async fn permit(self: &Arc<Self>) -> Permit {
+        self.permits
+            .recv()
+            .await
+            .expect("the pool holds a sender of its permits");
+        Permit { pool: self.clone() }
+    }
+
+    /// Returns an idle connection that its peer has not closed.
+    async fn idle_connection(&self) -> Option<Conn> {
+        loop {
+            let mut conn = self.lock().pop()?;
+            if conn.is_usable().await {
+                return Some(conn);
+            }
+        }
+    }
+
+    fn close_idle(&self, now: Instant) {
+        let is_fresh = |conn: &Conn| now.duration_since(conn.used) < IDLE_TIMEOUT;
+        self.lock().retain(is_fresh);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Conn>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The right to use one connection.
+struct Permit {
+    pool: Arc<Pool>,
+}
+
+impl Permit {
+    /// Puts a connection back for the next request.
+    fn keep(self, mut conn: Conn) {
+        if conn.sender.is_closed() {
+            return;
+        }
+        conn.used = Instant::now();
+        self.pool.lock().push(conn);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let sent = self.pool.free.try_send(());
+        assert!(sent.is_ok(), "a permit is given back once");
+    }
+}
+
+/// A connection that is driven by the request that uses it, so that an exchange needs no second
+/// task and no wake-up between tasks.
+#[derive(Debug)]
+struct Conn {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Pin<Box<Connection<FuturesIo<TcpStream>, Full<Bytes>>>>,
+    used: Instant,
+}
+
+impl Conn {
+    async fn open(addr: SocketAddr) -> Result<Self, HttpError> {
+        let stream = TcpStream::connect(addr).await.map_err(HttpError::Connect)?;
+        stream.set_nodelay(true).map_err(HttpError::Connect)?;
+        let (sender, driver) = http1::handshake(FuturesIo::new(stream)).await?;
+        Ok(Self {
+            sender,
+            driver: Box::pin(driver),
+            used: Instant::now(),
+        })
+    }
+
+    /// Sees whether the peer has closed the connection since it was last used.
+    async fn is_usable(&mut self) -> bool {
+        let ended = future::poll_once(self.driver.as_mut()).await.is_some();
+        !ended && self.sender.is_ready()
+    }
+
+    async fn exchange(
+        &mut self,
+        req: Request<Full<Bytes>>,
+        max_body: usize,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let Self { sender, driver, .. } = self;
+        let exchange = async {
+            let (head, body) = sender.send_request(req).await?.into_parts();
+            let body = collect(body, max_body).await?;
+            Ok(Response::from_parts(head, body))
+        };
+        let drive = async {
+            match driver.as_mut().await {
+                Err(err) => Err(err.into()),
+                // The response is whole, and the exchange returns it when it is polled next.
+                Ok(()) => future::pending().await,
+            }
+        };
+        exchange.or(drive).await
+    }
+}
--- /dev/null
+++ b/hemlockhook-runtime/src/http/mod.rs
@@ -0,0 +1,10 @@
+//! HTTP/1 server and pooled client.
+
+mod body;
+mod client;
+mod server;
+
+pub use body::{BodyError, read_body};
+pub use client::{HttpClient, HttpError};
+pub(crate) use server::accept;
+pub use server::{ServerLimits, serve};
--- /dev/null
+++ b/hemlockhook-runtime/src/http/server.rs
@@ -0,0 +1,148 @@
+//! HTTP/1 server with limits.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use bytes::Bytes;
+use futures_lite::{AsyncWriteExt, FutureExt};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::executor::Executor;
+use crate::tasks::TaskSet;
+
+/// Pause after an accept that failed for want of file descriptors or memory.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Answer to a connection above the cap.
+const BUSY: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+/// What a server takes from its clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLimits {
+    /// Longest body, in bytes; for handlers, which read bodies.
+    pub max_body: usize,
+    /// Time for a whole request head to arrive; an idle connection is closed after it too.
+    pub header_timeout: Duration,
+    /// Time for a whole body to arrive; for handlers, which read bodies.
+    pub body_timeout: Duration,
+    /// Most connections open at once; one more is answered with 503 and closed.
+    pub max_connections: usize,
+    /// Most headers in a request.
+    pub max_headers: usize,
+    /// Longest request head, in bytes.
+    pub max_head: usize,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            max_body: 1024 * 1024,
+            header_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(10),
+            max_connections: 4096,
+            max_headers: 64,
+            max_head: 16 * 1024,
+        }
+    }
+}
+
+/// Accepts connections and answers their requests, one task a connection on `ex`.
+///
+/// When `stop` is closed it stops accepting, lets requests in flight finish and returns. Dropping
+/// the future closes the listener and every connection.
+pub async fn serve<F, Fut>(
+    ex: Arc<Executor>,
+    listener: TcpListener,
+    limits: ServerLimits,
+    stop: Receiver<()>,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let connections = TaskSet::new(ex);
+    while let Some(stream) = accept(&listener, &stop).await {
+        if connections.len() >= limits.max_connections {
+            refuse(stream).await;
+            continue;
+        }
+        let conn = serve_connection(stream, limits, stop.clone(), handler.clone());
+        connections.spawn(conn);
+    }
+    drop(listener);
+    connections.join().await;
+}
+
+/// Returns the next connection with `TCP_NODELAY` set, or `None` once `stop` is closed.
+pub(crate) async fn accept(listener: &TcpListener, stop: &Receiver<()>) -> Option<TcpStream> {
+    let stopped = async {
+        let _ = stop.recv().await;
+        None
+    };
+    let accepted = async {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) if stream.set_nodelay(true).is_ok() => return Some(stream),
+                Ok(_) => {}
+                Err(_) => {
+                    Timer::after(ACCEPT_RETRY).await;
+                }
+            }
+        }
+    };
+    stopped.or(accepted).await
+}
+
+/// Tells a client that the server has no connection left for it.
+async fn refuse(mut stream: TcpStream) {
+    // A fresh socket has room for the answer; a client that left needs none.
+    let _ = futures_lite::future::poll_once(stream.write_all(BUSY)).await;
+}
+
+async fn serve_connection<F, Fut>(
+    stream: TcpStream,
+    limits: ServerLimits,
+    stop: Receiver<()>,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let service = service_fn(move |req| {
+        let answer = handler(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_headers(limits.max_headers)
+        .max_buf_size(limits.max_head)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut conn = pin!(conn);
+
+    let stopped = async {
+        let _ = stop.recv().await;
+        true
+    };
+    let ended = async {
+        // A connection that broke concerns only its client.
+        let _ = conn.as_mut().await;
+        false
+    };
+    if stopped.or(ended).await {
+        conn.as_mut().graceful_shutdown();
+        let _ = conn.await;
+    }
+}
--- /dev/null
+++ b/hemlockhook-runtime/src/log.rs
@@ -0,0 +1,95 @@
+//! JSON-lines logs on stderr.
+
+use std::sync::Arc;
+
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::{Sink, StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger};
+use thiserror::Error;
+
+use hemlockhook_types::TaskIndex;
+
+/// Why logging was not set up.
+#[derive(Debug, Error)]
+pub enum LogError {
+    /// The level has no such name.
+    #[error("`{0}` is no log level: use trace, debug, info, warn, error, critical or off")]
+    UnknownLevel(String),
+    /// The logger could not be built.
+    #[error("logging could not be set up: {0}")]
+    Setup(#[from] spdlog::Error),
+}
+
+/// Makes JSON lines on stderr the process's log, from `level` up.
+pub fn init(level: &str) -> Result<(), LogError> {
+    let filter = match level {
+        "off" => LevelFilter::Off,
+        name => match name.parse::<Level>() {
+            Ok(level) => LevelFilter::MoreSevereEqual(level),
+            Err(_) => return Err(LogError::UnknownLevel(level.to_owned())),
+        },
+    };
+
+    let sink: Arc<dyn Sink> = Arc::new(
+        StdStreamSink::builder()
+            .std_stream(StdStream::Stderr)
+            .formatter(JsonFormatter::new())
+            .build()?,
+    );
+    let logger = Logger::builder().sink(sink).level_filter(filter).build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Writes lines about one job, which all carry its key and, where given, the task.
+#[derive(Clone, Copy, Debug)]
+pub struct JobLog<'a> {
+    job: &'a str,
+    task: Option<TaskIndex>,
+}
+
+/// Returns a log whose lines are about a job.
+pub fn job(key: &str) -> JobLog<'_> {
+    JobLog {
+        job: key,
+        task: None,
+    }
+}
+
+/// Returns a log whose lines are about one task of a job.
+pub fn task(key: &str, index: TaskIndex) -> JobLog<'_> {
+    JobLog {
+        job: key,
+        task: Some(index),
+    }
+}
+
+impl JobLog<'_> {
+    /// Writes a line at debug level.
+    pub fn debug(&self, text: &str) {
+        self.write(Level::Debug, text);
+    }
+
+    /// Writes a line at info level.
+    pub fn info(&self, text: &str) {
+        self.write(Level::Info, text);
+    }
+
+    /// Writes a line at warn level.
+    pub fn warn(&self, text: &str) {
+        self.write(Level::Warn, text);
+    }
+
+    /// Writes a line at error level.
+    pub fn error(&self, text: &str) {
+        self.write(Level::Error, text);
+    }
+
+    fn write(&self, level: Level, text: &str) {
+        let job = self.job;
+        match self.task {
+            Some(task) => spdlog::log!(level, "{text}", kv: { job, task }),
+            None => spdlog::log!(level, "{text}", kv: { job }),
+        }
+    }
+}
