Add the platform's log and workers interfaces, their HTTP clients and the log stand-in

Offsets start at 1 so that a configuration's base of 0 means none; a read from 0 starts at the oldest record kept. A refused connection or a 503 is an append without effect; every other failure of an append leaves its effect uncertain.

--- a/hemlockhook-platform/src/lib.rs
+++ b/hemlockhook-platform/src/lib.rs
@@ -1,1 +1,17 @@
-//! The platform's log and workers.
+//! The platform's log and workers, each behind a narrow interface.
+//!
+//! Daemons hold a [`Log`] and a [`Workers`]; [`HttpLog`] and [`HttpWorkers`] reach the platform's
+//! services over HTTP. The messages of those services are in [`wire`].
+
+mod http_log;
+mod http_workers;
+mod log;
+pub mod wire;
+mod workers;
+
+pub use http_log::HttpLog;
+pub use http_workers::HttpWorkers;
+pub use log::{Batch, Log, LogError, LogFuture, LogRecord, Offset};
+pub use workers::{
+    Lease, LeaseId, TaskUsage, ThrottlePercent, Usage, Workers, WorkersError, WorkersFuture,
+};
--- a/hemlockhook-runtime/src/http/server.rs
+++ b/hemlockhook-runtime/src/http/server.rs
@@ -1,6 +1,7 @@
 //! HTTP/1 server with limits.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
@@ -13,7 +14,7 @@
 use futures_lite::{AsyncWriteExt, FutureExt};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -21,6 +22,9 @@
 use crate::executor::Executor;
 use crate::tasks::TaskSet;
 
+/// An error of any type, as hyper takes it.
+type BoxError = Box<dyn Error + Send + Sync>;
+
 /// Pause after an accept that failed for want of file descriptors or memory.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -71,6 +75,28 @@
 ) where
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let handler = move |req| {
+        let answer = handler(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    };
+    try_serve(ex, listener, limits, stop, handler).await;
+}
+
+/// Like [`serve`], with any body, and with handlers that may fail: the connection is then closed
+/// without an answer, and after a body that fails in the middle of the answer.
+pub async fn try_serve<F, Fut, B, E>(
+    ex: Arc<Executor>,
+    listener: TcpListener,
+    limits: ServerLimits,
+    stop: Receiver<()>,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Result<Response<B>, E>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BoxError>,
+    E: Into<BoxError> + 'static,
 {
     let connections = TaskSet::new(ex);
     while let Some(stream) = accept(&listener, &stop).await {
@@ -111,25 +137,24 @@
     let _ = futures_lite::future::poll_once(stream.write_all(BUSY)).await;
 }
 
-async fn serve_connection<F, Fut>(
+async fn serve_connection<F, Fut, B, E>(
     stream: TcpStream,
     limits: ServerLimits,
     stop: Receiver<()>,
     handler: F,
 ) where
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
-    Fut: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+    Fut: Future<Output = Result<Response<B>, E>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BoxError>,
+    E: Into<BoxError> + 'static,
 {
-    let service = service_fn(move |req| {
-        let answer = handler(req);
-        async move { Ok::<_, Infallible>(answer.await) }
-    });
     let conn = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_head)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(stream), service_fn(handler));
     let mut conn = pin!(conn);
 
     let stopped = async {
--- /dev/null
+++ b/hemlockhook-standin/src/log.rs
@@ -0,0 +1,328 @@
+//! Stand-in for the platform's log service.
+//!
+//! `POST /v1/streams/{stream}/records` appends the body as one record, and `GET` on the same path
+//! with `from` and `max` reads. `GET /faults` and `PUT /faults` show and set the faults.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_io::Timer;
+use async_net::TcpListener;
+use bytes::Bytes;
+use futures_lite::future;
+use garde::Validate;
+use hemlockhook_platform::Offset;
+use hemlockhook_platform::wire::{Appended, Gone};
+use hemlockhook_runtime::executor::Executor;
+use hemlockhook_runtime::http::{ServerLimits, read_body, try_serve};
+use hemlockhook_types::Clock;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+use crate::log_store::{LogStore, Retention};
+use crate::reply::{Closed, Reply, json, text};
+
+/// Longest wait of an append for those before it; a later one is refused.
+const MAX_APPEND_WAIT: Duration = Duration::from_secs(1);
+
+/// Most records in one answer.
+const MAX_READ: usize = 10_000;
+
+/// Settings of the log stand-in.
+#[derive(Clone, Debug, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct LogSettings {
+    /// Where it listens.
+    #[garde(skip)]
+    pub address: SocketAddr,
+    /// Time that a synced write takes, in milliseconds.
+    #[serde(default = "default_append_latency_ms")]
+    #[garde(range(max = 60_000))]
+    pub append_latency_ms: u64,
+    /// Appends that it takes in a second.
+    #[serde(default = "default_appends_per_second")]
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub appends_per_second: u32,
+    /// Records that it keeps in each stream.
+    #[serde(default = "default_retain_records")]
+    #[garde(range(min = 1))]
+    pub retain_records: usize,
+    /// Time for which it keeps a record, in seconds.
+    #[serde(default = "default_retain_s")]
+    #[garde(range(min = 1))]
+    pub retain_s: u64,
+    /// Longest record, in bytes.
+    #[serde(default = "default_max_record_bytes")]
+    #[garde(range(min = 1, max = 67_108_864))]
+    pub max_record_bytes: usize,
+    /// Faults from the start on.
+    #[serde(default)]
+    #[garde(dive)]
+    pub faults: LogFaults,
+}
+
+impl LogSettings {
+    /// Returns the settings with every default.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            append_latency_ms: default_append_latency_ms(),
+            appends_per_second: default_appends_per_second(),
+            retain_records: default_retain_records(),
+            retain_s: default_retain_s(),
+            max_record_bytes: default_max_record_bytes(),
+            faults: LogFaults::default(),
+        }
+    }
+}
+
+fn default_append_latency_ms() -> u64 {
+    4
+}
+
+fn default_appends_per_second() -> u32 {
+    500
+}
+
+fn default_retain_records() -> usize {
+    100_000
+}
+
+fn default_retain_s() -> u64 {
+    7 * 24 * 3600
+}
+
+fn default_max_record_bytes() -> usize {
+    4 * 1024 * 1024
+}
+
+/// How the log stand-in fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogFaults {
+    /// Whether it is down, and how that looks.
+    #[garde(skip)]
+    pub outage: Outage,
+    /// Time added to every answer, in milliseconds; an append has taken effect before it.
+    #[garde(range(max = 600_000))]
+    pub extra_latency_ms: u64,
+    /// Share of appends that take effect and whose answer is lost, from 0 to 1.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub lose_replies: f64,
+    /// Share of appends that are refused without an effect, from 0 to 1.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub refuse_appends: f64,
+}
+
+/// What a service that is down does with requests.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Outage {
+    /// It is up.
+    #[default]
+    None,
+    /// It answers with 503.
+    Refuse,
+    /// It closes the connection.
+    Close,
+    /// It never answers.
+    Hang,
+}
+
+/// Stand-in for the platform's log service. Clones share the records and the faults.
+#[derive(Clone)]
+pub struct LogStandin {
+    cfg: Arc<LogSettings>,
+    clock: Arc<dyn Clock>,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    store: LogStore,
+    faults: LogFaults,
+    /// When the writer is free for the next append.
+    writer_free: Instant,
+}
+
+impl LogStandin {
+    /// Creates an empty log.
+    pub fn new(cfg: LogSettings, clock: Arc<dyn Clock>) -> Self {
+        let state = State {
+            store: LogStore::default(),
+            faults: cfg.faults,
+            writer_free: clock.now(),
+        };
+        Self {
+            cfg: Arc::new(cfg),
+            clock,
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Returns the faults in force.
+    pub fn faults(&self) -> LogFaults {
+        self.lock().faults
+    }
+
+    /// Sets the faults; an outage of the past ends for requests that still hang.
+    pub fn set_faults(&self, faults: LogFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// Serves the log until `stop` is closed.
+    pub async fn serve(self, ex: Arc<Executor>, listener: TcpListener, stop: Receiver<()>) {
+        let limits = ServerLimits {
+            max_body: self.cfg.max_record_bytes,
+            header_timeout: Duration::from_secs(3600),
+            ..ServerLimits::default()
+        };
+        let handler = move |req| {
+            let standin = self.clone();
+            async move { standin.handle(req, limits).await }
+        };
+        try_serve(ex, listener, limits, stop, handler).await;
+    }
+
+    async fn handle(&self, req: Request<Incoming>, limits: ServerLimits) -> Reply {
+        let (head, body) = req.into_parts();
+        let body = match read_body(body, limits.max_body, limits.body_timeout).await {
+            Ok(body) => body,
+            Err(err) => return text(err.status(), err.to_string()),
+        };
+        if head.uri.path() == "/faults" {
+            return self.handle_faults(&head.method, &body);
+        }
+
+        match self.faults().outage {
+            Outage::None => {}
+            Outage::Refuse => return text(StatusCode::SERVICE_UNAVAILABLE, "the log is down"),
+            Outage::Close => return Err(Closed),
+            Outage::Hang => return future::pending().await,
+        }
+        let reply = match (&head.method, stream_of(head.uri.path())) {
+            (&Method::POST, Some(stream)) => self.append(stream, body).await,
+            (&Method::GET, Some(stream)) => self.read(stream, head.uri.query().unwrap_or("")),
+            (_, Some(_)) => text(StatusCode::METHOD_NOT_ALLOWED, "use GET or POST"),
+            (_, None) => text(StatusCode::NOT_FOUND, "no such path"),
+        };
+        sleep_ms(self.faults().extra_latency_ms).await;
+        reply
+    }
+
+    fn handle_faults(&self, method: &Method, body: &[u8]) -> Reply {
+        match *method {
+            Method::GET => json(StatusCode::OK, &self.faults()),
+            Method::PUT => match parse_faults(body) {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    json(StatusCode::OK, &faults)
+                }
+                Err(message) => text(StatusCode::BAD_REQUEST, message),
+            },
+            _ => text(StatusCode::METHOD_NOT_ALLOWED, "use GET or PUT"),
+        }
+    }
+
+    async fn append(&self, stream: &str, body: Bytes) -> Reply {
+        let Ok(body) = String::from_utf8(body.into()) else {
+            return text(StatusCode::BAD_REQUEST, "a record is UTF-8 text");
+        };
+        let faults = self.faults();
+        if fastrand::f64() < faults.refuse_appends {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "the append was refused");
+        }
+        let Some(turn) = self.take_turn() else {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "too many appends");
+        };
+
+        Timer::at(turn).await;
+        let offset = self.commit(stream, body);
+        sleep_ms(self.cfg.append_latency_ms).await;
+        if fastrand::f64() < faults.lose_replies {
+            return Err(Closed);
+        }
+        json(StatusCode::OK, &Appended { offset })
+    }
+
+    /// Returns when the writer takes the next append, if that is soon.
+    fn take_turn(&self) -> Option<Instant> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let turn = state.writer_free.max(now);
+        if turn.duration_since(now) > MAX_APPEND_WAIT {
+            return None;
+        }
+        state.writer_free = turn + Duration::from_secs(1) / self.cfg.appends_per_second;
+        Some(turn)
+    }
+
+    fn commit(&self, stream: &str, body: String) -> Offset {
+        let (now, wall) = (self.clock.now(), self.clock.wall());
+        let mut state = self.lock();
+        let offset = state.store.append(now, wall, stream, body);
+        state.store.expire(now, self.retention());
+        offset
+    }
+
+    fn read(&self, stream: &str, query: &str) -> Reply {
+        let (from, max) = match (parameter(query, "from"), parameter(query, "max")) {
+            (Ok(from), Ok(max)) => (from.unwrap_or(0), max.unwrap_or(MAX_READ as u64)),
+            _ => return text(StatusCode::BAD_REQUEST, "from and max are whole numbers"),
+        };
+        let max = usize::try_from(max).unwrap_or(MAX_READ).min(MAX_READ);
+
+        let mut state = self.lock();
+        state.store.expire(self.clock.now(), self.retention());
+        match state.store.read(stream, from, max) {
+            Ok(records) => json(StatusCode::OK, &records),
+            Err(first_retained) => json(StatusCode::GONE, &Gone { first_retained }),
+        }
+    }
+
+    fn retention(&self) -> Retention {
+        Retention {
+            count: self.cfg.retain_records,
+            age: Duration::from_secs(self.cfg.retain_s),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn parse_faults(body: &[u8]) -> Result<LogFaults, String> {
+    let faults: LogFaults = serde_json::from_slice(body).map_err(|err| err.to_string())?;
+    faults.validate().map_err(|report| report.to_string())?;
+    Ok(faults)
+}
+
+/// Returns the stream that a path names.
+fn stream_of(path: &str) -> Option<&str> {
+    path.strip_prefix("/v1/streams/")?
+        .strip_suffix("/records")
+        .filter(|stream| !stream.is_empty() && !stream.contains('/'))
+}
+
+/// Returns a parameter of a query, if it is there.
+fn parameter(query: &str, name: &str) -> Result<Option<u64>, std::num::ParseIntError> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value.parse())
+        .transpose()
+}
+
+async fn sleep_ms(ms: u64) {
+    if ms > 0 {
+        Timer::after(Duration::from_millis(ms)).await;
+    }
+}
