--- a/hemlockhook-runtime/src/http/mod.rs
+++ b/hemlockhook-runtime/src/http/mod.rs
@@ -7,4 +7,4 @@
 pub use body::{BodyError, read_body};
 pub use client::{HttpClient, HttpError};
 pub(crate) use server::accept;
-pub use server::{ServerLimits, serve, try_serve};
+pub use server::{ServerLimits, serve, serve_streams, try_serve};
--- a/hemlockhook-runtime/src/http/server.rs
+++ b/hemlockhook-runtime/src/http/server.rs
@@ -11,7 +11,7 @@
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
 use bytes::Bytes;
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, FutureExt};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -97,6 +97,27 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<BoxError>,
     E: Into<BoxError> + 'static,
+{
+    let connect = move |stream| (stream, handler.clone());
+    serve_streams(ex, listener, limits, stop, connect).await;
+}
+
+/// Like [`try_serve`], where `connect` returns what to read and write on a new connection, and the
+/// handler of its requests.
+pub async fn serve_streams<C, IO, F, Fut, B, E>(
+    ex: Arc<Executor>,
+    listener: TcpListener,
+    limits: ServerLimits,
+    stop: Receiver<()>,
+    connect: C,
+) where
+    C: Fn(TcpStream) -> (IO, F),
+    IO: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    F: Fn(Request<Incoming>) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Result<Response<B>, E>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BoxError>,
+    E: Into<BoxError> + 'static,
 {
     let connections = TaskSet::new(ex);
     while let Some(stream) = accept(&listener, &stop).await {
@@ -104,7 +125,8 @@
             refuse(stream).await;
             continue;
         }
-        let conn = serve_connection(stream, limits, stop.clone(), handler.clone());
+        let (io, handler) = connect(stream);
+        let conn = serve_connection(io, limits, stop.clone(), handler);
         connections.spawn(conn);
     }
     drop(listener);
@@ -137,13 +159,14 @@
     let _ = futures_lite::future::poll_once(stream.write_all(BUSY)).await;
 }
 
-async fn serve_connection<F, Fut, B, E>(
-    stream: TcpStream,
+async fn serve_connection<IO, F, Fut, B, E>(
+    io: IO,
     limits: ServerLimits,
     stop: Receiver<()>,
     handler: F,
 ) where
-    F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    IO: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    F: Fn(Request<Incoming>) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Result<Response<B>, E>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<BoxError>,
@@ -154,7 +177,7 @@
         .header_read_timeout(limits.header_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_head)
-        .serve_connection(FuturesIo::new(stream), service_fn(handler));
+        .serve_connection(FuturesIo::new(io), service_fn(handler));
     let mut conn = pin!(conn);
 
     let stopped = async {
--- a/hemlockhook-standin/src/log.rs
+++ b/hemlockhook-standin/src/log.rs
@@ -11,7 +11,6 @@
 use async_io::Timer;
 use async_net::TcpListener;
 use bytes::Bytes;
-use futures_lite::future;
 use garde::Validate;
 use hemlockhook_platform::Offset;
 use hemlockhook_platform::wire::{Appended, Gone};
@@ -21,8 +20,8 @@
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString};
 
+use crate::faults::{self, Outage};
 use crate::log_store::{LogStore, Retention};
 use crate::reply::{Closed, Reply, json, text};
 
@@ -118,24 +117,6 @@
     pub refuse_appends: f64,
 }
 
-/// What a service that is down does with requests.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Display, EnumString,
-)]
-#[serde(rename_all = "snake_case")]
-#[strum(serialize_all = "snake_case")]
-pub enum Outage {
-    /// It is up.
-    #[default]
-    None,
-    /// It answers with 503.
-    Refuse,
-    /// It closes the connection.
-    Close,
-    /// It never answers.
-    Hang,
-}
-
 /// Stand-in for the platform's log service. Clones share the records and the faults.
 #[derive(Clone)]
 pub struct LogStandin {
@@ -171,7 +152,7 @@
         self.lock().faults
     }
 
-    /// Sets the faults; an outage of the past ends for requests that still hang.
+    /// Sets the faults. A request that hangs goes on hanging.
     pub fn set_faults(&self, faults: LogFaults) {
         self.lock().faults = faults;
     }
@@ -197,14 +178,12 @@
             Err(err) => return text(err.status(), err.to_string()),
         };
         if head.uri.path() == "/faults" {
-            return self.handle_faults(&head.method, &body);
+            let set = |faults| self.set_faults(faults);
+            return faults::handle(&head.method, &body, self.faults(), set);
         }
 
-        match self.faults().outage {
-            Outage::None => {}
-            Outage::Refuse => return text(StatusCode::SERVICE_UNAVAILABLE, "the log is down"),
-            Outage::Close => return Err(Closed),
-            Outage::Hang => return future::pending().await,
+        if let Some(reply) = faults::reply_of(self.faults().outage).await {
+            return reply;
         }
         let reply = match (&head.method, stream_of(head.uri.path())) {
             (&Method::POST, Some(stream)) => self.append(stream, body).await,
@@ -212,24 +191,10 @@
             (_, Some(_)) => text(StatusCode::METHOD_NOT_ALLOWED, "use GET or POST"),
             (_, None) => text(StatusCode::NOT_FOUND, "no such path"),
         };
-        sleep_ms(self.faults().extra_latency_ms).await;
+        faults::sleep_ms(self.faults().extra_latency_ms).await;
         reply
     }
 
-    fn handle_faults(&self, method: &Method, body: &[u8]) -> Reply {
-        match *method {
-            Method::GET => json(StatusCode::OK, &self.faults()),
-            Method::PUT => match parse_faults(body) {
-                Ok(faults) => {
-                    self.set_faults(faults);
-                    json(StatusCode::OK, &faults)
-                }
-                Err(message) => text(StatusCode::BAD_REQUEST, message),
-            },
-            _ => text(StatusCode::METHOD_NOT_ALLOWED, "use GET or PUT"),
-        }
-    }
-
     async fn append(&self, stream: &str, body: Bytes) -> Reply {
         let Ok(body) = String::from_utf8(body.into()) else {
             return text(StatusCode::BAD_REQUEST, "a record is UTF-8 text");
@@ -244,7 +209,7 @@
 
         Timer::at(turn).await;
         let offset = self.commit(stream, body);
-        sleep_ms(self.cfg.append_latency_ms).await;
+        faults::sleep_ms(self.cfg.append_latency_ms).await;
         if fastrand::f64() < faults.lose_replies {
             return Err(Closed);
         }
@@ -298,12 +263,6 @@
     }
 }
 
-fn parse_faults(body: &[u8]) -> Result<LogFaults, String> {
-    let faults: LogFaults = serde_json::from_slice(body).map_err(|err| err.to_string())?;
-    faults.validate().map_err(|report| report.to_string())?;
-    Ok(faults)
-}
-
 /// Returns the stream that a path names.
 fn stream_of(path: &str) -> Option<&str> {
     path.strip_prefix("/v1/streams/")?
@@ -320,9 +279,3 @@
         .map(|(_, value)| value.parse())
         .transpose()
 }
-
-async fn sleep_ms(ms: u64) {
-    if ms > 0 {
-        Timer::after(Duration::from_millis(ms)).await;
-    }
-}
--- a/hemlockhook-standin/src/reply.rs
+++ b/hemlockhook-standin/src/reply.rs
@@ -25,6 +25,17 @@
     missing: u64,
 }
 
+impl ReplyBody {
+    /// Creates a body of which only the first half is sent.
+    pub(crate) fn half(data: Bytes) -> Self {
+        let sent = data.slice(..data.len() / 2);
+        Self {
+            missing: (data.len() - sent.len()).max(1) as u64,
+            data: sent,
+        }
+    }
+}
+
 impl From<Bytes> for ReplyBody {
     fn from(data: Bytes) -> Self {
         Self { data, missing: 0 }
