--- a/hemlockhook-proto/src/lib.rs
+++ b/hemlockhook-proto/src/lib.rs
@@ -3,6 +3,8 @@
 //! The code is generated from `proto/hemlockhook.proto` by `tools/generate` and committed, so that
 //! a build needs no generator.
 
+pub mod convert;
+
 /// Version 1 of the messages.
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- a/hemlockhook-types/src/lib.rs
+++ b/hemlockhook-types/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod id;
 pub mod job;
+pub mod stamp;
 
 pub use answer::{Answer, AnswerKind, Reason, TaskEnd, TaskResult};
 pub use ballot::{Ballot, ParseStampError, Stamp};
@@ -14,3 +15,4 @@
     shard_of,
 };
 pub use job::{Job, Task};
+pub use stamp::StampTable;
