--- a/hemlockhook-types/tests/stamp.rs
+++ b/hemlockhook-types/tests/stamp.rs
@@ -9,7 +9,7 @@
         counter: 17,
         owner: u64::MAX,
     };
-    expect_that!(ballot.to_string().parse::<Ballot>(), ok(eq(&ballot)));
+    expect_that!(ballot.to_string().parse::<Ballot>(), ok(eq(ballot)));
     expect_that!("17".parse::<Ballot>(), err(anything()));
     expect_that!("x-1".parse::<Ballot>(), err(anything()));
 }
@@ -26,8 +26,11 @@
             },
         );
     }
-    expect_that!(table.to_string().parse::<StampTable>(), ok(eq(&table)));
-    expect_that!("".parse::<StampTable>(), ok(eq(&StampTable::default())));
+    expect_that!(
+        table.to_string().parse::<StampTable>(),
+        ok(eq(table.clone()))
+    );
+    expect_that!("".parse::<StampTable>(), ok(eq(StampTable::default())));
     expect_that!("3-1".parse::<StampTable>(), err(anything()));
 }
 
