--- /dev/null
+++ b/hemlockhook-entry/src/request.rs
@@ -0,0 +1,155 @@
+//! A caller's job as JSON, and its checks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlockhook_types::{Job, JobKey, Task};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use thiserror::Error;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::settings::Limits;
+
+/// Longest idempotency key and team name, in bytes.
+const NAME_MAX_BYTES: usize = 128;
+
+/// Longest run time that may be declared for a task.
+const DECLARED_MAX: Duration = Duration::from_secs(7 * 24 * 3600);
+
+/// Why a request was not taken as a job.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum RequestError {
+    /// The body is not the JSON of a job.
+    #[error("the body is not a job: {0}")]
+    Json(String),
+    /// A name has characters that are not allowed, or too many.
+    #[error("{field} must be 1 to {NAME_MAX_BYTES} characters of A-Z a-z 0-9 . _ ~ -")]
+    Name {
+        /// The field that holds the name.
+        field: &'static str,
+    },
+    /// A value is outside its range.
+    #[error("{field} must be {range}")]
+    Range {
+        /// The field that holds the value.
+        field: String,
+        /// The range, with its unit.
+        range: String,
+    },
+}
+
+/// The body of a request, borrowed from its bytes.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobBody<'a> {
+    team: &'a str,
+    service: &'a str,
+    #[serde(default)]
+    idempotent: bool,
+    deadline_ms: u64,
+    #[serde(borrow)]
+    tasks: Vec<TaskBody<'a>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TaskBody<'a> {
+    #[serde(borrow)]
+    payload: &'a RawValue,
+    #[serde(default)]
+    declared_ms: Option<u64>,
+    #[serde(default)]
+    class: Option<&'a str>,
+}
+
+/// Reads a job from the idempotency key and the body that a caller sent.
+pub fn parse_job(key: &str, body: &[u8], limits: &Limits) -> Result<Job, RequestError> {
+    let body = parse_body(body)?;
+    check_name("idempotency-key", key)?;
+    check_name("team", body.team)?;
+    check_name("service", body.service)?;
+    check_range("deadline_ms", body.deadline_ms, limits.deadline_ms, "ms")?;
+    check_range("the number of tasks", body.tasks.len() as u64, limits.tasks as u64, "tasks")?;
+
+    let fingerprint = fingerprint(&body);
+    let tasks =
+        body.tasks.iter().enumerate().map(parse_task).collect::<Result<Vec<_>, RequestError>>()?;
+    Ok(Job {
+        key: job_key(body.team, key),
+        fingerprint,
+        team: body.team.into(),
+        service: body.service.into(),
+        idempotent: body.idempotent,
+        deadline: Duration::from_millis(body.deadline_ms),
+        tasks,
+    })
+}
+
+/// Reads a job that another entry has checked and forwarded under its full key.
+pub fn parse_forwarded(key: &JobKey, body: &[u8]) -> Result<Job, RequestError> {
+    let unlimited =
+        Limits { tasks: usize::MAX, deadline_ms: u64::MAX, ..Limits::default() };
+    let caller_key = key.split_once('/').map_or("", |(_, caller_key)| caller_key);
+    let job = parse_job(caller_key, body, &unlimited)?;
+    if job.key != *key {
+        return Err(RequestError::Json("the key is of another team".to_owned()));
+    }
+    Ok(job)
+}
+
+/// Joins a team and a caller's key, each of which is a checked name.
+pub fn job_key(team: &str, key: &str) -> JobKey {
+    format!("{team}/{key}").into()
+}
+
+/// Checks a name from a caller.
+pub fn check_name(field: &'static str, name: &str) -> Result<(), RequestError> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._~-".contains(&byte);
+    if (1..=NAME_MAX_BYTES).contains(&name.len()) && name.bytes().all(allowed) {
+        return Ok(());
+    }
+    Err(RequestError::Name { field })
+}
+
+fn parse_body(body: &[u8]) -> Result<JobBody<'_>, RequestError> {
+    serde_json::from_slice(body).map_err(|err| RequestError::Json(err.to_string()))
+}
+
+fn parse_task((index, task): (usize, &TaskBody<'_>)) -> Result<Task, RequestError> {
+    let max_ms = DECLARED_MAX.as_millis() as u64;
+    if let Some(ms) = task.declared_ms {
+        check_range(&format!("tasks[{index}].declared_ms"), ms, max_ms, "ms")?;
+    }
+    if let Some(class) = task.class {
+        check_name("class", class)?;
+    }
+    Ok(Task {
+        payload: task.payload.get().as_bytes().into(),
+        declared: task.declared_ms.map(Duration::from_millis),
+        class: Arc::from(task.class.unwrap_or_default()),
+    })
+}
+
+fn check_range(field: &str, value: u64, max: u64, unit: &str) -> Result<(), RequestError> {
+    if (1..=max).contains(&value) {
+        return Ok(());
+    }
+    Err(RequestError::Range { field: field.to_owned(), range: format!("1 to {max} {unit}") })
+}
+
+/// Hashes what must be the same when a key is sent again; a deadline may differ.
+fn fingerprint(body: &JobBody<'_>) -> u64 {
+    let mut hash = Xxh3::new();
+    let mut field = |bytes: &[u8]| {
+        hash.update(&(bytes.len() as u64).to_le_bytes());
+        hash.update(bytes);
+    };
+    field(body.service.as_bytes());
+    field(&[u8::from(body.idempotent)]);
+    for task in &body.tasks {
+        field(task.payload.get().as_bytes());
+        field(task.class.unwrap_or_default().as_bytes());
+    }
+    hash.digest()
+}
