--- /dev/null
+++ b/hemlockhook-schedule/src/slots.rs
@@ -0,0 +1,257 @@
+//! Sharing one upstream's slots among the entries, as grants.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hemlockhook_types::Incarnation;
+
+use crate::spec::Demand;
+
+/// A recall that was neither answered nor overtaken by starts is repeated after this time.
+const RECALL_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// What an agent has to tell an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotAction {
+    /// Allow this many further starts.
+    Grant {
+        /// The entry.
+        entry: Incarnation,
+        /// Number of starts.
+        count: u32,
+    },
+    /// Ask for unused grants back.
+    Recall {
+        /// The entry.
+        entry: Incarnation,
+        /// Number of grants.
+        count: u32,
+    },
+}
+
+/// The slots of one upstream: each is idle, granted to an entry, or running a task.
+#[derive(Debug)]
+pub struct SlotTable {
+    slots: u32,
+    running: u32,
+    running_long: u32,
+    leaving: bool,
+    entries: BTreeMap<Incarnation, EntryState>,
+    actions: Vec<SlotAction>,
+}
+
+/// What the table knows of one entry.
+#[derive(Debug, Default)]
+struct EntryState {
+    /// Grants held by the entry or on their way to it.
+    held: u32,
+    /// Grants among them that were asked back.
+    recalling: u32,
+    recalled_at: Option<Instant>,
+    demand: Demand,
+}
+
+impl SlotTable {
+    /// Creates the table of an upstream that runs `slots` tasks at once.
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            running: 0,
+            running_long: 0,
+            leaving: false,
+            entries: BTreeMap::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Changes the number of slots. Tasks that run on a slot taken away run to their end.
+    pub fn set_slots(&mut self, now: Instant, slots: u32) {
+        self.slots = slots;
+        self.share(now, None);
+    }
+
+    /// Adds an entry whose link is up; it holds no grants.
+    pub fn entry_up(&mut self, now: Instant, entry: Incarnation) {
+        self.entries.insert(entry, EntryState::default());
+        self.share(now, None);
+    }
+
+    /// Removes an entry whose link is lost, and takes back its grants.
+    pub fn entry_down(&mut self, now: Instant, entry: Incarnation) {
+        self.entries.remove(&entry);
+        self.share(now, None);
+    }
+
+    /// Takes an entry's report of its backlog.
+    pub fn demand(&mut self, now: Instant, entry: Incarnation, demand: Demand) {
+        if let Some(state) = self.entries.get_mut(&entry) {
+            state.demand = demand;
+        }
+        self.share(now, None);
+    }
+
+    /// Takes back grants that an entry did not use.
+    pub fn returned(&mut self, now: Instant, entry: Incarnation, count: u32) {
+        if let Some(state) = self.entries.get_mut(&entry) {
+            state.held = state.held.saturating_sub(count);
+            state.recalling = state.recalling.saturating_sub(count);
+        }
+        self.share(now, None);
+    }
+
+    /// Uses up a grant of an entry. Returns false if it holds none: the start is to be refused.
+    pub fn start(&mut self, _now: Instant, entry: Incarnation, long: bool) -> bool {
+        let Some(state) = self.entries.get_mut(&entry).filter(|state| state.held > 0) else {
+            return false;
+        };
+        state.held -= 1;
+        state.recalling = state.recalling.min(state.held);
+        state.demand.queued = state.demand.queued.saturating_sub(1);
+        self.running += 1;
+        self.running_long += u32::from(long);
+        true
+    }
+
+    /// Frees the slot of a task that ended.
+    pub fn end(&mut self, now: Instant, long: bool) {
+        self.free(now, None, long);
+    }
+
+    /// Frees the slot of a task that ended and whose result goes to `entry`: a grant to that entry
+    /// costs no message of its own, so it is preferred among equals.
+    pub fn end_for(&mut self, now: Instant, entry: Incarnation, long: bool) {
+        self.free(now, Some(entry), long);
+    }
+
+    /// Sets whether the upstream is leaving. While it is, no grants are given.
+    pub fn set_leaving(&mut self, now: Instant, leaving: bool) {
+        self.leaving = leaving;
+        self.share(now, None);
+    }
+
+    /// Takes the messages to be sent since the last call.
+    pub fn actions(&mut self, now: Instant) -> Vec<SlotAction> {
+        self.share(now, None);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns when `actions` has to be called again, if no event comes first.
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        let recalls = self.entries.values().filter(|state| state.recalling > 0);
+        recalls
+            .filter_map(|state| state.recalled_at)
+            .min()
+            .map(|at| at + RECALL_TIMEOUT)
+    }
+
+    /// Returns the number of tasks that run.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns the number of tasks that run and count as long.
+    pub fn running_long(&self) -> u32 {
+        self.running_long
+    }
+
+    /// Returns the grants that an entry holds, or that are on their way to it.
+    pub fn held(&self, entry: Incarnation) -> u32 {
+        self.entries.get(&entry).map_or(0, |state| state.held)
+    }
+
+    fn free(&mut self, now: Instant, entry: Option<Incarnation>, long: bool) {
+        assert!(self.running > 0, "a task ended that held no slot");
+        self.running -= 1;
+        self.running_long = self.running_long.saturating_sub(u32::from(long));
+        self.share(now, entry);
+    }
+
+    fn idle(&self) -> u32 {
+        let held: u32 = self.entries.values().map(|state| state.held).sum();
+        self.slots.saturating_sub(self.running + held)
+    }
+
+    /// Grants idle slots where they are wanted, then spreads what is left, then recalls.
+    fn share(&mut self, now: Instant, preferred: Option<Incarnation>) {
+        if self.leaving {
+            return;
+        }
+        while self.idle() > 0 {
+            let Some(entry) = self.neediest(preferred).or_else(|| self.poorest()) else {
+                break;
+            };
+            self.grant(entry);
+        }
+        self.recall(now);
+    }
+
+    fn neediest(&self, preferred: Option<Incarnation>) -> Option<Incarnation> {
+        let wanting = self
+            .entries
+            .iter()
+            .filter(|(_, s)| s.demand.queued > s.held);
+        wanting
+            .min_by_key(|(entry, s)| (s.demand.head_urgency, Some(**entry) != preferred))
+            .map(|(entry, _)| *entry)
+    }
+
+    fn poorest(&self) -> Option<Incarnation> {
+        self.entries
+            .iter()
+            .min_by_key(|(_, s)| s.held)
+            .map(|(entry, _)| *entry)
+    }
+
+    fn grant(&mut self, entry: Incarnation) {
+        let state = self
+            .entries
+            .get_mut(&entry)
+            .expect("the entry was just found");
+        state.held += 1;
+        let last = self.actions.iter_mut().find_map(|action| match action {
+            SlotAction::Grant { entry: to, count } if *to == entry => Some(count),
+            _ => None,
+        });
+        match last {
+            Some(count) => *count += 1,
+            None => self.actions.push(SlotAction::Grant { entry, count: 1 }),
+        }
+    }
+
+    fn recall(&mut self, now: Instant) {
+        for state in self.entries.values_mut() {
+            if state
+                .recalled_at
+                .is_some_and(|at| now >= at + RECALL_TIMEOUT)
+            {
+                state.recalling = 0;
+                state.recalled_at = None;
+            }
+        }
+        let wanted: u32 = self.entries.values().map(EntryState::lacking).sum();
+        let coming: u32 = self.entries.values().map(|state| state.recalling).sum();
+        let mut missing = wanted.saturating_sub(coming);
+        for (entry, state) in &mut self.entries {
+            let spare = state
+                .held
+                .saturating_sub(state.demand.queued + state.recalling);
+            let count = spare.min(missing);
+            if count == 0 {
+                continue;
+            }
+            missing -= count;
+            state.recalling += count;
+            state.recalled_at = Some(now);
+            self.actions.push(SlotAction::Recall {
+                entry: *entry,
+                count,
+            });
+        }
+    }
+}
+
+impl EntryState {
+    fn lacking(&self) -> u32 {
+        self.demand.queued.saturating_sub(self.held)
+    }
+}
