--- /dev/null
+++ b/hemlockhook-inventory/src/model.rs
@@ -0,0 +1,199 @@
+//! The document's types: the inventory and its rules.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlockhook_types::{ServiceName, TeamName};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::units;
+
+/// What a deployment owns and the outcomes that it wants. It holds no secrets: every text in it is
+/// a name or a duration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Inventory {
+    /// Name of the deployment, shown in reports.
+    pub deployment: Arc<str>,
+    /// The data centers, each in a region.
+    pub data_centers: Vec<DataCenter>,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    /// The services that callers ask for.
+    pub services: Vec<Service>,
+    /// The upstream instances that run the services' tasks.
+    pub upstreams: Vec<Upstream>,
+    /// The teams that submit jobs.
+    pub teams: Vec<Team>,
+    /// Rules for the whole deployment.
+    #[serde(default)]
+    pub rules: Rules,
+}
+
+/// A data center and the region that it is in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct DataCenter {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its region. Shards are owned and jobs are run within a region where possible.
+    pub region: Arc<str>,
+}
+
+/// A worker, as the asset register lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Worker {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The rack that it stands in.
+    pub rack: Arc<str>,
+    /// The data center of its rack.
+    pub data_center: Arc<str>,
+    /// Processor cores.
+    #[schemars(range(min = 1, max = 4096))]
+    pub processors: u32,
+    /// Memory in GB.
+    #[schemars(range(min = 1, max = 65536))]
+    pub memory_gb: u32,
+    /// Accelerators.
+    #[serde(default)]
+    #[schemars(range(min = 0, max = 64))]
+    pub accelerators: u32,
+}
+
+/// A service that callers submit jobs for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceName,
+    /// Time after which an answer is of no use: used for jobs that state no deadline, and the
+    /// longest that a job may state.
+    #[serde(with = "units")]
+    #[schemars(with = "String", regex(pattern = units::DURATION_PATTERN))]
+    pub deadline: Duration,
+    /// Time after which a running task is stopped and counts as failed.
+    #[serde(with = "units")]
+    #[schemars(with = "String", regex(pattern = units::DURATION_PATTERN))]
+    pub max_task_time: Duration,
+    /// The service-level objective.
+    pub objective: Objective,
+}
+
+/// A service-level objective: the share of jobs to be answered complete within a time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Objective {
+    /// Share of the jobs in percent, below 100.
+    #[schemars(range(min = 50.0, max = 99.999))]
+    pub percent: f64,
+    /// Time from submission to the complete answer.
+    #[serde(with = "units")]
+    #[schemars(with = "String", regex(pattern = units::DURATION_PATTERN))]
+    pub within: Duration,
+}
+
+/// One upstream instance, with an agent beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Upstream {
+    /// Its name, which its agent's settings repeat.
+    pub name: Arc<str>,
+    /// The worker that it runs on.
+    pub worker: Arc<str>,
+    /// The services whose tasks it runs.
+    pub services: Vec<ServiceName>,
+    /// Tasks that it runs at once.
+    #[schemars(range(min = 1, max = 1024))]
+    pub slots: u32,
+    /// Connections that it accepts, at least one for each slot.
+    #[schemars(range(min = 1, max = 65535))]
+    pub connections: u32,
+}
+
+/// A team and its quota.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Its name, which prefixes its jobs' keys.
+    pub name: TeamName,
+    /// Weight of the team when slots are short; what it leaves idle is lent to others.
+    #[serde(default = "default_share")]
+    #[schemars(range(min = 1, max = 1000))]
+    pub share: u32,
+    /// Slots that the team may hold at most, even when others are idle. Absent: no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub cap: Option<u32>,
+}
+
+/// Rules for the whole deployment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    /// Run time from which a task counts as long work.
+    #[serde(with = "units")]
+    #[schemars(with = "String", regex(pattern = units::DURATION_PATTERN))]
+    pub long_after: Duration,
+    /// Share of each upstream's slots, and of all slots, that long work may hold while short work
+    /// waits, in percent.
+    #[schemars(range(min = 1, max = 100))]
+    pub long_ceiling_percent: u32,
+    /// Time for which keys, starts and results are kept.
+    #[serde(with = "units")]
+    #[schemars(with = "String", regex(pattern = units::DURATION_PATTERN))]
+    pub window: Duration,
+}
+
+impl Inventory {
+    /// Returns the upstream with this name.
+    pub fn upstream(&self, name: &str) -> Option<&Upstream> {
+        self.upstreams.iter().find(|u| &*u.name == name)
+    }
+
+    /// Returns the worker with this name.
+    pub fn worker(&self, name: &str) -> Option<&Worker> {
+        self.workers.iter().find(|w| &*w.name == name)
+    }
+
+    /// Returns the service with this name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|s| &*s.name == name)
+    }
+
+    /// Returns the team with this name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.teams.iter().find(|t| &*t.name == name)
+    }
+
+    /// Returns the data center with this name.
+    pub fn data_center(&self, name: &str) -> Option<&DataCenter> {
+        self.data_centers.iter().find(|d| &*d.name == name)
+    }
+
+    /// Returns the region of a data center.
+    pub fn region_of(&self, data_center: &str) -> Option<&str> {
+        self.data_center(data_center).map(|d| &*d.region)
+    }
+
+    /// Returns the slots of all upstreams together.
+    pub fn total_slots(&self) -> u32 {
+        self.upstreams.iter().map(|u| u.slots).sum()
+    }
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            long_after: Duration::from_secs(2),
+            long_ceiling_percent: 50,
+            window: Duration::from_secs(600),
+        }
+    }
+}
+
+fn default_share() -> u32 {
+    1
+}
--- /dev/null
+++ b/hemlockhook-inventory/src/publish/mod.rs
@@ -0,0 +1,4 @@
+//! How configurations are published through the platform's log.
+
+pub mod reader;
+pub mod record;
