--- a/hemlockhook-inventory/src/lib.rs
+++ b/hemlockhook-inventory/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O: documents and log records go in, checked values and decisions come out.
 
 pub mod admin;
+pub mod burn;
 pub mod check;
 pub mod model;
 pub mod publish;
