--- /dev/null
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -0,0 +1,383 @@
+//! Links to agents: starts and cancellations one way, grants and results the other.
+
+use std::time::{Duration, Instant};
+
+use hemlockhook_inventory::admin::EventKind;
+use hemlockhook_ownership::{FenceReport, RefusedOutcome, StartOrder, StartRecord, StartRefusal};
+use hemlockhook_proto::v1;
+use hemlockhook_proto::v1::refusal::Reason as RefusalReason;
+use hemlockhook_proto::v1::{AgentFrame, AgentHello, EntryFrame};
+use hemlockhook_runtime::log;
+use hemlockhook_schedule::{Placement, UpstreamSpec};
+use hemlockhook_types::{Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult};
+
+use super::Engine;
+use crate::event::{Action, LinkEnd, Response, Waiter};
+
+/// Time between two attempts to reach an agent, at first.
+const REDIAL_MIN: Duration = Duration::from_millis(50);
+
+/// Time between two attempts to reach an agent, at most.
+const REDIAL_MAX: Duration = Duration::from_secs(2);
+
+/// The link to one agent.
+#[derive(Debug, Default)]
+pub struct AgentLink {
+    /// Name of its upstream.
+    pub name: String,
+    /// Whether the link is up.
+    pub up: bool,
+    /// Whether the upstream is leaving.
+    pub leaving: bool,
+    /// What its agent said of itself last.
+    pub hello: AgentHello,
+    /// Configuration version in force there.
+    pub config_version: u64,
+    /// Whether new work goes there: it is up and not silent.
+    usable: bool,
+    heard: Option<Instant>,
+    pinged: Option<Instant>,
+    /// Since when it has not been up.
+    down_since: Option<Instant>,
+    redial_after: Duration,
+    /// What is to be sent next.
+    frame: EntryFrame,
+}
+
+impl Engine {
+    /// Starts to connect to an agent that announced itself.
+    pub(super) fn dial(&mut self, now: Instant, agent: Incarnation) {
+        let Some(member) = self.members.agent(agent) else { return };
+        let link = self.links.entry(agent).or_default();
+        link.name.clone_from(&member.name);
+        link.down_since.get_or_insert(now);
+        let (address, after) = (member.address, link.redial_after);
+        link.redial_after = (after * 2).clamp(REDIAL_MIN, REDIAL_MAX);
+        self.actions.push(Action::Dial { agent, address, after });
+    }
+
+    pub(super) fn on_link_up(&mut self, now: Instant, agent: Incarnation, hello: AgentHello) {
+        if hello.incarnation != agent {
+            // The address belongs to a later incarnation, so the dialled one is gone.
+            self.actions.push(Action::HangUp { agent });
+            self.give_up_agent(now, agent);
+            return;
+        }
+        let link = self.links.entry(agent).or_default();
+        let was_up = link.up;
+        link.name.clone_from(&hello.name);
+        link.config_version = hello.config_version;
+        link.leaving = hello.leaving;
+        link.redial_after = REDIAL_MIN;
+        link.up = true;
+        link.usable = true;
+        link.heard = Some(now);
+        link.pinged = None;
+        link.down_since = None;
+        link.hello = hello.clone();
+
+        let spec = upstream_spec(&hello);
+        if !was_up {
+            self.owner.agent_up(now, agent, &spec.services);
+            self.note(EventKind::AgentUp, &hello.name, "the link to its agent is up");
+        }
+        self.dispatcher.upstream_up(now, agent, spec);
+        self.dispatcher.upstream_leaving(now, agent, hello.leaving);
+        self.tell_config(agent);
+    }
+
+    pub(super) fn on_link_down(&mut self, now: Instant, agent: Incarnation, end: LinkEnd) {
+        let Some(link) = self.links.get_mut(&agent) else { return };
+        let was_up = std::mem::replace(&mut link.up, false);
+        link.usable = false;
+        link.frame = EntryFrame::default();
+        link.down_since.get_or_insert(now);
+        let name = link.name.clone();
+        if was_up {
+            self.owner.agent_down(now, agent);
+            self.dispatcher.upstream_down(now, agent);
+            self.note(EventKind::AgentDown, &name, "the link to its agent is lost");
+        }
+        match end {
+            LinkEnd::Refused => self.give_up_agent(now, agent),
+            LinkEnd::Broken => self.dial(now, agent),
+        }
+    }
+
+    /// Counts an agent as gone, with the tasks that run there.
+    pub(super) fn give_up_agent(&mut self, now: Instant, agent: Incarnation) {
+        let Some(link) = self.links.remove(&agent) else { return };
+        self.dispatcher.upstream_down(now, agent);
+        self.owner.agent_gone(now, agent);
+        self.placed.retain(|_, (placed_at, _)| *placed_at != agent);
+        self.members.remove_agent(agent);
+        self.note(EventKind::AgentGone, &link.name, "its agent is gone");
+    }
+
+    /// Pings silent agents, gives those that stay silent no new work, and gives up the lost ones.
+    pub(super) fn watch_links(&mut self, now: Instant) {
+        let silence = self.timing.agent_silence();
+        let lost = self.timing.agent_lost();
+        let mut silent = Vec::new();
+        let mut gone = Vec::new();
+        for (agent, link) in &mut self.links {
+            let quiet = link.heard.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+            let down = link.down_since.map_or(Duration::ZERO, |at| now - at);
+            match link.up {
+                false if down >= lost => gone.push(*agent),
+                true if quiet >= lost => gone.push(*agent),
+                true if quiet >= silence && link.usable => {
+                    link.usable = false;
+                    silent.push(*agent);
+                },
+                true if quiet >= silence / 2 && link.pinged.is_none() => {
+                    link.pinged = Some(now);
+                    link.frame.ping = true;
+                },
+                _ => {},
+            }
+        }
+        for agent in silent {
+            self.dispatcher.upstream_leaving(now, agent, true);
+        }
+        for agent in gone {
+            self.actions.push(Action::HangUp { agent });
+            self.give_up_agent(now, agent);
+        }
+    }
+
+    pub(super) fn on_link_frame(&mut self, now: Instant, agent: Incarnation, frame: AgentFrame) {
+        let Some(link) = self.links.get_mut(&agent) else { return };
+        link.heard = Some(now);
+        link.pinged = None;
+        if !link.usable && link.up {
+            link.usable = true;
+            let leaving = link.leaving;
+            self.dispatcher.upstream_leaving(now, agent, leaving);
+        }
+        self.counters.on_agent_frame(&frame);
+        if frame.leaving_changed {
+            self.on_leaving(now, agent, frame.leaving);
+        }
+        self.on_agent_config(now, agent, &frame);
+        for report in frame.reports {
+            self.on_report(now, agent, report);
+        }
+        for done in frame.done {
+            self.on_done(now, agent, done);
+        }
+        for refusal in frame.refusals {
+            self.on_refusal(now, agent, refusal);
+        }
+        for withdrawn in frame.withdrawn {
+            let floor = withdrawn.floor.map(Into::into);
+            self.owner.on_withdrawn(now, agent, &withdrawn.key.into(), withdrawn.marked, floor);
+        }
+        if frame.grants > 0 {
+            self.dispatcher.granted(now, agent, frame.grants);
+        }
+        if frame.recalled_grants > 0 {
+            let returned = self.dispatcher.recalled(now, agent, frame.recalled_grants);
+            self.frame(agent).returned_grants += returned;
+        }
+    }
+
+    fn on_leaving(&mut self, now: Instant, agent: Incarnation, leaving: bool) {
+        let Some(link) = self.links.get_mut(&agent) else { return };
+        link.leaving = leaving;
+        let name = link.name.clone();
+        self.dispatcher.upstream_leaving(now, agent, leaving);
+        match leaving {
+            true => self.note(EventKind::Leaving, &name, "it takes no new work"),
+            false => self.note(EventKind::Returned, &name, "it takes work again"),
+        }
+    }
+
+    fn on_report(&mut self, now: Instant, agent: Incarnation, report: v1::FenceReport) {
+        let takeover = report.takeover;
+        self.owner.on_report(now, agent, takeover, read_report(report));
+    }
+
+    fn on_done(&mut self, now: Instant, agent: Incarnation, done: v1::TaskDone) {
+        let key = JobKey::from(done.key);
+        let result: TaskResult = done.result.unwrap_or_default().into();
+        if let Some((_, job)) = self.placed.remove(&(key.clone(), done.index)) {
+            let ok = matches!(result.end, TaskEnd::Ok(_) | TaskEnd::Cancelled);
+            self.dispatcher.ended(now, agent, job, done.index, result.run_time, ok);
+        }
+        self.owner.done(now, agent, &key, done.index, result);
+    }
+
+    fn on_refusal(&mut self, now: Instant, agent: Incarnation, refusal: v1::Refusal) {
+        let reason = read_refusal(&refusal);
+        let key = JobKey::from(refusal.key);
+        let outcome = self.owner.refused(now, agent, &key, refusal.index, reason);
+        let Some((_, job)) = self.placed.remove(&(key.clone(), refusal.index)) else { return };
+        log::task(&key, refusal.index).debug(&format!("start refused: {reason}"));
+        match outcome {
+            RefusedOutcome::Requeue => self.dispatcher.refused(now, agent, job, refusal.index),
+            RefusedOutcome::Nothing => {
+                self.dispatcher.ended(now, agent, job, refusal.index, Duration::ZERO, true);
+            },
+        }
+    }
+
+    /// Starts what the dispatcher has placed.
+    pub(super) fn place_tasks(&mut self, now: Instant) {
+        while let Some(placement) = self.dispatcher.next(now) {
+            self.place_task(now, placement);
+        }
+        for (agent, count) in self.dispatcher.unused(now) {
+            self.frame(agent).returned_grants += count;
+        }
+    }
+
+    fn place_task(&mut self, now: Instant, placement: Placement) {
+        let Placement { agent, job, index, long } = placement;
+        let key = self.scheduled.get(&job).cloned();
+        let order = key.as_ref().and_then(|key| self.owner.start(now, key, index, agent));
+        let (Some(key), Some(order)) = (key, order) else {
+            // The job was settled after it was queued: the grant goes back.
+            self.dispatcher.ended(now, agent, job, index, Duration::ZERO, true);
+            self.frame(agent).returned_grants += 1;
+            return;
+        };
+
+        let Some(submitted) = self.submissions.get(&key) else { return };
+        let task = &submitted.submission.job.tasks[index as usize];
+        let start = v1::Start {
+            payload: task.payload.to_vec(),
+            timeout_ms: self.task_limit(&order, submitted.deadline, now),
+            long,
+            ..write_order(&order)
+        };
+        self.placed.insert((key, index), (agent, job));
+        self.counters.starts += 1;
+        self.frame(agent).starts.push(start);
+    }
+
+    /// Returns the time that a task may take at most, in milliseconds.
+    fn task_limit(&self, order: &StartOrder, deadline: Instant, now: Instant) -> u32 {
+        let left = deadline.saturating_duration_since(now);
+        let allowed = self
+            .inventory
+            .as_ref()
+            .and_then(|inventory| inventory.service(&order.service))
+            .map_or(left, |service| service.max_task_time.min(left));
+        allowed.as_millis().clamp(1, u128::from(u32::MAX)) as u32
+    }
+
+    /// Stops a task that runs, or is about to, at an agent.
+    pub(super) fn stop_task(&mut self, agent: Incarnation, key: &JobKey, index: TaskIndex) {
+        let frame = self.frame(agent);
+        match frame.cancels.last_mut() {
+            Some(cancel) if cancel.key == **key => cancel.indexes.push(index),
+            _ => frame.cancels.push(v1::Cancel { key: key.to_string(), indexes: vec![index] }),
+        }
+    }
+
+    /// Tells agents the backlogs that changed.
+    pub(super) fn tell_demands(&mut self, now: Instant) {
+        for (agent, demand) in self.dispatcher.demands(now) {
+            self.frame(agent).demand = Some(v1::Demand {
+                queued: demand.queued,
+                head_urgency: demand.head_urgency,
+                queued_long: demand.queued_long,
+            });
+        }
+    }
+
+    /// Sends what has gathered for each agent.
+    pub(super) fn flush_links(&mut self) {
+        let config_version = self.config.version();
+        for (agent, link) in &mut self.links {
+            if !link.up || link.frame == EntryFrame::default() {
+                continue;
+            }
+            let mut frame = std::mem::take(&mut link.frame);
+            frame.config_version = config_version;
+            self.counters.on_entry_frame(&frame);
+            self.actions.push(Action::Send { agent: *agent, frame: Box::new(frame) });
+        }
+    }
+
+    pub(super) fn on_drain_upstream(&mut self, upstream: &str, leaving: bool, waiter: Waiter) {
+        let mut told = false;
+        for link in self.links.values_mut().filter(|link| link.up && link.name == upstream) {
+            link.frame.drain = Some(v1::Drain { leaving });
+            told = true;
+        }
+        self.actions.push(Action::Reply { waiter, response: Response::Drained(told) });
+    }
+
+    /// Returns the frame that goes to an agent next.
+    pub(super) fn frame(&mut self, agent: Incarnation) -> &mut EntryFrame {
+        &mut self.links.entry(agent).or_default().frame
+    }
+}
+
+fn upstream_spec(hello: &AgentHello) -> UpstreamSpec {
+    UpstreamSpec {
+        name: hello.name.as_str().into(),
+        services: hello.services.iter().map(|service| service.as_str().into()).collect(),
+        worker: hello.worker.as_str().into(),
+        rack: hello.rack.as_str().into(),
+        data_center: hello.data_center.as_str().into(),
+        slots: hello.slots,
+    }
+}
+
+fn write_order(order: &StartOrder) -> v1::Start {
+    v1::Start {
+        key: order.key.to_string(),
+        index: order.index,
+        job_tasks: order.job_tasks,
+        fingerprint: order.fingerprint,
+        shard: order.shard.into(),
+        ballot: order.ballot.counter,
+        service: order.service.to_string(),
+        idempotent: order.idempotent,
+        ..v1::Start::default()
+    }
+}
+
+fn read_refusal(refusal: &v1::Refusal) -> StartRefusal {
+    match refusal.reason() {
+        RefusalReason::StaleBallot => {
+            StartRefusal::StaleBallot(refusal.floor.unwrap_or_default().into())
+        },
+        RefusalReason::AlreadyStarted => StartRefusal::AlreadyStarted,
+        RefusalReason::NotJoined => StartRefusal::NotJoined,
+        RefusalReason::Full => StartRefusal::Full,
+        RefusalReason::Leaving | RefusalReason::NoGrant | RefusalReason::Unspecified => {
+            StartRefusal::Leaving
+        },
+    }
+}
+
+fn read_report(report: v1::FenceReport) -> FenceReport {
+    let refused = report
+        .refused
+        .into_iter()
+        .map(|refused| (refused.shard as ShardId, refused.floor.unwrap_or_default().into()))
+        .collect();
+    FenceReport {
+        refused,
+        records: report.records.into_iter().map(read_record).collect(),
+        adopted: report.adopted,
+        withdrawn: report.withdrawn.into_iter().map(Into::into).collect(),
+    }
+}
+
+fn read_record(record: v1::StartRecord) -> StartRecord {
+    StartRecord {
+        key: record.key.into(),
+        index: record.index,
+        job_tasks: record.job_tasks,
+        fingerprint: record.fingerprint,
+        shard: record.shard as ShardId,
+        service: record.service.into(),
+        idempotent: record.idempotent,
+        result: record.result.map(Into::into),
+    }
+}
--- /dev/null
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -0,0 +1,355 @@
+//! Submissions: from their arrival to their answer.
+
+use std::cmp::Reverse;
+use std::time::{Duration, Instant};
+
+use hemlockhook_ownership::{Admission, LookUp};
+use hemlockhook_proto::convert::Reply;
+use hemlockhook_runtime::log;
+use hemlockhook_schedule::{JobId, JobSpec, Rejection, TaskSpec};
+use hemlockhook_types::{Answer, Job, JobKey, Reason, TaskIndex, shard_of};
+
+use super::Engine;
+use crate::event::{Action, CallId, Origin, Question, Response, Submission, Waiter};
+
+/// Time past the deadline in which a forwarded job's answer may still arrive.
+const RELAY_GRACE: Duration = Duration::from_secs(1);
+
+/// A submission without an answer.
+#[derive(Debug)]
+pub struct Submitted {
+    submission: Submission,
+    arrived: Instant,
+    deadline: Instant,
+    place: Place,
+    /// Callers' connections.
+    callers: Vec<Waiter>,
+    /// Forwarding entries; they submit elsewhere if the shard's owner changes.
+    entries: Vec<Waiter>,
+}
+
+/// Where a submission is dealt with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// Nowhere: no owner of its shard is known.
+    Held,
+    /// Here; scheduled unless all its tasks have been started.
+    Local(Option<JobId>),
+    /// At the shard's owner.
+    Relayed(CallId),
+}
+
+impl Engine {
+    pub(super) fn on_submit(
+        &mut self,
+        now: Instant,
+        submission: Submission,
+        origin: Origin,
+        waiter: Waiter,
+    ) {
+        let key = submission.job.key.clone();
+        if let Some(known) = self.submissions.get_mut(&key) {
+            let same = known.submission.job.fingerprint == submission.job.fingerprint;
+            match origin {
+                _ if !same => self.reply(waiter, Reply::KeyReused),
+                Origin::Caller => known.callers.push(waiter),
+                Origin::Entry if matches!(known.place, Place::Local(_)) => {
+                    known.entries.push(waiter);
+                },
+                Origin::Entry => self.reply(waiter, Reply::NotOwner),
+            }
+            return;
+        }
+
+        self.counters.submitted += 1;
+        let deadline = now + submission.job.deadline;
+        let (callers, entries) = match origin {
+            Origin::Caller => (vec![waiter], Vec::new()),
+            Origin::Entry => (Vec::new(), vec![waiter]),
+        };
+        let place = Place::Held;
+        let submitted =
+            Submitted { submission, arrived: now, deadline, place, callers, entries };
+        self.submissions.insert(key.clone(), submitted);
+        self.deadlines.push(Reverse((deadline, key.clone())));
+        self.route(now, &key);
+    }
+
+    /// Finds the place where a held submission is dealt with.
+    pub(super) fn route(&mut self, now: Instant, key: &JobKey) {
+        let Some(submitted) = self.submissions.get(key) else { return };
+        let submission = submitted.submission.clone();
+        match self.owner.admit(now, &submission.job, submission.stamp) {
+            Admission::Run(indexes) => self.run(now, &submission.job, &indexes),
+            Admission::Pending => self.set_place(key, Place::Local(None)),
+            Admission::Answered(answer) => self.answer(now, key, answer),
+            Admission::KeyReused => self.finish(now, key, Reply::KeyReused),
+            Admission::Fencing => self.hold(key),
+            Admission::NotOwner => self.relay(now, key),
+        }
+    }
+
+    /// Schedules the tasks of an admitted job that are to be started.
+    fn run(&mut self, now: Instant, job: &Job, indexes: &[TaskIndex]) {
+        self.set_place(&job.key, Place::Local(None));
+        if indexes.is_empty() {
+            return;
+        }
+        match self.schedule(now, job, indexes) {
+            Ok(id) => {
+                self.scheduled.insert(id, job.key.clone());
+                self.set_place(&job.key, Place::Local(Some(id)));
+            },
+            Err(rejection) => self.reject(now, job, indexes.len(), rejection),
+        }
+    }
+
+    fn schedule(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        indexes: &[TaskIndex],
+    ) -> Result<JobId, Rejection> {
+        self.check_rules(job)?;
+        let task = |index: &TaskIndex| {
+            let task = &job.tasks[*index as usize];
+            TaskSpec { index: *index, class: task.class.clone(), declared: task.declared }
+        };
+        let deadline = self.submissions.get(&job.key).map_or(now + job.deadline, |s| s.deadline);
+        let spec = JobSpec {
+            team: job.team.clone(),
+            service: job.service.clone(),
+            deadline,
+            tasks: indexes.iter().map(task).collect(),
+        };
+        self.dispatcher.submit(now, spec)
+    }
+
+    /// Refuses a job that the rules in force do not allow.
+    fn check_rules(&self, job: &Job) -> Result<(), Rejection> {
+        let refuse = |reason, detail, retry_after| Err(Rejection { reason, detail, retry_after });
+        let Some(inventory) = &self.inventory else {
+            let wait = Some(Duration::from_secs(1));
+            let detail = "no inventory is in force yet".to_owned();
+            return refuse(Reason::NoUpstream, detail, wait);
+        };
+        match (inventory.service(&job.service), inventory.team(&job.team)) {
+            (None, _) => {
+                let detail = format!("the inventory has no service {}", job.service);
+                refuse(Reason::NoSuchService, detail, None)
+            },
+            (_, None) => {
+                let detail = format!("the inventory has no team {}", job.team);
+                refuse(Reason::NoSuchTeam, detail, None)
+            },
+            (Some(_), Some(_)) => Ok(()),
+        }
+    }
+
+    fn reject(&mut self, now: Instant, job: &Job, refused: usize, rejection: Rejection) {
+        let Rejection { reason, detail, retry_after } = rejection;
+        let answer = if refused == job.tasks.len() {
+            Answer::NotRun { reason, detail, retry_after }
+        } else {
+            Answer::Failed { reason, task: None, detail }
+        };
+        self.owner.settle(now, &job.key, answer);
+    }
+
+    fn relay(&mut self, now: Instant, key: &JobKey) {
+        let shard = shard_of(key);
+        let Some(submitted) = self.submissions.get_mut(key) else { return };
+        for waiter in submitted.entries.drain(..) {
+            let response = Response::Job { reply: Reply::NotOwner, stamps: self.stamps.clone() };
+            self.actions.push(Action::Reply { waiter, response });
+        }
+        if submitted.callers.is_empty() {
+            self.submissions.remove(key);
+            return;
+        }
+        let Some((_, address)) = self.members.claimant(now, shard) else {
+            self.hold(key);
+            return;
+        };
+
+        self.next_call += 1;
+        let call = self.next_call;
+        submitted.place = Place::Relayed(call);
+        self.held.remove(key);
+        self.counters.forwarded += 1;
+        let submission = submitted.submission.clone();
+        let deadline = submitted.deadline.saturating_duration_since(now);
+        self.actions.push(Action::Relay { address, call, submission, deadline });
+    }
+
+    pub(super) fn on_relayed(
+        &mut self,
+        now: Instant,
+        key: JobKey,
+        call: CallId,
+        reply: Option<Reply>,
+    ) {
+        let place = self.submissions.get(&key).map(|submitted| submitted.place);
+        match reply {
+            // A call that was given up may not refuse the job: its entry may have lost the shard.
+            Some(Reply::Answer(answer @ Answer::Complete(_))) => self.answer(now, &key, answer),
+            _ if place != Some(Place::Relayed(call)) => {},
+            Some(Reply::Answer(answer)) => self.answer(now, &key, answer),
+            Some(Reply::KeyReused) => self.finish(now, &key, Reply::KeyReused),
+            Some(Reply::NotOwner | Reply::Pending | Reply::NotFound) | None => self.hold(&key),
+        }
+    }
+
+    /// Gives up the calls to entries that are not heard any more.
+    pub(super) fn abandon_calls(&mut self) {
+        let relayed = |submitted: &Submitted| matches!(submitted.place, Place::Relayed(_));
+        let keys: Vec<_> = self
+            .submissions
+            .iter()
+            .filter(|(_, submitted)| relayed(submitted))
+            .map(|(key, _)| key.clone())
+            .collect();
+        keys.iter().for_each(|key| self.hold(key));
+    }
+
+    /// Tries again to place the submissions that no owner was known for.
+    pub(super) fn retry_held(&mut self, now: Instant) {
+        let keys: Vec<_> = self.held.drain().collect();
+        for key in keys {
+            if self.submissions.get(&key).is_some_and(|s| s.place == Place::Held) {
+                self.route(now, &key);
+            }
+        }
+    }
+
+    pub(super) fn hold(&mut self, key: &JobKey) {
+        self.set_place(key, Place::Held);
+        self.held.insert(key.clone());
+    }
+
+    fn set_place(&mut self, key: &JobKey, place: Place) {
+        if let Some(submitted) = self.submissions.get_mut(key) {
+            submitted.place = place;
+        }
+        if place != Place::Held {
+            self.held.remove(key);
+        }
+    }
+
+    /// Takes back a job whose shard was lost to another entry, so that it is submitted there.
+    pub(super) fn give_back(&mut self, key: &JobKey) {
+        let Some(submitted) = self.submissions.get(key) else { return };
+        if let Place::Local(Some(id)) = submitted.place {
+            self.dispatcher.finish_job(id);
+            self.scheduled.remove(&id);
+        }
+        self.hold(key);
+    }
+
+    /// Passes a job's final answer on, once its owner settled it.
+    pub(super) fn answer(&mut self, now: Instant, key: &JobKey, answer: Answer) {
+        if let Some(submitted) = self.submissions.get(key) {
+            let took = now.saturating_duration_since(submitted.arrived);
+            let job = submitted.submission.job.clone();
+            self.count_answer(now, &job, &answer, took);
+        }
+        self.finish(now, key, Reply::Answer(answer));
+    }
+
+    fn finish(&mut self, _now: Instant, key: &JobKey, reply: Reply) {
+        self.held.remove(key);
+        let mut waiters = self.watchers.remove(key).unwrap_or_default();
+        if let Some(submitted) = self.submissions.remove(key) {
+            if let Place::Local(Some(id)) = submitted.place {
+                self.dispatcher.finish_job(id);
+                self.scheduled.remove(&id);
+            }
+            waiters.extend(submitted.callers);
+            waiters.extend(submitted.entries);
+        }
+        for waiter in waiters {
+            self.reply(waiter, reply.clone());
+        }
+    }
+
+    pub(super) fn reply(&mut self, waiter: Waiter, reply: Reply) {
+        let response = Response::Job { reply, stamps: self.stamps.clone() };
+        self.actions.push(Action::Reply { waiter, response });
+    }
+
+    /// Ends the jobs whose deadline has passed.
+    pub(super) fn expire_jobs(&mut self, now: Instant) {
+        while let Some(Reverse((at, key))) = self.deadlines.peek().cloned() {
+            if at > now {
+                return;
+            }
+            self.deadlines.pop();
+            self.expire_job(now, at, &key);
+        }
+    }
+
+    fn expire_job(&mut self, now: Instant, at: Instant, key: &JobKey) {
+        let Some(submitted) = self.submissions.get(key) else { return };
+        let grace_over = at >= submitted.deadline + RELAY_GRACE;
+        match submitted.place {
+            _ if at < submitted.deadline => {},
+            Place::Local(_) => self.owner.expire(now, key),
+            Place::Relayed(_) | Place::Held if !grace_over => {
+                self.deadlines.push(Reverse((submitted.deadline + RELAY_GRACE, key.clone())));
+            },
+            Place::Relayed(_) | Place::Held => {
+                log::job(key).warn("no owner of the shard answered before the deadline");
+                let detail = "no owner of the key's shard answered in time".to_owned();
+                let reason = Reason::OwnerUnreachable;
+                self.answer(now, key, Answer::Unknown { reason, detail });
+            },
+        }
+    }
+
+    pub(super) fn on_ask(
+        &mut self,
+        now: Instant,
+        key: JobKey,
+        question: Question,
+        origin: Origin,
+        waiter: Waiter,
+    ) {
+        match (question, self.owner.look_up(&key)) {
+            (_, LookUp::Unknown) => self.ask_owner(now, key, question, origin, waiter),
+            (Question::Cancel, LookUp::Pending) => {
+                self.watchers.entry(key.clone()).or_default().push(waiter);
+                self.cancel(now, &key);
+            },
+            (Question::Wait, LookUp::Pending) => {
+                self.watchers.entry(key).or_default().push(waiter);
+            },
+            (Question::Look, LookUp::Pending) => self.reply(waiter, Reply::Pending),
+            (_, LookUp::Answered(answer)) => self.reply(waiter, Reply::Answer(answer)),
+            (_, LookUp::NotFound) => self.reply(waiter, Reply::NotFound),
+        }
+    }
+
+    fn ask_owner(
+        &mut self,
+        now: Instant,
+        key: JobKey,
+        question: Question,
+        origin: Origin,
+        waiter: Waiter,
+    ) {
+        match self.members.claimant(now, shard_of(&key)) {
+            Some((_, address)) if origin == Origin::Caller => {
+                let stamps = self.stamps.clone();
+                self.actions.push(Action::RelayAsk { address, key, question, waiter, stamps });
+            },
+            _ => self.reply(waiter, Reply::NotOwner),
+        }
+    }
+
+    fn cancel(&mut self, now: Instant, key: &JobKey) {
+        self.counters.cancelled += 1;
+        for (agent, index) in self.owner.cancel(now, key) {
+            self.stop_task(agent, key, index);
+        }
+    }
+}
--- /dev/null
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -0,0 +1,203 @@
+//! The entry's decisions: events and the time go in, actions come out.
+//!
+//! The engine composes the libraries that decide about ownership, scheduling and configuration, and
+//! moves their results to one another. It does no I/O and runs on the control thread.
+
+mod agents;
+mod jobs;
+mod peers;
+mod report;
+mod takeover;
+
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlockhook_inventory::{ConfigReader, Inventory};
+use hemlockhook_ownership::{Owner, OwnerConfig};
+use hemlockhook_schedule::{Dispatcher, JobId, Policy};
+use hemlockhook_types::{Incarnation, JobKey, ShardId, StampTable, TaskIndex};
+
+use crate::burn::BurnLog;
+use crate::counters::Counters;
+use crate::event::{Action, Event, Waiter};
+use crate::journal::Journal;
+use crate::members::Members;
+use crate::settings::{Memory, Timing};
+use agents::AgentLink;
+use jobs::Submitted;
+
+/// What an engine needs to know of its process.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The process's incarnation.
+    pub incarnation: Incarnation,
+    /// Name of the instance.
+    pub name: String,
+    /// Data center of the instance.
+    pub data_center: String,
+    /// Where other entries reach it.
+    pub address: SocketAddr,
+    /// Addresses of entries that are told without the log.
+    pub known_peers: Vec<SocketAddr>,
+    /// Calendar time of the start, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+}
+
+/// The entry's control state.
+pub struct Engine {
+    me: Identity,
+    timing: Timing,
+    started: Instant,
+    owner: Owner,
+    dispatcher: Dispatcher,
+    config: ConfigReader,
+    inventory: Option<Arc<Inventory>>,
+    members: Members,
+    links: HashMap<Incarnation, AgentLink>,
+    submissions: HashMap<JobKey, Submitted>,
+    /// The key of each job in the dispatcher.
+    scheduled: HashMap<JobId, JobKey>,
+    /// The tasks that were started from here and have not ended.
+    placed: HashMap<(JobKey, TaskIndex), (Incarnation, JobId)>,
+    deadlines: BinaryHeap<Reverse<(Instant, JobKey)>>,
+    /// Callers that wait for the end of a job that was submitted elsewhere or before.
+    watchers: HashMap<JobKey, Vec<Waiter>>,
+    /// Keys that wait for an owner, for a retry on the next tick.
+    held: HashSet<JobKey>,
+    next_call: u64,
+    /// Whether the log has been read to its end once.
+    members_read: bool,
+    log_up: bool,
+    log_heard: Option<Instant>,
+    last_heartbeat: Option<Instant>,
+    /// Since when the preferred owners have been the same, and which shards are preferred here.
+    preference: (Instant, Vec<ShardId>),
+    draining: bool,
+    stamps: Arc<StampTable>,
+    journal: Journal,
+    burn: BurnLog,
+    counters: Counters,
+    actions: Vec<Action>,
+}
+
+impl Engine {
+    /// Creates the engine of an entry that starts now.
+    pub fn new(me: Identity, timing: Timing, memory: &Memory, now: Instant) -> Self {
+        let owner_config = OwnerConfig {
+            window: Duration::from_secs(memory.window_s),
+            max_jobs: memory.jobs,
+            max_result_bytes: memory.result_bytes,
+            fence_timeout: Duration::from_millis(timing.fence_ms),
+            ..OwnerConfig::default()
+        };
+        Self {
+            owner: Owner::new(owner_config, me.incarnation),
+            dispatcher: Dispatcher::new(Policy::default(), &me.data_center),
+            config: ConfigReader::new(),
+            inventory: None,
+            members: Members::new(me.incarnation, &me.name, timing.peer_silence()),
+            links: HashMap::new(),
+            submissions: HashMap::new(),
+            scheduled: HashMap::new(),
+            placed: HashMap::new(),
+            deadlines: BinaryHeap::new(),
+            watchers: HashMap::new(),
+            held: HashSet::new(),
+            next_call: 0,
+            members_read: false,
+            log_up: false,
+            log_heard: None,
+            last_heartbeat: None,
+            preference: (now, Vec::new()),
+            draining: false,
+            stamps: Arc::default(),
+            journal: Journal::new(&me.name),
+            burn: BurnLog::new(&me.name, me.incarnation, me.started_ms),
+            counters: Counters::default(),
+            actions: Vec::new(),
+            started: now,
+            me,
+            timing,
+        }
+    }
+
+    /// Takes an event in.
+    pub fn handle(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Submit { submission, origin, waiter } => {
+                self.on_submit(now, submission, origin, waiter);
+            },
+            Event::Ask { key, question, origin, waiter } => {
+                self.on_ask(now, key, question, origin, waiter);
+            },
+            Event::Relayed { key, call, reply } => self.on_relayed(now, key, call, reply),
+            Event::LinkUp { agent, hello } => self.on_link_up(now, agent, hello),
+            Event::LinkFrame { agent, frame } => self.on_link_frame(now, agent, frame),
+            Event::LinkDown { agent, end } => self.on_link_down(now, agent, end),
+            Event::Peer { status, waiter } => self.on_peer(now, status, waiter),
+            Event::Members { records, to_end } => self.on_members(now, &records, to_end),
+            Event::Configs(records) => self.on_configs(now, &records),
+            Event::LogHealth(up) => self.on_log_health(now, up),
+            Event::Appended { takeover, certain: true } => self.owner.on_appended(now, takeover),
+            Event::Appended { takeover, certain: false } => {
+                self.owner.on_append_failed(now, takeover);
+            },
+            Event::CaughtUp { takeover } => self.owner.on_caught_up(now, takeover),
+            Event::DrainUpstream { upstream, leaving, waiter } => {
+                self.on_drain_upstream(&upstream, leaving, waiter);
+            },
+            Event::Status { waiter } => self.on_status(now, waiter),
+            Event::Drain => self.on_drain(now),
+            Event::Tick => self.on_tick(now),
+        }
+    }
+
+    /// Decides what follows from the events taken in, and returns what is to be done.
+    pub fn decide(&mut self, now: Instant) -> Vec<Action> {
+        self.follow_owner(now);
+        self.place_tasks(now);
+        self.follow_owner(now);
+        self.tell_demands(now);
+        self.flush_links();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns whether nothing is in flight, so that a draining process may exit.
+    pub fn is_idle(&self) -> bool {
+        self.submissions.is_empty() && self.placed.is_empty()
+    }
+
+    /// Returns whether jobs can be taken: shards are owned somewhere and the rules are known.
+    pub fn is_ready(&self) -> bool {
+        !self.draining && self.inventory.is_some() && !self.stamps.is_empty()
+    }
+
+    /// Returns what has been counted since the start.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    fn on_tick(&mut self, now: Instant) {
+        self.owner.tick(now);
+        self.expire_jobs(now);
+        self.watch_links(now);
+        self.heartbeat(now);
+        self.balance_shards(now);
+        self.retry_held(now);
+        self.refresh_stamps(now);
+    }
+
+    fn on_drain(&mut self, now: Instant) {
+        self.draining = true;
+        self.last_heartbeat = None;
+        self.heartbeat(now);
+    }
+
+    fn call_id(&mut self) -> u64 {
+        self.next_call += 1;
+        self.next_call
+    }
+}
--- /dev/null
+++ b/hemlockhook-entry/src/engine/report.rs
@@ -0,0 +1,187 @@
+//! What operators are told: events, counts and the entry's state.
+
+use std::time::{Duration, Instant};
+
+use hemlockhook_inventory::admin::{
+    AgentStatus, BacklogStatus, EntryStatus, Event, EventKind, JobStatus, LogStatus, PeerStatus,
+    ShardState, ShardStatus, UpstreamState,
+};
+use hemlockhook_inventory::burn::{BurnCounts, Cause};
+use hemlockhook_ownership::LookUp;
+use hemlockhook_schedule::{Snapshot, UpstreamHealth};
+use hemlockhook_types::{Answer, Job, JobKey, shard_of};
+
+use super::Engine;
+use crate::event::{Action, Response, Waiter};
+
+impl Engine {
+    /// Returns the events after a sequence number.
+    pub fn events(&self, since: u64) -> Vec<Event> {
+        self.journal.since(since)
+    }
+
+    /// Returns the counts for the burn report.
+    pub fn burn_counts(&self, now: Instant) -> BurnCounts {
+        self.burn.counts(self.wall_ms(now))
+    }
+
+    /// Returns where a job stands, if it is known here.
+    pub fn job_status(&self, now: Instant, key: &JobKey) -> Option<JobStatus> {
+        let submitted = self.submissions.get(key);
+        let answer = match self.owner.look_up(key) {
+            LookUp::Answered(answer) => Some(answer),
+            _ if submitted.is_none() => return None,
+            _ => None,
+        };
+        let service = submitted.map_or_else(String::new, |s| s.service().to_string());
+        Some(JobStatus {
+            key: key.to_string(),
+            entry: self.me.name.clone(),
+            shard: shard_of(key),
+            service,
+            answer: answer.as_ref().map(Answer::kind),
+            reason: answer.as_ref().and_then(Answer::reason),
+            detail: None,
+            age_ms: submitted.map(|s| s.age(now).as_millis() as u64),
+            deadline_in_ms: submitted.map(|s| s.deadline_in_ms(now)),
+            tasks: Vec::new(),
+        })
+    }
+
+    pub(super) fn on_status(&mut self, now: Instant, waiter: Waiter) {
+        let status = Box::new(self.status(now));
+        self.actions.push(Action::Reply { waiter, response: Response::Status(status) });
+    }
+
+    pub(super) fn note(&mut self, kind: EventKind, subject: &str, detail: &str) {
+        let at_ms = self.wall_ms(Instant::now());
+        spdlog::info!("{detail}", kv: { event = kind.to_string(), subject = subject.to_owned() });
+        self.journal.add(at_ms, kind, subject, detail);
+    }
+
+    pub(super) fn count_answer(&mut self, now: Instant, job: &Job, answer: &Answer, took: Duration) {
+        self.counters.on_answer(answer.kind());
+        let within = self
+            .inventory
+            .as_ref()
+            .and_then(|inventory| inventory.service(&job.service))
+            .map(|service| service.objective.within);
+        let bad = match answer {
+            Answer::Complete(_) if within.is_none_or(|within| took <= within) => None,
+            Answer::Complete(_) => Some(Cause::Late),
+            Answer::Failed { .. } => Some(Cause::Failed),
+            Answer::NotRun { .. } => Some(Cause::Refused),
+            Answer::Unknown { .. } => Some(Cause::Unknown),
+        };
+        let at_ms = self.wall_ms(now);
+        self.burn.count(at_ms, &job.service, &job.team, bad);
+    }
+
+    fn status(&self, now: Instant) -> EntryStatus {
+        let snapshot = self.dispatcher.snapshot();
+        EntryStatus {
+            name: self.me.name.clone(),
+            incarnation: format!("{:x}", self.me.incarnation),
+            data_center: self.me.data_center.clone(),
+            uptime_ms: (now - self.started).as_millis() as u64,
+            draining: self.draining,
+            config_version: self.config.version(),
+            log: self.log_status(now),
+            shards: self.shard_statuses(now),
+            peers: self.peer_statuses(now),
+            agents: self.agent_statuses(&snapshot),
+            backlog: backlog(&snapshot),
+        }
+    }
+
+    fn log_status(&self, now: Instant) -> LogStatus {
+        LogStatus {
+            reachable: self.log_up,
+            last_success_ms: self.log_heard.map(|at| (now - at).as_millis() as u64),
+            last_error: None,
+        }
+    }
+
+    fn shard_statuses(&self, now: Instant) -> Vec<ShardStatus> {
+        self.owner
+            .owned(now)
+            .into_iter()
+            .map(|(shard, ballot)| ShardStatus {
+                shard,
+                ballot: ballot.to_string(),
+                state: match self.owner.is_complete(now, shard) {
+                    true => ShardState::Complete,
+                    false => ShardState::Incomplete,
+                },
+                awaiting: Vec::new(),
+            })
+            .collect()
+    }
+
+    fn peer_statuses(&self, now: Instant) -> Vec<PeerStatus> {
+        self.members
+            .alive(now)
+            .map(|(_, peer)| PeerStatus {
+                name: peer.name.clone(),
+                data_center: String::new(),
+                reachable: true,
+                last_seen_ms: peer.heard.map(|at| (now - at).as_millis() as u64),
+                shards: peer.owned.len() as u32,
+                config_version: peer.config_version,
+            })
+            .collect()
+    }
+
+    fn agent_statuses(&self, snapshot: &Snapshot) -> Vec<AgentStatus> {
+        let mut agents: Vec<_> = self
+            .links
+            .iter()
+            .map(|(agent, link)| {
+                let upstream = snapshot.upstreams.iter().find(|known| known.agent == *agent);
+                AgentStatus {
+                    name: link.name.clone(),
+                    incarnation: format!("{agent:x}"),
+                    worker: link.hello.worker.clone(),
+                    data_center: link.hello.data_center.clone(),
+                    services: link.hello.services.clone(),
+                    state: match upstream.map(|known| known.health) {
+                        _ if !link.up => UpstreamState::Down,
+                        _ if link.leaving => UpstreamState::Leaving,
+                        Some(UpstreamHealth::SlowStart) => UpstreamState::SlowStart,
+                        Some(UpstreamHealth::Quarantined) => UpstreamState::Quarantined,
+                        _ => UpstreamState::Up,
+                    },
+                    slots: link.hello.slots,
+                    grants: upstream.map_or(0, |known| known.grants),
+                    running: upstream.map_or(0, |known| known.running),
+                    slowness: upstream.map_or(1.0, |known| 1.0 / known.speed.max(0.001)),
+                    config_version: link.config_version,
+                    ..AgentStatus::default()
+                }
+            })
+            .collect();
+        agents.sort_by(|a, b| a.name.cmp(&b.name));
+        agents
+    }
+
+    /// Returns the calendar time, from the start's and the time since.
+    fn wall_ms(&self, now: Instant) -> u64 {
+        let since_start = now.saturating_duration_since(self.started);
+        self.me.started_ms + since_start.as_millis() as u64
+    }
+}
+
+fn backlog(snapshot: &Snapshot) -> Vec<BacklogStatus> {
+    let by_service = snapshot.services.iter().map(|(service, queued)| BacklogStatus {
+        service: service.to_string(),
+        queued: *queued,
+        ..BacklogStatus::default()
+    });
+    let by_team = snapshot.teams.iter().map(|team| BacklogStatus {
+        team: team.team.to_string(),
+        queued: team.queued,
+        running: team.running,
+        ..BacklogStatus::default()
+    });
+    by_service.chain(by_team).collect()
+}
--- /dev/null
+++ b/hemlockhook-entry/src/journal.rs
@@ -0,0 +1,44 @@
+//! The latest events that operators may want to know of.
+
+use std::collections::VecDeque;
+
+use hemlockhook_inventory::admin::{Event, EventKind};
+
+/// Number of events kept.
+const KEPT_EVENTS: usize = 1_000;
+
+/// The latest events of one entry.
+#[derive(Debug)]
+pub struct Journal {
+    entry: String,
+    next_sequence: u64,
+    events: VecDeque<Event>,
+}
+
+impl Journal {
+    /// Creates an empty journal.
+    pub fn new(entry: &str) -> Self {
+        Self { entry: entry.to_owned(), next_sequence: 1, events: VecDeque::new() }
+    }
+
+    /// Adds an event.
+    pub fn add(&mut self, at_ms: u64, kind: EventKind, subject: &str, detail: &str) {
+        if self.events.len() == KEPT_EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(Event {
+            sequence: self.next_sequence,
+            at_ms,
+            entry: self.entry.clone(),
+            kind,
+            subject: subject.to_owned(),
+            detail: detail.to_owned(),
+        });
+        self.next_sequence += 1;
+    }
+
+    /// Returns the events after a sequence number.
+    pub fn since(&self, sequence: u64) -> Vec<Event> {
+        self.events.iter().filter(|event| event.sequence > sequence).cloned().collect()
+    }
+}
