Check the inventory as a whole, with every problem at its line and column

The first check stopped at the first error of the YAML library. The document is now read as a tree of values with places; each value is checked against the schema of the types, and names and rules against each other. Duplicate keys, units, zero and oversize values, dangling names with the nearest one, racks in two data centers and rules that can't hold are told at once.

--- /dev/null
+++ b/hemlockhook-inventory/src/check/links.rs
@@ -0,0 +1,267 @@
+//! Checks of the document as a whole: names that refer to each other, and rules that can't hold.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::check::Problem;
+use crate::check::nearest::nearest;
+use crate::check::tree::{Node, Place};
+use crate::model::Rules;
+use crate::units::{format_duration, parse_duration};
+
+const NAMED_LISTS: [&str; 5] = ["data_centers", "workers", "services", "upstreams", "teams"];
+
+/// Returns the problems that show only when several values are taken together.
+pub fn check_links(root: &Node) -> Vec<Problem> {
+    let mut links = Links {
+        root,
+        problems: Vec::new(),
+    };
+    for list in NAMED_LISTS {
+        links.duplicates(list);
+    }
+    links.references("workers", "data_center", "data_centers");
+    links.references("upstreams", "worker", "workers");
+    links.racks();
+    links.upstreams();
+    links.services();
+    links.teams();
+    links.rules();
+    links.problems
+}
+
+struct Links<'a> {
+    root: &'a Node,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Links<'a> {
+    fn duplicates(&mut self, list: &str) {
+        let names = self
+            .root
+            .list(list)
+            .iter()
+            .enumerate()
+            .filter_map(|(i, node)| Some((format!("{list}[{i}].name"), node.get("name")?)));
+        self.problems.extend(repeated(names));
+    }
+
+    /// Checks that the names under a key of a list's elements are names of another list.
+    fn references(&mut self, list: &str, key: &str, target: &str) {
+        for (i, node) in self.root.list(list).iter().enumerate() {
+            if let Some(reference) = node.get(key) {
+                self.reference(reference, &format!("{list}[{i}].{key}"), target);
+            }
+        }
+    }
+
+    fn reference(&mut self, reference: &Node, path: &str, target: &str) {
+        let Some(name) = reference.text() else {
+            return;
+        };
+        let names: Vec<&str> = self.names(target).collect();
+        if names.contains(&name) {
+            return;
+        }
+        let message = format!("`{name}` is not among `{target}`");
+        let suggestion = nearest(name, names);
+        self.report(Problem::new(reference.place, path, message).suggest(suggestion));
+    }
+
+    /// Checks that each rack stands in one data center.
+    fn racks(&mut self) {
+        let mut racks: HashMap<&str, (&str, Place)> = HashMap::new();
+        for (i, worker) in self.root.list("workers").iter().enumerate() {
+            let (Some(rack), Some(data_center)) =
+                (worker.get("rack"), worker.text_of("data_center"))
+            else {
+                continue;
+            };
+            let name = rack.text().unwrap_or_default();
+            let (first, place) = *racks.entry(name).or_insert((data_center, rack.place));
+            if first != data_center {
+                let message =
+                    format!("rack `{name}` is in data center `{first}`, not in `{data_center}`");
+                let path = format!("workers[{i}].rack");
+                self.report(Problem::new(rack.place, &path, message).seen_at(place));
+            }
+        }
+    }
+
+    fn upstreams(&mut self) {
+        for (i, upstream) in self.root.list("upstreams").iter().enumerate() {
+            let services = upstream.list("services");
+            for (j, service) in services.iter().enumerate() {
+                let path = format!("upstreams[{i}].services[{j}]");
+                self.reference(service, &path, "services");
+            }
+            let names = services
+                .iter()
+                .enumerate()
+                .map(|(j, node)| (format!("upstreams[{i}].services[{j}]"), node));
+            self.problems.extend(repeated(names));
+            self.connections(i, upstream);
+        }
+    }
+
+    fn connections(&mut self, i: usize, upstream: &Node) {
+        let (Some(slots), Some(connections)) =
+            (upstream.int_of("slots"), upstream.int_of("connections"))
+        else {
+            return;
+        };
+        if slots <= connections {
+            return;
+        }
+        let place = upstream.get("slots").map_or(upstream.place, |n| n.place);
+        let message =
+            format!("{slots} slots need as many connections, and there are {connections}");
+        self.report(Problem::new(
+            place,
+            &format!("upstreams[{i}].slots"),
+            message,
+        ));
+    }
+
+    fn services(&mut self) {
+        let window = self.window();
+        for (i, service) in self.root.list("services").iter().enumerate() {
+            let path = format!("services[{i}]");
+            self.has_upstream(service, &path);
+
+            let Some(deadline) = duration_of(service, "deadline") else {
+                continue;
+            };
+            self.not_above(service, &path, "max_task_time", deadline, "its deadline");
+            if let Some(objective) = service.get("objective") {
+                let path = format!("{path}.objective");
+                self.not_above(objective, &path, "within", deadline, "its deadline");
+            }
+            self.not_above(service, &path, "deadline", window, "`rules.window`");
+        }
+    }
+
+    fn has_upstream(&mut self, service: &Node, path: &str) {
+        let Some(node) = service.get("name") else {
+            return;
+        };
+        let served = |upstream: &Node| {
+            let services = upstream.list("services");
+            services.iter().any(|s| s.text() == node.text())
+        };
+        if !self.root.list("upstreams").iter().any(served) {
+            let path = format!("{path}.name");
+            let message = "no upstream runs this service, so none of its jobs could ever run";
+            self.report(Problem::new(node.place, &path, message));
+        }
+    }
+
+    /// Checks that a duration is at most another one.
+    fn not_above(&mut self, node: &Node, path: &str, key: &str, limit: Duration, of: &str) {
+        match (node.get(key), duration_of(node, key)) {
+            (Some(value), Some(duration)) if duration > limit => {
+                let message = format!(
+                    "{} is above {of} of {}",
+                    format_duration(duration),
+                    format_duration(limit)
+                );
+                self.report(Problem::new(value.place, &format!("{path}.{key}"), message));
+            }
+            _ => {}
+        }
+    }
+
+    fn teams(&mut self) {
+        let slots: i64 = self
+            .root
+            .list("upstreams")
+            .iter()
+            .filter_map(|upstream| upstream.int_of("slots"))
+            .sum();
+        for (i, team) in self.root.list("teams").iter().enumerate() {
+            match (team.get("cap"), team.int_of("cap")) {
+                (Some(node), Some(cap)) if cap > slots => {
+                    let message = format!("the cap of {cap} is above all {slots} slots together");
+                    self.report(Problem::new(
+                        node.place,
+                        &format!("teams[{i}].cap"),
+                        message,
+                    ));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn rules(&mut self) {
+        let Some(rules) = self.root.get("rules") else {
+            return;
+        };
+        let longest = self
+            .root
+            .list("services")
+            .iter()
+            .filter_map(|service| duration_of(service, "max_task_time"))
+            .max();
+        match (
+            rules.get("long_after"),
+            duration_of(rules, "long_after"),
+            longest,
+        ) {
+            (Some(node), Some(long_after), Some(longest)) if long_after >= longest => {
+                let message = format!(
+                    "no task may run for {}, so none would ever count as long work",
+                    format_duration(long_after)
+                );
+                self.report(Problem::new(node.place, "rules.long_after", message));
+            }
+            _ => {}
+        }
+    }
+
+    fn window(&self) -> Duration {
+        self.root
+            .get("rules")
+            .and_then(|rules| duration_of(rules, "window"))
+            .unwrap_or_else(|| Rules::default().window)
+    }
+
+    fn names(&self, list: &str) -> impl Iterator<Item = &'a str> + use<'a> {
+        let root: &'a Node = self.root;
+        root.list(list)
+            .iter()
+            .filter_map(|node| node.text_of("name"))
+    }
+
+    fn report(&mut self, problem: Problem) {
+        self.problems.push(problem);
+    }
+}
+
+/// Returns a problem for each text that stands earlier among the nodes already.
+fn repeated<'a, I>(nodes: I) -> Vec<Problem>
+where
+    I: Iterator<Item = (String, &'a Node)>,
+{
+    let mut seen: HashMap<&str, Place> = HashMap::new();
+    let mut problems = Vec::new();
+    for (path, node) in nodes {
+        let Some(name) = node.text() else {
+            continue;
+        };
+        match seen.get(name) {
+            Some(first) => {
+                let message = format!("`{name}` is given twice");
+                problems.push(Problem::new(node.place, &path, message).seen_at(*first));
+            }
+            None => {
+                seen.insert(name, node.place);
+            }
+        }
+    }
+    problems
+}
+
+fn duration_of(node: &Node, key: &str) -> Option<Duration> {
+    node.text_of(key).and_then(parse_duration)
+}
--- /dev/null
+++ b/hemlockhook-inventory/src/check/mod.rs
@@ -0,0 +1,100 @@
+//! Checks of a document: syntax, each value by itself, and all of them together.
+
+pub mod links;
+pub mod nearest;
+pub mod shape;
+pub mod tree;
+
+use std::fmt::{self, Display, Formatter};
+
+use serde::{Deserialize, Serialize};
+
+use crate::check::links::check_links;
+use crate::check::shape::check_shape;
+use crate::check::tree::{Node, Place, syntax_problem};
+use crate::model::Inventory;
+
+pub use crate::check::shape::schema;
+
+/// Largest document that is accepted, in bytes.
+pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
+
+/// One fault of a document.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Problem {
+    /// Line, from 1; 0 when the fault is in no one place.
+    pub line: u64,
+    /// Column, from 1; 0 when the fault is in no one place.
+    pub column: u64,
+    /// Path of the key, such as `upstreams[3].worker`.
+    pub key: String,
+    /// What is wrong.
+    pub message: String,
+    /// What was probably meant.
+    pub suggestion: Option<String>,
+}
+
+impl Problem {
+    /// Creates a problem without a suggestion.
+    pub fn new<M>(place: Place, key: &str, message: M) -> Self
+    where
+        M: Into<String>,
+    {
+        Self {
+            line: place.line,
+            column: place.column,
+            key: key.to_owned(),
+            message: message.into(),
+            suggestion: None,
+        }
+    }
+
+    /// Adds what was probably meant.
+    pub fn suggest(self, suggestion: Option<String>) -> Self {
+        Self { suggestion, ..self }
+    }
+
+    /// Adds where the other value stands that this one clashes with.
+    pub fn seen_at(mut self, place: Place) -> Self {
+        self.message += &format!(" (first on line {})", place.line);
+        self
+    }
+}
+
+impl Display for Problem {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: ", self.line, self.column)?;
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        write!(f, "{}", self.message)?;
+        match &self.suggestion {
+            Some(suggestion) => write!(f, "; did you mean `{suggestion}`?"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Parses and checks a YAML document.
+///
+/// # Errors
+///
+/// Returns every problem found, in the order of the document; of faults of syntax only the first.
+pub fn check(text: &str) -> Result<Inventory, Vec<Problem>> {
+    if text.len() > MAX_DOCUMENT_BYTES {
+        let message = format!(
+            "the document has {} bytes, more than {MAX_DOCUMENT_BYTES}",
+            text.len()
+        );
+        return Err(vec![Problem::new(Place::default(), "", message)]);
+    }
+    let root = Node::parse(text).map_err(|problem| vec![problem])?;
+
+    let mut problems = check_shape(&root);
+    problems.extend(check_links(&root));
+    problems.sort();
+    if !problems.is_empty() {
+        return Err(problems);
+    }
+    serde_saphyr::from_str(text).map_err(|e| vec![syntax_problem(&e)])
+}
--- /dev/null
+++ b/hemlockhook-inventory/src/check/shape.rs
@@ -0,0 +1,195 @@
+//! Checks of each value by itself against the schema of the document's types: known keys, kinds,
+//! units and ranges.
+
+use std::time::Duration;
+
+use schemars::schema_for;
+use serde_json::Value as Json;
+
+use crate::check::Problem;
+use crate::check::nearest::nearest;
+use crate::check::tree::{Node, Value};
+use crate::model::{Inventory, NAME_PATTERN, is_name};
+use crate::units::{DURATION_PATTERN, parse_duration};
+
+/// Longest duration that the document may state.
+const MAX_DURATION: Duration = Duration::from_secs(24 * 3600);
+
+/// Returns the JSON Schema of the document.
+pub fn schema() -> Json {
+    schema_for!(Inventory).to_value()
+}
+
+/// Returns the problems of each value by itself.
+pub fn check_shape(root: &Node) -> Vec<Problem> {
+    let schema = schema();
+    let mut shape = Shape {
+        root: &schema,
+        problems: Vec::new(),
+    };
+    shape.value(root, &schema, "");
+    shape.problems
+}
+
+struct Shape<'a> {
+    root: &'a Json,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Shape<'a> {
+    fn value(&mut self, node: &Node, schema: &'a Json, path: &str) {
+        let schema = self.resolve(schema);
+        match (kind_of(schema), &node.value) {
+            ("object", Value::Map(_)) => self.object(node, schema, path),
+            ("array", Value::List(elements)) => self.array(node, elements, schema, path),
+            ("string", Value::Text(text)) => self.text(node, text, schema, path),
+            ("integer", Value::Int(number)) => self.range(node, *number as f64, schema, path),
+            ("number", Value::Int(number)) => self.range(node, *number as f64, schema, path),
+            ("number", Value::Float(number)) => self.range(node, *number, schema, path),
+            (kind, value) => self.wrong_kind(node, kind, value, schema, path),
+        }
+    }
+
+    fn object(&mut self, node: &Node, schema: &'a Json, path: &str) {
+        let Some(properties) = schema["properties"].as_object() else {
+            return;
+        };
+        for (i, entry) in node.entries().iter().enumerate() {
+            let path = join(path, &entry.key);
+            let first = node.entries()[..i].iter().find(|e| e.key == entry.key);
+            match (properties.get(&entry.key), first) {
+                (_, Some(first)) => self.report(
+                    Problem::new(entry.place, &path, "the key is given twice").seen_at(first.place),
+                ),
+                (Some(schema), None) => self.value(&entry.node, schema, &path),
+                (None, None) => self.report(
+                    Problem::new(entry.place, &path, "unknown key")
+                        .suggest(nearest(&entry.key, properties.keys().map(String::as_str))),
+                ),
+            }
+        }
+        for key in schema["required"].as_array().into_iter().flatten() {
+            let key = key.as_str().unwrap_or_default();
+            if node.get(key).is_none() {
+                let message = format!("the key `{key}` is missing");
+                self.report(Problem::new(node.place, path, message));
+            }
+        }
+    }
+
+    fn array(&mut self, node: &Node, elements: &[Node], schema: &'a Json, path: &str) {
+        if (elements.len() as u64) < schema["minItems"].as_u64().unwrap_or(0) {
+            self.report(Problem::new(node.place, path, "the list is empty"));
+        }
+        for (i, element) in elements.iter().enumerate() {
+            self.value(element, &schema["items"], &format!("{path}[{i}]"));
+        }
+    }
+
+    fn text(&mut self, node: &Node, text: &str, schema: &'a Json, path: &str) {
+        match schema["pattern"].as_str() {
+            Some(DURATION_PATTERN) => self.duration(node, text, path),
+            Some(NAME_PATTERN) if !is_name(text) => {
+                let message = "a name is 1 to 63 of a-z, 0-9, `-`, `_` and `.`, \
+                               and begins with a letter or digit";
+                let suggestion = name_from(text);
+                self.report(Problem::new(node.place, path, message).suggest(suggestion));
+            }
+            _ => {}
+        }
+    }
+
+    fn duration(&mut self, node: &Node, text: &str, path: &str) {
+        let message = match parse_duration(text) {
+            None => "a duration is a whole number with a unit: ms, s, m or h".to_owned(),
+            Some(Duration::ZERO) => "the duration is zero".to_owned(),
+            Some(duration) if duration > MAX_DURATION => "the duration is above 24h".to_owned(),
+            Some(_) => return,
+        };
+        let tight: String = text.split_whitespace().collect::<String>().to_lowercase();
+        let suggestion = parse_duration(&tight)
+            .filter(|_| tight != text)
+            .map(|_| tight);
+        self.report(Problem::new(node.place, path, message).suggest(suggestion));
+    }
+
+    fn range(&mut self, node: &Node, number: f64, schema: &'a Json, path: &str) {
+        let min = schema["minimum"].as_f64().unwrap_or(f64::MIN);
+        let max = schema["maximum"].as_f64().unwrap_or(f64::MAX);
+        if number >= min && number <= max {
+            return;
+        }
+        let message = format!("{number} is outside of {min} to {max}");
+        self.report(Problem::new(node.place, path, message));
+    }
+
+    fn wrong_kind(&mut self, node: &Node, kind: &str, value: &Value, schema: &Json, path: &str) {
+        let is_duration = schema["pattern"].as_str() == Some(DURATION_PATTERN);
+        let expected = match kind {
+            "object" => "a mapping",
+            "array" => "a list",
+            "integer" => "a whole number without a unit",
+            "number" => "a number without a unit",
+            _ if is_duration => "a duration with a unit: ms, s, m or h",
+            _ => "a text",
+        };
+        let suggestion = match (kind, value) {
+            ("string", Value::Int(number)) if is_duration => Some(format!("{number}s")),
+            ("string", Value::Int(number)) => Some(format!("\"{number}\"")),
+            ("string", Value::Bool(flag)) => Some(format!("\"{flag}\"")),
+            ("integer" | "number", Value::Text(text)) => leading_number(text),
+            _ => None,
+        };
+        let message = format!("expected {expected}");
+        self.report(Problem::new(node.place, path, message).suggest(suggestion));
+    }
+
+    /// Follows a reference to a named type.
+    fn resolve(&self, schema: &'a Json) -> &'a Json {
+        let target = schema["$ref"].as_str().and_then(|r| r.strip_prefix('#'));
+        match target.and_then(|pointer| self.root.pointer(pointer)) {
+            Some(target) => target,
+            None => schema,
+        }
+    }
+
+    fn report(&mut self, problem: Problem) {
+        self.problems.push(problem);
+    }
+}
+
+/// Returns the type that a schema names, leaving out that it may be null.
+fn kind_of(schema: &Json) -> &str {
+    match &schema["type"] {
+        Json::String(kind) => kind,
+        Json::Array(kinds) => kinds
+            .iter()
+            .filter_map(Json::as_str)
+            .find(|kind| *kind != "null")
+            .unwrap_or_default(),
+        _ => "",
+    }
+}
+
+fn join(path: &str, key: &str) -> String {
+    match path {
+        "" => key.to_owned(),
+        _ => format!("{path}.{key}"),
+    }
+}
+
+fn leading_number(text: &str) -> Option<String> {
+    let digits: String = text.chars().take_while(char::is_ascii_digit).collect();
+    (!digits.is_empty()).then_some(digits)
+}
+
+/// Turns a text into a name, if enough of it is left.
+fn name_from(text: &str) -> Option<String> {
+    let name: String = text
+        .trim()
+        .to_lowercase()
+        .chars()
+        .map(|c| if c.is_whitespace() { '-' } else { c })
+        .collect();
+    is_name(&name).then_some(name)
+}
--- /dev/null
+++ b/hemlockhook-inventory/src/check/tree.rs
@@ -0,0 +1,222 @@
+//! The document as a tree of values that know their line and column.
+
+use std::fmt::{self, Formatter};
+
+use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
+use serde_saphyr::options::DuplicateKeyPolicy;
+use serde_saphyr::{Error, Location, Spanned};
+
+use crate::check::Problem;
+
+/// A place in the document, both from 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    /// Line.
+    pub line: u64,
+    /// Column.
+    pub column: u64,
+}
+
+/// A value and its place.
+#[derive(Clone, Debug)]
+pub struct Node {
+    /// Where it begins.
+    pub place: Place,
+    /// The value.
+    pub value: Value,
+}
+
+/// A value of the document.
+#[derive(Clone, Debug)]
+pub enum Value {
+    /// No value.
+    Null,
+    /// `true` or `false`.
+    Bool(bool),
+    /// A whole number.
+    Int(i64),
+    /// Any other number.
+    Float(f64),
+    /// A text.
+    Text(String),
+    /// A list.
+    List(Vec<Node>),
+    /// A mapping, in the order of the document.
+    Map(Vec<Entry>),
+}
+
+/// A key of a mapping and its value.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The key.
+    pub key: String,
+    /// Where the key begins.
+    pub place: Place,
+    /// Its value.
+    pub node: Node,
+}
+
+impl Node {
+    /// Parses a document, duplicate keys included.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault of syntax.
+    pub fn parse(text: &str) -> Result<Self, Problem> {
+        let options = serde_saphyr::options! {
+            duplicate_keys: DuplicateKeyPolicy::LastWins,
+            strict_booleans: true,
+        };
+        serde_saphyr::from_str_with_options::<Spanned<Value>>(text, options)
+            .map(Self::from)
+            .map_err(|e| syntax_problem(&e))
+    }
+
+    /// Returns the value of a key, if this is a mapping that has it.
+    pub fn get(&self, key: &str) -> Option<&Node> {
+        self.entries()
+            .iter()
+            .find(|entry| entry.key == key)
+            .map(|entry| &entry.node)
+    }
+
+    /// Returns the entries of a mapping, or none.
+    pub fn entries(&self) -> &[Entry] {
+        match &self.value {
+            Value::Map(entries) => entries,
+            _ => &[],
+        }
+    }
+
+    /// Returns the elements of a list, or none.
+    pub fn elements(&self) -> &[Node] {
+        match &self.value {
+            Value::List(elements) => elements,
+            _ => &[],
+        }
+    }
+
+    /// Returns the elements of the list under a key, or none.
+    pub fn list(&self, key: &str) -> &[Node] {
+        self.get(key).map_or(&[], Node::elements)
+    }
+
+    /// Returns the text, if this is one.
+    pub fn text(&self) -> Option<&str> {
+        match &self.value {
+            Value::Text(text) => Some(text),
+            _ => None,
+        }
+    }
+
+    /// Returns the text under a key, if there is one.
+    pub fn text_of(&self, key: &str) -> Option<&str> {
+        self.get(key).and_then(Node::text)
+    }
+
+    /// Returns the whole number under a key, if there is one.
+    pub fn int_of(&self, key: &str) -> Option<i64> {
+        match self.get(key).map(|node| &node.value) {
+            Some(Value::Int(number)) => Some(*number),
+            _ => None,
+        }
+    }
+}
+
+impl From<Spanned<Value>> for Node {
+    fn from(spanned: Spanned<Value>) -> Self {
+        Self {
+            place: spanned.referenced.into(),
+            value: spanned.value,
+        }
+    }
+}
+
+impl From<Location> for Place {
+    fn from(location: Location) -> Self {
+        Self {
+            line: location.line(),
+            column: location.column(),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Value {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserializer.deserialize_any(ValueVisitor)
+    }
+}
+
+struct ValueVisitor;
+
+impl<'de> Visitor<'de> for ValueVisitor {
+    type Value = Value;
+
+    fn expecting(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("a value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_none<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Value, E> {
+        Ok(Value::Bool(value))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Value, E> {
+        Ok(Value::Int(value))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Value, E> {
+        Ok(i64::try_from(value).map_or(Value::Float(value as f64), Value::Int))
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<Value, E> {
+        Ok(Value::Float(value))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<Value, E> {
+        Ok(Value::Text(value.to_owned()))
+    }
+
+    fn visit_seq<A>(self, mut seq: A) -> Result<Value, A::Error>
+    where
+        A: SeqAccess<'de>,
+    {
+        let mut elements = Vec::new();
+        while let Some(element) = seq.next_element::<Spanned<Value>>()? {
+            elements.push(element.into());
+        }
+        Ok(Value::List(elements))
+    }
+
+    fn visit_map<A>(self, mut map: A) -> Result<Value, A::Error>
+    where
+        A: MapAccess<'de>,
+    {
+        let mut entries = Vec::new();
+        while let Some(key) = map.next_key::<Spanned<String>>()? {
+            entries.push(Entry {
+                place: key.referenced.into(),
+                key: key.value,
+                node: map.next_value::<Spanned<Value>>()?.into(),
+            });
+        }
+        Ok(Value::Map(entries))
+    }
+}
+
+/// Turns an error of the YAML library into a problem.
+pub fn syntax_problem(error: &Error) -> Problem {
+    let place = error.location().map(Place::from).unwrap_or_default();
+    let text = error.without_snippet().to_string();
+    Problem::new(place, "", text.lines().next().unwrap_or_default())
+}
--- a/hemlockhook-inventory/src/model.rs
+++ b/hemlockhook-inventory/src/model.rs
@@ -9,22 +9,31 @@
 
 use crate::units;
 
+/// Regular expression that every name in the document matches.
+pub const NAME_PATTERN: &str = "^[a-z0-9][a-z0-9._-]{0,62}$";
+
 /// What a deployment owns and the outcomes that it wants. It holds no secrets: every text in it is
 /// a name or a duration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Inventory {
     /// Name of the deployment, shown in reports.
+    #[schemars(regex(pattern = NAME_PATTERN))]
     pub deployment: Arc<str>,
     /// The data centers, each in a region.
+    #[schemars(length(min = 1))]
     pub data_centers: Vec<DataCenter>,
     /// The workers.
+    #[schemars(length(min = 1))]
     pub workers: Vec<Worker>,
     /// The services that callers ask for.
+    #[schemars(length(min = 1))]
     pub services: Vec<Service>,
     /// The upstream instances that run the services' tasks.
+    #[schemars(length(min = 1))]
     pub upstreams: Vec<Upstream>,
     /// The teams that submit jobs.
+    #[schemars(length(min = 1))]
     pub teams: Vec<Team>,
     /// Rules for the whole deployment.
     #[serde(default)]
@@ -36,8 +45,10 @@
 #[serde(deny_unknown_fields)]
 pub struct DataCenter {
     /// Its name.
+    #[schemars(regex(pattern = NAME_PATTERN))]
     pub name: Arc<str>,
     /// Its region. Shards are owned and jobs are run within a region where possible.
+    #[schemars(regex(pattern = NAME_PATTERN))]
     pub region: Arc<str>,
 }
 
@@ -46,10 +57,13 @@
 #[serde(deny_unknown_fields)]
 pub struct Worker {
     /// Its name.
+    #[schemars(regex(pattern = NAME_PATTERN))]
     pub name: Arc<str>,
     /// The rack that it stands in.
+    #[schemars(regex(pattern = NAME_PATTERN))]
     pub rack: Arc<str>,
     /// The data center of its rack.
+    #[schemars(regex(pattern = NAME_PATTERN))]
     pub data_center: Arc<str>,
     /// Processor cores.
     #[schemars(range(min = 1, max = 4096))]
@@ -68,6 +82,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Its name.
+    #[schemars(regex(pattern = NAME_PATTERN))]
     pub name: ServiceName,
     /// Time after which an answer is of no use: used for jobs that state no deadline, and the
     /// longest that a job may state.
@@ -100,10 +115,13 @@
 #[serde(deny_unknown_fields)]
 pub struct Upstream {
     /// Its name, which its agent's settings repeat.
+    #[schemars(regex(pattern = NAME_PATTERN))]
     pub name: Arc<str>,
     /// The worker that it runs on.
+    #[schemars(regex(pattern = NAME_PATTERN))]
     pub worker: Arc<str>,
     /// The services whose tasks it runs.
+    #[schemars(length(min = 1), inner(regex(pattern = NAME_PATTERN)))]
     pub services: Vec<ServiceName>,
     /// Tasks that it runs at once.
     #[schemars(range(min = 1, max = 1024))]
@@ -118,6 +136,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Team {
     /// Its name, which prefixes its jobs' keys.
+    #[schemars(regex(pattern = NAME_PATTERN))]
     pub name: TeamName,
     /// Weight of the team when slots are short; what it leaves idle is lent to others.
     #[serde(default = "default_share")]
@@ -194,6 +213,15 @@
     }
 }
 
+/// Returns whether a text matches [`NAME_PATTERN`].
+pub fn is_name(text: &str) -> bool {
+    let allowed = |c: u8| c.is_ascii_lowercase() || c.is_ascii_digit() || b"._-".contains(&c);
+    let first = text.bytes().next();
+    text.len() <= 63
+        && text.bytes().all(allowed)
+        && first.is_some_and(|c| c.is_ascii_alphanumeric())
+}
+
 fn default_share() -> u32 {
     1
 }
--- /dev/null
+++ b/hemlockhook-inventory/tests/check.rs
@@ -0,0 +1,127 @@
+//! Checks of documents.
+
+use googletest::prelude::*;
+use hemlockhook_inventory::check::schema;
+use hemlockhook_inventory::{Inventory, Rules, check};
+
+const TUNELPOKROV: &str = include_str!("../../inventories/tunelpokrov.yaml");
+const ASANTE: &str = include_str!("../../inventories/asante.yaml");
+const FAULTY: &str = include_str!("data/faulty.yaml");
+
+/// Returns the problems of a document, one a line.
+fn problems(text: &str) -> String {
+    match check(text) {
+        Ok(_) => "none".to_owned(),
+        Err(problems) => problems
+            .iter()
+            .map(ToString::to_string)
+            .collect::<Vec<_>>()
+            .join("\n"),
+    }
+}
+
+fn checked(text: &str) -> Inventory {
+    check(text).expect("the document passes its check")
+}
+
+fn with(from: &str, to: &str) -> String {
+    assert!(TUNELPOKROV.contains(from), "the inventory has no `{from}`");
+    problems(&TUNELPOKROV.replacen(from, to, 1))
+}
+
+#[gtest]
+fn the_inventories_of_both_deployments_pass() {
+    for text in [TUNELPOKROV, ASANTE] {
+        let inventory = checked(text);
+        expect_that!(inventory.workers, len(eq(11)));
+        expect_that!(inventory.total_slots(), eq(88));
+        expect_that!(inventory.data_centers, len(eq(3)));
+        expect_that!(
+            inventory.upstreams.iter().all(|u| u.connections == 64),
+            eq(true)
+        );
+    }
+}
+
+#[gtest]
+fn all_problems_are_told_at_once() {
+    insta::assert_snapshot!(problems(FAULTY));
+}
+
+#[gtest]
+fn faults_of_syntax_have_a_place() {
+    insta::assert_snapshot!(problems(
+        "deployment: a\nworkers: [ { name: b }\nteams: 4\n"
+    ));
+}
+
+#[gtest]
+fn a_document_that_is_no_mapping_is_refused() {
+    expect_that!(problems("- a"), eq("1:1: expected a mapping"));
+    expect_that!(problems(""), not(eq("none")));
+}
+
+#[gtest]
+fn an_oversize_document_is_refused() {
+    let text = format!("{TUNELPOKROV}# {}\n", "x".repeat(1 << 20));
+    expect_that!(problems(&text), contains_substring("more than 1048576"));
+}
+
+#[gtest]
+fn an_alias_is_followed() {
+    let text = TUNELPOKROV
+        .replacen(
+            "services: [quote, stock-check, booking]",
+            "services: &all [quote, stock-check, booking]",
+            1,
+        )
+        .replace("services: [quote, stock-check, booking]", "services: *all");
+    expect_that!(problems(&text), eq("none"));
+}
+
+#[gtest]
+fn each_rule_is_checked() {
+    let cases = [
+        ("  long_after: 2s", "  long_after: 20s"),
+        ("  long_ceiling_percent: 50", "  long_ceiling_percent: 101"),
+        ("  window: 10m", "  window: 10s"),
+        ("within: 2s", "within: 31s"),
+        ("max_task_time: 20s", "max_task_time: 1h"),
+        ("farm-buyers, share: 4", "farm-buyers, share: 4, cap: 89"),
+        ("name: agronomists", "name: farm-buyers"),
+        ("slots: 8", "slots: 1025"),
+        ("slots: 8", "slots: 8.5"),
+        ("slots: 8", "slots: null"),
+        ("worker: os-1", "worker: [os-1]"),
+    ];
+    let results: Vec<String> = cases
+        .iter()
+        .map(|(from, to)| {
+            format!(
+                "{}\n    {}",
+                to.trim(),
+                with(from, to).replace('\n', "\n    ")
+            )
+        })
+        .collect();
+    insta::assert_snapshot!(results.join("\n"));
+}
+
+#[gtest]
+fn rules_have_defaults() {
+    let without = TUNELPOKROV.split("rules:").next().unwrap_or_default();
+    expect_that!(checked(without).rules, eq(&Rules::default()));
+}
+
+#[gtest]
+fn a_checked_document_survives_being_written_and_read() -> googletest::Result<()> {
+    let inventory = checked(TUNELPOKROV);
+    let text = serde_saphyr::to_string(&inventory)?;
+    expect_that!(checked(&text), eq(&inventory));
+    Ok(())
+}
+
+#[gtest]
+fn the_schema_names_every_section() {
+    insta::assert_json_snapshot!(schema());
+}
