--- /dev/null
+++ b/hemlockhook-entry/src/admin.rs
@@ -0,0 +1,170 @@
+//! What an entry serves to operators: health, metrics and reports over HTTP.
+
+use std::time::Duration;
+
+use hemlockhook_inventory::admin::{DrainReply, DrainRequest};
+use hemlockhook_runtime::http::read_body;
+use hemlockhook_types::JobKey;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::control::Control;
+use crate::engine::Engine;
+use crate::event::{Event, Response};
+use crate::metrics::EntryMetrics;
+use crate::response::{HttpResponse, json, problem};
+
+/// Largest body of an operator's request, in bytes.
+const BODY_MAX: usize = 64 << 10;
+
+/// Time for an operator's request to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The operators' interface.
+#[derive(Clone)]
+pub struct Admin {
+    control: Control,
+    metrics: EntryMetrics,
+}
+
+impl Admin {
+    /// Creates the interface over the control thread.
+    pub fn new(control: Control, metrics: EntryMetrics) -> Self {
+        Self { control, metrics }
+    }
+
+    /// Answers a request.
+    pub async fn answer(self, req: Request<Incoming>) -> HttpResponse {
+        let path = req.uri().path().to_owned();
+        let parts: Vec<_> = path.split('/').skip(1).collect();
+        match (req.method().clone(), parts.as_slice()) {
+            (Method::GET, ["health", "live"]) => json(StatusCode::OK, &"live"),
+            (Method::GET, ["health", "ready"]) => self.ready().await,
+            (Method::GET, ["metrics"]) => self.render_metrics().await,
+            (Method::GET, ["v1", "status"]) => self.report(|engine, now| engine.status(now)).await,
+            (Method::GET, ["v1", "agents"]) => {
+                self.report(|engine, now| engine.status(now).agents).await
+            }
+            (Method::GET, ["v1", "burn"]) => {
+                self.report(|engine, now| engine.burn_counts(now)).await
+            }
+            (Method::GET, ["v1", "counters"]) => self.report(|engine, _| *engine.counters()).await,
+            (Method::GET, ["v1", "events"]) => {
+                let since = since(req.uri().query());
+                self.report(move |engine, _| engine.events(since)).await
+            }
+            (Method::GET, ["v1", "jobs", key @ ..]) => self.job(&key.join("/")).await,
+            (Method::POST, ["v1", "drain"]) => self.drain(req).await,
+            _ => problem(
+                StatusCode::NOT_FOUND,
+                "no-such-resource",
+                "there is no such resource",
+            ),
+        }
+    }
+
+    async fn report<T, F>(&self, look: F) -> HttpResponse
+    where
+        T: Serialize + Send + 'static,
+        F: FnOnce(&Engine, std::time::Instant) -> T + Send + 'static,
+    {
+        match self.control.inspect(look).await {
+            Some(report) => json(StatusCode::OK, &report),
+            None => stopping(),
+        }
+    }
+
+    async fn ready(&self) -> HttpResponse {
+        match self.control.inspect(|engine, _| engine.is_ready()).await {
+            Some(true) => json(StatusCode::OK, &"ready"),
+            Some(false) => problem(StatusCode::SERVICE_UNAVAILABLE, "not-ready", "not ready"),
+            None => stopping(),
+        }
+    }
+
+    async fn render_metrics(&self) -> HttpResponse {
+        let Some(counters) = self.control.inspect(|engine, _| *engine.counters()).await else {
+            return stopping();
+        };
+        self.metrics.update(&counters);
+        let text = self.metrics.render();
+        let mut response = HttpResponse::new(Full::new(text.into()));
+        let media_type = http::HeaderValue::from_static("text/plain; version=0.0.4");
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, media_type);
+        response
+    }
+
+    async fn job(&self, key: &str) -> HttpResponse {
+        let key: JobKey = key.replace("%2F", "/").replace("%2f", "/").into();
+        match self
+            .control
+            .inspect(move |engine, now| engine.job_status(now, &key))
+            .await
+        {
+            Some(Some(status)) => json(StatusCode::OK, &status),
+            Some(None) => problem(
+                StatusCode::NOT_FOUND,
+                "no-such-job",
+                "not known at this entry",
+            ),
+            None => stopping(),
+        }
+    }
+
+    async fn drain(&self, req: Request<Incoming>) -> HttpResponse {
+        let body = match read_body(req.into_body(), BODY_MAX, BODY_TIMEOUT).await {
+            Ok(body) => body,
+            Err(err) => return problem(err.status(), "body", &err.to_string()),
+        };
+        let request: DrainRequest = match serde_json::from_slice(&body) {
+            Ok(request) => request,
+            Err(err) => {
+                return problem(StatusCode::BAD_REQUEST, "invalid-request", &err.to_string());
+            }
+        };
+        let (waiter, rx) = async_channel::bounded(1);
+        let DrainRequest { upstream, leaving } = request;
+        let name = upstream.clone();
+        self.control.send(Event::DrainUpstream {
+            upstream: name,
+            leaving,
+            waiter,
+        });
+        match rx.recv().await {
+            Ok(Response::Drained(true)) => json(
+                StatusCode::OK,
+                &DrainReply {
+                    upstream,
+                    leaving,
+                    running: 0,
+                },
+            ),
+            Ok(_) => {
+                let detail = "no agent of an upstream of this name is linked here";
+                problem(StatusCode::NOT_FOUND, "no-such-upstream", detail)
+            }
+            Err(_) => stopping(),
+        }
+    }
+}
+
+fn stopping() -> HttpResponse {
+    problem(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "stopping",
+        "the entry is stopping",
+    )
+}
+
+/// Returns the sequence number of a query `since=N`, or 0.
+fn since(query: Option<&str>) -> u64 {
+    let pairs = query.unwrap_or_default().split('&');
+    pairs
+        .filter_map(|pair| pair.strip_prefix("since="))
+        .find_map(|n| n.parse().ok())
+        .unwrap_or(0)
+}
--- a/hemlockhook-entry/src/burn.rs
+++ b/hemlockhook-entry/src/burn.rs
@@ -20,7 +20,12 @@
 impl BurnLog {
     /// Creates an empty log of an entry that started at a calendar time.
     pub fn new(entry: &str, incarnation: Incarnation, started_ms: u64) -> Self {
-        Self { entry: entry.to_owned(), incarnation, started_ms, series: BTreeMap::new() }
+        Self {
+            entry: entry.to_owned(),
+            incarnation,
+            started_ms,
+            series: BTreeMap::new(),
+        }
     }
 
     /// Counts an answer: good, or bad for a cause.
@@ -32,14 +37,22 @@
         bad: Option<Cause>,
     ) {
         let minute = at_ms / INTERVAL_MS;
-        let intervals = self.series.entry((service.clone(), team.clone())).or_default();
+        let intervals = self
+            .series
+            .entry((service.clone(), team.clone()))
+            .or_default();
         if intervals.back().is_none_or(|last| last.minute < minute) {
-            intervals.push_back(BurnInterval { minute, ..BurnInterval::default() });
+            intervals.push_back(BurnInterval {
+                minute,
+                ..BurnInterval::default()
+            });
         }
         if intervals.len() > KEPT_INTERVALS {
             intervals.pop_front();
         }
-        let Some(last) = intervals.back_mut() else { return };
+        let Some(last) = intervals.back_mut() else {
+            return;
+        };
         match bad {
             None => last.good += 1,
             Some(cause) => *last.bad.entry(cause).or_default() += 1,
@@ -48,11 +61,14 @@
 
     /// Returns what has been counted.
     pub fn counts(&self, now_ms: u64) -> BurnCounts {
-        let series = self.series.iter().map(|((service, team), intervals)| BurnSeries {
-            service: service.to_string(),
-            team: team.to_string(),
-            intervals: intervals.iter().cloned().collect(),
-        });
+        let series = self
+            .series
+            .iter()
+            .map(|((service, team), intervals)| BurnSeries {
+                service: service.to_string(),
+                team: team.to_string(),
+                intervals: intervals.iter().cloned().collect(),
+            });
         BurnCounts {
             entry: self.entry.clone(),
             incarnation: format!("{:x}", self.incarnation),
--- /dev/null
+++ b/hemlockhook-entry/src/calls.rs
@@ -0,0 +1,182 @@
+//! Calls to other entries.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use hemlockhook_proto::convert::Reply;
+use hemlockhook_proto::v1::entry_client::EntryClient;
+use hemlockhook_proto::v1::{PeerStatus, QueryRequest, SubmitRequest};
+use hemlockhook_runtime::executor::Executor;
+use hemlockhook_runtime::grpc::{self, Channel};
+use hemlockhook_types::{JobKey, StampTable};
+
+use crate::control::Control;
+use crate::event::{CallId, Event, Question, Response, Submission, Waiter};
+
+/// Time for a connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for a heartbeat to be answered.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest time that a question about a job may be held.
+const HOLD_MAX: Duration = Duration::from_secs(60);
+
+/// Largest message taken from another entry, in bytes.
+const MAX_MESSAGE_BYTES: usize = 64 << 20;
+
+/// Calls to other entries, over one connection each.
+pub struct Calls {
+    ex: Arc<Executor>,
+    control: Control,
+    channels: Arc<Channels>,
+}
+
+#[derive(Default)]
+struct Channels {
+    open: Mutex<HashMap<SocketAddr, Channel>>,
+}
+
+impl Calls {
+    /// Creates a caller without connections; they are made as calls need them.
+    pub fn new(ex: Arc<Executor>, control: Control) -> Self {
+        Self {
+            ex,
+            control,
+            channels: Arc::default(),
+        }
+    }
+
+    /// Forwards a submission.
+    pub fn submit(
+        &self,
+        address: SocketAddr,
+        call: CallId,
+        submission: Submission,
+        deadline: Duration,
+    ) {
+        let (ex, control, channels) = self.parts();
+        let run = async move {
+            let key = submission.job.key.clone();
+            let req = submit_request(&submission, deadline);
+            let reply = match channels.client(ex, address).await {
+                Some(mut client) => client.submit(req).await.ok(),
+                None => None,
+            };
+            let reply = reply.map(|reply| reply.into_inner().into());
+            control.send(Event::Relayed { key, call, reply });
+        };
+        self.ex.spawn(run).detach();
+    }
+
+    /// Asks about a job and passes the reply on.
+    pub fn ask(
+        &self,
+        address: SocketAddr,
+        key: JobKey,
+        question: Question,
+        waiter: Waiter,
+        stamps: Arc<StampTable>,
+    ) {
+        let (ex, _, channels) = self.parts();
+        let run = async move {
+            let reply = channels
+                .ask(ex, address, &key, question)
+                .await
+                .unwrap_or(Reply::NotOwner);
+            // A caller that has gone needs no reply.
+            let _ = waiter.try_send(Response::Job { reply, stamps });
+        };
+        self.ex.spawn(run).detach();
+    }
+
+    /// Tells our state and takes the other's in.
+    pub fn heartbeat(&self, address: SocketAddr, status: PeerStatus) {
+        let (ex, control, channels) = self.parts();
+        let run = async move {
+            let exchange = async {
+                let mut client = channels.client(ex, address).await?;
+                client.heartbeat(status).await.ok()
+            };
+            let expire = async {
+                Timer::after(HEARTBEAT_TIMEOUT).await;
+                None
+            };
+            if let Some(reply) = exchange.or(expire).await {
+                control.send(Event::Peer {
+                    status: reply.into_inner(),
+                    waiter: None,
+                });
+            }
+        };
+        self.ex.spawn(run).detach();
+    }
+
+    fn parts(&self) -> (Arc<Executor>, Control, Arc<Channels>) {
+        (self.ex.clone(), self.control.clone(), self.channels.clone())
+    }
+}
+
+impl Channels {
+    async fn ask(
+        &self,
+        ex: Arc<Executor>,
+        address: SocketAddr,
+        key: &JobKey,
+        question: Question,
+    ) -> Option<Reply> {
+        let mut client = self.client(ex, address).await?;
+        let wait_ms = match question {
+            Question::Wait => HOLD_MAX.as_millis() as u32,
+            Question::Look | Question::Cancel => 0,
+        };
+        let req = QueryRequest {
+            key: key.to_string(),
+            stamp: None,
+            wait_ms,
+        };
+        let reply = match question {
+            Question::Cancel => client.cancel(req).await,
+            Question::Look | Question::Wait => client.query(req).await,
+        };
+        reply.ok().map(|reply| reply.into_inner().into())
+    }
+
+    /// Returns a client for an address, over a connection that was made before if it still stands.
+    async fn client(&self, ex: Arc<Executor>, address: SocketAddr) -> Option<EntryClient<Channel>> {
+        let known = self
+            .lock()
+            .get(&address)
+            .filter(|channel| !channel.is_closed())
+            .cloned();
+        let channel = match known {
+            Some(channel) => channel,
+            None => {
+                let channel = grpc::connect(ex, address, CONNECT_TIMEOUT).await.ok()?;
+                self.lock().insert(address, channel.clone());
+                channel
+            }
+        };
+        let client = EntryClient::new(channel);
+        Some(client.max_decoding_message_size(MAX_MESSAGE_BYTES))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Channel>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn submit_request(submission: &Submission, deadline: Duration) -> SubmitRequest {
+    SubmitRequest {
+        key: submission.job.key.to_string(),
+        fingerprint: submission.job.fingerprint,
+        stamp: submission.stamp.map(Into::into),
+        job: submission.body.to_vec(),
+        deadline_ms: deadline.as_millis() as u32,
+        expected_owner: 0,
+    }
+}
--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -47,13 +47,19 @@
 impl Engine {
     /// Starts to connect to an agent that announced itself.
     pub(super) fn dial(&mut self, now: Instant, agent: Incarnation) {
-        let Some(member) = self.members.agent(agent) else { return };
+        let Some(member) = self.members.agent(agent) else {
+            return;
+        };
         let link = self.links.entry(agent).or_default();
         link.name.clone_from(&member.name);
         link.down_since.get_or_insert(now);
         let (address, after) = (member.address, link.redial_after);
         link.redial_after = (after * 2).clamp(REDIAL_MIN, REDIAL_MAX);
-        self.actions.push(Action::Dial { agent, address, after });
+        self.actions.push(Action::Dial {
+            agent,
+            address,
+            after,
+        });
     }
 
     pub(super) fn on_link_up(&mut self, now: Instant, agent: Incarnation, hello: AgentHello) {
@@ -79,7 +85,11 @@
         let spec = upstream_spec(&hello);
         if !was_up {
             self.owner.agent_up(now, agent, &spec.services);
-            self.note(EventKind::AgentUp, &hello.name, "the link to its agent is up");
+            self.note(
+                EventKind::AgentUp,
+                &hello.name,
+                "the link to its agent is up",
+            );
         }
         self.dispatcher.upstream_up(now, agent, spec);
         self.dispatcher.upstream_leaving(now, agent, hello.leaving);
@@ -87,7 +97,9 @@
     }
 
     pub(super) fn on_link_down(&mut self, now: Instant, agent: Incarnation, end: LinkEnd) {
-        let Some(link) = self.links.get_mut(&agent) else { return };
+        let Some(link) = self.links.get_mut(&agent) else {
+            return;
+        };
         let was_up = std::mem::replace(&mut link.up, false);
         link.usable = false;
         link.frame = EntryFrame::default();
@@ -106,7 +118,9 @@
 
     /// Counts an agent as gone, with the tasks that run there.
     pub(super) fn give_up_agent(&mut self, now: Instant, agent: Incarnation) {
-        let Some(link) = self.links.remove(&agent) else { return };
+        let Some(link) = self.links.remove(&agent) else {
+            return;
+        };
         self.dispatcher.upstream_down(now, agent);
         self.owner.agent_gone(now, agent);
         self.placed.retain(|_, (placed_at, _)| *placed_at != agent);
@@ -121,7 +135,9 @@
         let mut silent = Vec::new();
         let mut gone = Vec::new();
         for (agent, link) in &mut self.links {
-            let quiet = link.heard.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+            let quiet = link
+                .heard
+                .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
             let down = link.down_since.map_or(Duration::ZERO, |at| now - at);
             match link.up {
                 false if down >= lost => gone.push(*agent),
@@ -129,12 +145,12 @@
                 true if quiet >= silence && link.usable => {
                     link.usable = false;
                     silent.push(*agent);
-                },
+                }
                 true if quiet >= silence / 2 && link.pinged.is_none() => {
                     link.pinged = Some(now);
                     link.frame.ping = true;
-                },
-                _ => {},
+                }
+                _ => {}
             }
         }
         for agent in silent {
@@ -147,7 +163,9 @@
     }
 
     pub(super) fn on_link_frame(&mut self, now: Instant, agent: Incarnation, frame: AgentFrame) {
-        let Some(link) = self.links.get_mut(&agent) else { return };
+        let Some(link) = self.links.get_mut(&agent) else {
+            return;
+        };
         link.heard = Some(now);
         link.pinged = None;
         if !link.usable && link.up {
@@ -171,7 +189,8 @@
         }
         for withdrawn in frame.withdrawn {
             let floor = withdrawn.floor.map(Into::into);
-            self.owner.on_withdrawn(now, agent, &withdrawn.key.into(), withdrawn.marked, floor);
+            self.owner
+                .on_withdrawn(now, agent, &withdrawn.key.into(), withdrawn.marked, floor);
         }
         if frame.grants > 0 {
             self.dispatcher.granted(now, agent, frame.grants);
@@ -183,7 +202,9 @@
     }
 
     fn on_leaving(&mut self, now: Instant, agent: Incarnation, leaving: bool) {
-        let Some(link) = self.links.get_mut(&agent) else { return };
+        let Some(link) = self.links.get_mut(&agent) else {
+            return;
+        };
         link.leaving = leaving;
         let name = link.name.clone();
         self.dispatcher.upstream_leaving(now, agent, leaving);
@@ -195,7 +216,8 @@
 
     fn on_report(&mut self, now: Instant, agent: Incarnation, report: v1::FenceReport) {
         let takeover = report.takeover;
-        self.owner.on_report(now, agent, takeover, read_report(report));
+        self.owner
+            .on_report(now, agent, takeover, read_report(report));
     }
 
     fn on_done(&mut self, now: Instant, agent: Incarnation, done: v1::TaskDone) {
@@ -203,7 +225,8 @@
         let result: TaskResult = done.result.unwrap_or_default().into();
         if let Some((_, job)) = self.placed.remove(&(key.clone(), done.index)) {
             let ok = matches!(result.end, TaskEnd::Ok(_) | TaskEnd::Cancelled);
-            self.dispatcher.ended(now, agent, job, done.index, result.run_time, ok);
+            self.dispatcher
+                .ended(now, agent, job, done.index, result.run_time, ok);
         }
         self.owner.done(now, agent, &key, done.index, result);
     }
@@ -212,13 +235,16 @@
         let reason = read_refusal(&refusal);
         let key = JobKey::from(refusal.key);
         let outcome = self.owner.refused(now, agent, &key, refusal.index, reason);
-        let Some((_, job)) = self.placed.remove(&(key.clone(), refusal.index)) else { return };
+        let Some((_, job)) = self.placed.remove(&(key.clone(), refusal.index)) else {
+            return;
+        };
         log::task(&key, refusal.index).debug(&format!("start refused: {reason}"));
         match outcome {
             RefusedOutcome::Requeue => self.dispatcher.refused(now, agent, job, refusal.index),
             RefusedOutcome::Nothing => {
-                self.dispatcher.ended(now, agent, job, refusal.index, Duration::ZERO, true);
-            },
+                self.dispatcher
+                    .ended(now, agent, job, refusal.index, Duration::ZERO, true);
+            }
         }
     }
 
@@ -233,17 +259,27 @@
     }
 
     fn place_task(&mut self, now: Instant, placement: Placement) {
-        let Placement { agent, job, index, long } = placement;
+        let Placement {
+            agent,
+            job,
+            index,
+            long,
+        } = placement;
         let key = self.scheduled.get(&job).cloned();
-        let order = key.as_ref().and_then(|key| self.owner.start(now, key, index, agent));
+        let order = key
+            .as_ref()
+            .and_then(|key| self.owner.start(now, key, index, agent));
         let (Some(key), Some(order)) = (key, order) else {
             // The job was settled after it was queued: the grant goes back.
-            self.dispatcher.ended(now, agent, job, index, Duration::ZERO, true);
+            self.dispatcher
+                .ended(now, agent, job, index, Duration::ZERO, true);
             self.frame(agent).returned_grants += 1;
             return;
         };
 
-        let Some(submitted) = self.submissions.get(&key) else { return };
+        let Some(submitted) = self.submissions.get(&key) else {
+            return;
+        };
         let task = &submitted.submission.job.tasks[index as usize];
         let start = v1::Start {
             payload: task.payload.to_vec(),
@@ -272,7 +308,10 @@
         let frame = self.frame(agent);
         match frame.cancels.last_mut() {
             Some(cancel) if cancel.key == **key => cancel.indexes.push(index),
-            _ => frame.cancels.push(v1::Cancel { key: key.to_string(), indexes: vec![index] }),
+            _ => frame.cancels.push(v1::Cancel {
+                key: key.to_string(),
+                indexes: vec![index],
+            }),
         }
     }
 
@@ -297,17 +336,27 @@
             let mut frame = std::mem::take(&mut link.frame);
             frame.config_version = config_version;
             self.counters.on_entry_frame(&frame);
-            self.actions.push(Action::Send { agent: *agent, frame: Box::new(frame) });
+            self.actions.push(Action::Send {
+                agent: *agent,
+                frame: Box::new(frame),
+            });
         }
     }
 
     pub(super) fn on_drain_upstream(&mut self, upstream: &str, leaving: bool, waiter: Waiter) {
         let mut told = false;
-        for link in self.links.values_mut().filter(|link| link.up && link.name == upstream) {
+        for link in self
+            .links
+            .values_mut()
+            .filter(|link| link.up && link.name == upstream)
+        {
             link.frame.drain = Some(v1::Drain { leaving });
             told = true;
         }
-        self.actions.push(Action::Reply { waiter, response: Response::Drained(told) });
+        self.actions.push(Action::Reply {
+            waiter,
+            response: Response::Drained(told),
+        });
     }
 
     /// Returns the frame that goes to an agent next.
@@ -319,7 +368,11 @@
 fn upstream_spec(hello: &AgentHello) -> UpstreamSpec {
     UpstreamSpec {
         name: hello.name.as_str().into(),
-        services: hello.services.iter().map(|service| service.as_str().into()).collect(),
+        services: hello
+            .services
+            .iter()
+            .map(|service| service.as_str().into())
+            .collect(),
         worker: hello.worker.as_str().into(),
         rack: hello.rack.as_str().into(),
         data_center: hello.data_center.as_str().into(),
@@ -345,13 +398,13 @@
     match refusal.reason() {
         RefusalReason::StaleBallot => {
             StartRefusal::StaleBallot(refusal.floor.unwrap_or_default().into())
-        },
+        }
         RefusalReason::AlreadyStarted => StartRefusal::AlreadyStarted,
         RefusalReason::NotJoined => StartRefusal::NotJoined,
         RefusalReason::Full => StartRefusal::Full,
         RefusalReason::Leaving | RefusalReason::NoGrant | RefusalReason::Unspecified => {
             StartRefusal::Leaving
-        },
+        }
     }
 }
 
@@ -359,7 +412,12 @@
     let refused = report
         .refused
         .into_iter()
-        .map(|refused| (refused.shard as ShardId, refused.floor.unwrap_or_default().into()))
+        .map(|refused| {
+            (
+                refused.shard as ShardId,
+                refused.floor.unwrap_or_default().into(),
+            )
+        })
         .collect();
     FenceReport {
         refused,
--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -55,7 +55,7 @@
                 Origin::Caller => known.callers.push(waiter),
                 Origin::Entry if matches!(known.place, Place::Local(_)) => {
                     known.entries.push(waiter);
-                },
+                }
                 Origin::Entry => self.reply(waiter, Reply::NotOwner),
             }
             return;
@@ -68,8 +68,14 @@
             Origin::Entry => (Vec::new(), vec![waiter]),
         };
         let place = Place::Held;
-        let submitted =
-            Submitted { submission, arrived: now, deadline, place, callers, entries };
+        let submitted = Submitted {
+            submission,
+            arrived: now,
+            deadline,
+            place,
+            callers,
+            entries,
+        };
         self.submissions.insert(key.clone(), submitted);
         self.deadlines.push(Reverse((deadline, key.clone())));
         self.route(now, &key);
@@ -77,7 +83,9 @@
 
     /// Finds the place where a held submission is dealt with.
     pub(super) fn route(&mut self, now: Instant, key: &JobKey) {
-        let Some(submitted) = self.submissions.get(key) else { return };
+        let Some(submitted) = self.submissions.get(key) else {
+            return;
+        };
         let submission = submitted.submission.clone();
         match self.owner.admit(now, &submission.job, submission.stamp) {
             Admission::Run(indexes) => self.run(now, &submission.job, &indexes),
@@ -99,7 +107,7 @@
             Ok(id) => {
                 self.scheduled.insert(id, job.key.clone());
                 self.set_place(&job.key, Place::Local(Some(id)));
-            },
+            }
             Err(rejection) => self.reject(now, job, indexes.len(), rejection),
         }
     }
@@ -113,9 +121,16 @@
         self.check_rules(job)?;
         let task = |index: &TaskIndex| {
             let task = &job.tasks[*index as usize];
-            TaskSpec { index: *index, class: task.class.clone(), declared: task.declared }
+            TaskSpec {
+                index: *index,
+                class: task.class.clone(),
+                declared: task.declared,
+            }
         };
-        let deadline = self.submissions.get(&job.key).map_or(now + job.deadline, |s| s.deadline);
+        let deadline = self
+            .submissions
+            .get(&job.key)
+            .map_or(now + job.deadline, |s| s.deadline);
         let spec = JobSpec {
             team: job.team.clone(),
             service: job.service.clone(),
@@ -127,7 +142,13 @@
 
     /// Refuses a job that the rules in force do not allow.
     fn check_rules(&self, job: &Job) -> Result<(), Rejection> {
-        let refuse = |reason, detail, retry_after| Err(Rejection { reason, detail, retry_after });
+        let refuse = |reason, detail, retry_after| {
+            Err(Rejection {
+                reason,
+                detail,
+                retry_after,
+            })
+        };
         let Some(inventory) = &self.inventory else {
             let wait = Some(Duration::from_secs(1));
             let detail = "no inventory is in force yet".to_owned();
@@ -137,30 +158,47 @@
             (None, _) => {
                 let detail = format!("the inventory has no service {}", job.service);
                 refuse(Reason::NoSuchService, detail, None)
-            },
+            }
             (_, None) => {
                 let detail = format!("the inventory has no team {}", job.team);
                 refuse(Reason::NoSuchTeam, detail, None)
-            },
+            }
             (Some(_), Some(_)) => Ok(()),
         }
     }
 
     fn reject(&mut self, now: Instant, job: &Job, refused: usize, rejection: Rejection) {
-        let Rejection { reason, detail, retry_after } = rejection;
+        let Rejection {
+            reason,
+            detail,
+            retry_after,
+        } = rejection;
         let answer = if refused == job.tasks.len() {
-            Answer::NotRun { reason, detail, retry_after }
+            Answer::NotRun {
+                reason,
+                detail,
+                retry_after,
+            }
         } else {
-            Answer::Failed { reason, task: None, detail }
+            Answer::Failed {
+                reason,
+                task: None,
+                detail,
+            }
         };
         self.owner.settle(now, &job.key, answer);
     }
 
     fn relay(&mut self, now: Instant, key: &JobKey) {
         let shard = shard_of(key);
-        let Some(submitted) = self.submissions.get_mut(key) else { return };
+        let Some(submitted) = self.submissions.get_mut(key) else {
+            return;
+        };
         for waiter in submitted.entries.drain(..) {
-            let response = Response::Job { reply: Reply::NotOwner, stamps: self.stamps.clone() };
+            let response = Response::Job {
+                reply: Reply::NotOwner,
+                stamps: self.stamps.clone(),
+            };
             self.actions.push(Action::Reply { waiter, response });
         }
         if submitted.callers.is_empty() {
@@ -179,7 +217,12 @@
         self.counters.forwarded += 1;
         let submission = submitted.submission.clone();
         let deadline = submitted.deadline.saturating_duration_since(now);
-        self.actions.push(Action::Relay { address, call, submission, deadline });
+        self.actions.push(Action::Relay {
+            address,
+            call,
+            submission,
+            deadline,
+        });
     }
 
     pub(super) fn on_relayed(
@@ -193,7 +236,7 @@
         match reply {
             // A call that was given up may not refuse the job: its entry may have lost the shard.
             Some(Reply::Answer(answer @ Answer::Complete(_))) => self.answer(now, &key, answer),
-            _ if place != Some(Place::Relayed(call)) => {},
+            _ if place != Some(Place::Relayed(call)) => {}
             Some(Reply::Answer(answer)) => self.answer(now, &key, answer),
             Some(Reply::KeyReused) => self.finish(now, &key, Reply::KeyReused),
             Some(Reply::NotOwner | Reply::Pending | Reply::NotFound) | None => self.hold(&key),
@@ -216,7 +259,11 @@
     pub(super) fn retry_held(&mut self, now: Instant) {
         let keys: Vec<_> = self.held.drain().collect();
         for key in keys {
-            if self.submissions.get(&key).is_some_and(|s| s.place == Place::Held) {
+            if self
+                .submissions
+                .get(&key)
+                .is_some_and(|s| s.place == Place::Held)
+            {
                 self.route(now, &key);
             }
         }
@@ -238,7 +285,9 @@
 
     /// Takes back a job whose shard was lost to another entry, so that it is submitted there.
     pub(super) fn give_back(&mut self, key: &JobKey) {
-        let Some(submitted) = self.submissions.get(key) else { return };
+        let Some(submitted) = self.submissions.get(key) else {
+            return;
+        };
         if let Place::Local(Some(id)) = submitted.place {
             self.dispatcher.finish_job(id);
             self.scheduled.remove(&id);
@@ -273,7 +322,10 @@
     }
 
     pub(super) fn reply(&mut self, waiter: Waiter, reply: Reply) {
-        let response = Response::Job { reply, stamps: self.stamps.clone() };
+        let response = Response::Job {
+            reply,
+            stamps: self.stamps.clone(),
+        };
         self.actions.push(Action::Reply { waiter, response });
     }
 
@@ -289,20 +341,23 @@
     }
 
     fn expire_job(&mut self, now: Instant, at: Instant, key: &JobKey) {
-        let Some(submitted) = self.submissions.get(key) else { return };
+        let Some(submitted) = self.submissions.get(key) else {
+            return;
+        };
         let grace_over = at >= submitted.deadline + RELAY_GRACE;
         match submitted.place {
-            _ if at < submitted.deadline => {},
+            _ if at < submitted.deadline => {}
             Place::Local(_) => self.owner.expire(now, key),
             Place::Relayed(_) | Place::Held if !grace_over => {
-                self.deadlines.push(Reverse((submitted.deadline + RELAY_GRACE, key.clone())));
-            },
+                self.deadlines
+                    .push(Reverse((submitted.deadline + RELAY_GRACE, key.clone())));
+            }
             Place::Relayed(_) | Place::Held => {
                 log::job(key).warn("no owner of the shard answered before the deadline");
                 let detail = "no owner of the key's shard answered in time".to_owned();
                 let reason = Reason::OwnerUnreachable;
                 self.answer(now, key, Answer::Unknown { reason, detail });
-            },
+            }
         }
     }
 
@@ -319,10 +374,10 @@
             (Question::Cancel, LookUp::Pending) => {
                 self.watchers.entry(key.clone()).or_default().push(waiter);
                 self.cancel(now, &key);
-            },
+            }
             (Question::Wait, LookUp::Pending) => {
                 self.watchers.entry(key).or_default().push(waiter);
-            },
+            }
             (Question::Look, LookUp::Pending) => self.reply(waiter, Reply::Pending),
             (_, LookUp::Answered(answer)) => self.reply(waiter, Reply::Answer(answer)),
             (_, LookUp::NotFound) => self.reply(waiter, Reply::NotFound),
@@ -340,8 +395,14 @@
         match self.members.claimant(now, shard_of(&key)) {
             Some((_, address)) if origin == Origin::Caller => {
                 let stamps = self.stamps.clone();
-                self.actions.push(Action::RelayAsk { address, key, question, waiter, stamps });
-            },
+                self.actions.push(Action::RelayAsk {
+                    address,
+                    key,
+                    question,
+                    waiter,
+                    stamps,
+                });
+            }
             _ => self.reply(waiter, Reply::NotOwner),
         }
     }
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -9,8 +9,8 @@
 mod report;
 mod takeover;
 
-use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -127,12 +127,21 @@
     /// Takes an event in.
     pub fn handle(&mut self, now: Instant, event: Event) {
         match event {
-            Event::Submit { submission, origin, waiter } => {
+            Event::Submit {
+                submission,
+                origin,
+                waiter,
+            } => {
                 self.on_submit(now, submission, origin, waiter);
-            },
-            Event::Ask { key, question, origin, waiter } => {
+            }
+            Event::Ask {
+                key,
+                question,
+                origin,
+                waiter,
+            } => {
                 self.on_ask(now, key, question, origin, waiter);
-            },
+            }
             Event::Relayed { key, call, reply } => self.on_relayed(now, key, call, reply),
             Event::LinkUp { agent, hello } => self.on_link_up(now, agent, hello),
             Event::LinkFrame { agent, frame } => self.on_link_frame(now, agent, frame),
@@ -141,15 +150,24 @@
             Event::Members { records, to_end } => self.on_members(now, &records, to_end),
             Event::Configs(records) => self.on_configs(now, &records),
             Event::LogHealth(up) => self.on_log_health(now, up),
-            Event::Appended { takeover, certain: true } => self.owner.on_appended(now, takeover),
-            Event::Appended { takeover, certain: false } => {
+            Event::Appended {
+                takeover,
+                certain: true,
+            } => self.owner.on_appended(now, takeover),
+            Event::Appended {
+                takeover,
+                certain: false,
+            } => {
                 self.owner.on_append_failed(now, takeover);
-            },
+            }
             Event::CaughtUp { takeover } => self.owner.on_caught_up(now, takeover),
-            Event::DrainUpstream { upstream, leaving, waiter } => {
+            Event::DrainUpstream {
+                upstream,
+                leaving,
+                waiter,
+            } => {
                 self.on_drain_upstream(&upstream, leaving, waiter);
-            },
-            Event::Status { waiter } => self.on_status(now, waiter),
+            }
             Event::Drain => self.on_drain(now),
             Event::Tick => self.on_tick(now),
         }
--- a/hemlockhook-entry/src/engine/peers.rs
+++ b/hemlockhook-entry/src/engine/peers.rs
@@ -18,7 +18,9 @@
 impl Engine {
     /// Tells every other entry our state, if it is time.
     pub(super) fn heartbeat(&mut self, now: Instant) {
-        let due = self.last_heartbeat.is_none_or(|at| now - at >= self.timing.heartbeat());
+        let due = self
+            .last_heartbeat
+            .is_none_or(|at| now - at >= self.timing.heartbeat());
         if !due {
             return;
         }
@@ -36,7 +38,11 @@
     }
 
     pub(super) fn on_peer(&mut self, now: Instant, status: PeerStatus, waiter: Option<Waiter>) {
-        let known: Vec<_> = self.members.alive(now).map(|(incarnation, _)| incarnation).collect();
+        let known: Vec<_> = self
+            .members
+            .alive(now)
+            .map(|(incarnation, _)| incarnation)
+            .collect();
         if !known.contains(&status.incarnation) && status.incarnation != self.me.incarnation {
             self.note(EventKind::PeerUp, &status.name, "the entry answers");
         }
@@ -46,21 +52,27 @@
             self.adopt_config(now, config);
         }
         for owned in &status.owned {
-            let ballot =
-                hemlockhook_types::Ballot { counter: owned.ballot, owner: status.incarnation };
+            let ballot = hemlockhook_types::Ballot {
+                counter: owned.ballot,
+                owner: status.incarnation,
+            };
             self.owner.saw_ballot(now, owned.shard as ShardId, ballot);
         }
         for team in &status.teams {
             let name = TeamName::from(team.team.as_str());
             let (running, queued) = (team.running, team.queued);
-            self.dispatcher.set_peer_usage(status.incarnation, &name, running, queued);
+            self.dispatcher
+                .set_peer_usage(status.incarnation, &name, running, queued);
         }
         if let Some(waiter) = waiter {
             let mut ours = self.peer_status(now, status.config_version);
             if status.want_members {
                 ours.members = self.members.records().iter().map(write_member).collect();
             }
-            self.actions.push(Action::Reply { waiter, response: Response::Peer(Box::new(ours)) });
+            self.actions.push(Action::Reply {
+                waiter,
+                response: Response::Peer(Box::new(ours)),
+            });
         }
     }
 
@@ -89,7 +101,10 @@
             config_version: version,
             config: (their_version > 0 && their_version < version).then(|| self.config_message()),
             owned: owned
-                .map(|(shard, stamp)| v1::OwnedShard { shard: shard.into(), ballot: stamp.counter })
+                .map(|(shard, stamp)| v1::OwnedShard {
+                    shard: shard.into(),
+                    ballot: stamp.counter,
+                })
                 .collect(),
             draining: self.draining,
             teams: teams
@@ -117,7 +132,9 @@
         if let Some(config) = &frame.config {
             self.adopt_config(now, config);
         }
-        let Some(link) = self.links.get_mut(&agent) else { return };
+        let Some(link) = self.links.get_mut(&agent) else {
+            return;
+        };
         if frame.config_version > link.config_version {
             link.config_version = frame.config_version;
         }
@@ -136,12 +153,20 @@
                 self.dispatcher.set_policy(now, policy(&inventory));
                 self.inventory = Some(inventory);
                 info!("configuration in force", kv: { version });
-                self.note(EventKind::ConfigInForce, &version.to_string(), "it is in force here");
-            },
+                self.note(
+                    EventKind::ConfigInForce,
+                    &version.to_string(),
+                    "it is in force here",
+                );
+            }
             _ => {
                 warn!("configuration cannot be used by this release", kv: { version });
-                self.note(EventKind::ConfigUnusable, &version.to_string(), "it cannot be used");
-            },
+                self.note(
+                    EventKind::ConfigUnusable,
+                    &version.to_string(),
+                    "it cannot be used",
+                );
+            }
         }
         let agents: Vec<_> = self.links.keys().copied().collect();
         agents.into_iter().for_each(|agent| self.tell_config(agent));
@@ -151,7 +176,9 @@
     pub(super) fn tell_config(&mut self, agent: Incarnation) {
         let version = self.config.version();
         let message = self.config_message();
-        let Some(link) = self.links.get_mut(&agent) else { return };
+        let Some(link) = self.links.get_mut(&agent) else {
+            return;
+        };
         if link.up && link.config_version < version {
             link.config_version = version;
             self.frame(agent).config = Some(message);
@@ -159,15 +186,26 @@
     }
 
     fn config_message(&self) -> v1::Config {
-        v1::Config { version: self.config.version(), document: self.config.document().to_owned() }
+        v1::Config {
+            version: self.config.version(),
+            document: self.config.document().to_owned(),
+        }
     }
 }
 
 /// Returns the scheduling policy that an inventory asks for.
 fn policy(inventory: &Inventory) -> Policy {
     Policy {
-        teams: inventory.teams.iter().map(|team| (team.name.clone(), team.share)).collect(),
-        services: inventory.services.iter().map(|service| service.name.clone()).collect(),
+        teams: inventory
+            .teams
+            .iter()
+            .map(|team| (team.name.clone(), team.share))
+            .collect(),
+        services: inventory
+            .services
+            .iter()
+            .map(|service| service.name.clone())
+            .collect(),
         long_threshold: inventory.rules.long_after,
         long_ceiling_percent: inventory.rules.long_ceiling_percent,
         ..Policy::default()
--- a/hemlockhook-entry/src/engine/report.rs
+++ b/hemlockhook-entry/src/engine/report.rs
@@ -12,7 +12,6 @@
 use hemlockhook_types::{Answer, Job, JobKey, shard_of};
 
 use super::Engine;
-use crate::event::{Action, Response, Waiter};
 
 impl Engine {
     /// Returns the events after a sequence number.
@@ -48,18 +47,19 @@
         })
     }
 
-    pub(super) fn on_status(&mut self, now: Instant, waiter: Waiter) {
-        let status = Box::new(self.status(now));
-        self.actions.push(Action::Reply { waiter, response: Response::Status(status) });
-    }
-
     pub(super) fn note(&mut self, kind: EventKind, subject: &str, detail: &str) {
         let at_ms = self.wall_ms(Instant::now());
         spdlog::info!("{detail}", kv: { event = kind.to_string(), subject = subject.to_owned() });
         self.journal.add(at_ms, kind, subject, detail);
     }
 
-    pub(super) fn count_answer(&mut self, now: Instant, job: &Job, answer: &Answer, took: Duration) {
+    pub(super) fn count_answer(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        answer: &Answer,
+        took: Duration,
+    ) {
         self.counters.on_answer(answer.kind());
         let within = self
             .inventory
@@ -77,7 +77,8 @@
         self.burn.count(at_ms, &job.service, &job.team, bad);
     }
 
-    fn status(&self, now: Instant) -> EntryStatus {
+    /// Returns the entry's state.
+    pub fn status(&self, now: Instant) -> EntryStatus {
         let snapshot = self.dispatcher.snapshot();
         EntryStatus {
             name: self.me.name.clone(),
@@ -137,7 +138,10 @@
             .links
             .iter()
             .map(|(agent, link)| {
-                let upstream = snapshot.upstreams.iter().find(|known| known.agent == *agent);
+                let upstream = snapshot
+                    .upstreams
+                    .iter()
+                    .find(|known| known.agent == *agent);
                 AgentStatus {
                     name: link.name.clone(),
                     incarnation: format!("{agent:x}"),
@@ -172,11 +176,14 @@
 }
 
 fn backlog(snapshot: &Snapshot) -> Vec<BacklogStatus> {
-    let by_service = snapshot.services.iter().map(|(service, queued)| BacklogStatus {
-        service: service.to_string(),
-        queued: *queued,
-        ..BacklogStatus::default()
-    });
+    let by_service = snapshot
+        .services
+        .iter()
+        .map(|(service, queued)| BacklogStatus {
+            service: service.to_string(),
+            queued: *queued,
+            ..BacklogStatus::default()
+        });
     let by_team = snapshot.teams.iter().map(|team| BacklogStatus {
         team: team.team.to_string(),
         queued: team.queued,
--- a/hemlockhook-entry/src/engine/takeover.rs
+++ b/hemlockhook-entry/src/engine/takeover.rs
@@ -96,7 +96,9 @@
     }
 
     fn is_draining(&self, now: Instant, entry: Incarnation) -> bool {
-        self.members.alive(now).any(|(incarnation, peer)| incarnation == entry && peer.draining)
+        self.members
+            .alive(now)
+            .any(|(incarnation, peer)| incarnation == entry && peer.draining)
     }
 
     /// Does what the owner asks for.
@@ -114,35 +116,54 @@
 
     fn follow(&mut self, now: Instant, action: OwnerAction) {
         match action {
-            OwnerAction::Fence { agent, takeover, shards, ballot } => {
+            OwnerAction::Fence {
+                agent,
+                takeover,
+                shards,
+                ballot,
+            } => {
                 let shards = shards.into_iter().map(u32::from).collect();
-                let fence = v1::Fence { shards, ballot: Some(ballot.into()), takeover };
+                let fence = v1::Fence {
+                    shards,
+                    ballot: Some(ballot.into()),
+                    takeover,
+                };
                 self.frame(agent).fences.push(fence);
-            },
+            }
             OwnerAction::Append { takeover, record } => {
                 self.actions.push(Action::Append { takeover, record });
-            },
+            }
             OwnerAction::ReadToEnd { takeover } => {
                 self.actions.push(Action::ReadToEnd { takeover });
-            },
+            }
             OwnerAction::Ready { shards, complete } => self.on_ready(now, &shards, complete),
             OwnerAction::StepDown { shard, unfinished } => {
-                self.note(EventKind::SteppedDown, &shard.to_string(), "another entry owns it");
+                self.note(
+                    EventKind::SteppedDown,
+                    &shard.to_string(),
+                    "another entry owns it",
+                );
                 unfinished.iter().for_each(|key| self.give_back(key));
                 self.refresh_stamps(now);
-            },
+            }
             OwnerAction::Settled { key, answer } => {
                 for (agent, index) in self.owner.running(&key) {
                     self.stop_task(agent, &key, index);
                 }
                 self.answer(now, &key, answer);
-            },
+            }
             OwnerAction::Requeue { agent, key, index } => {
                 if let Some((_, job)) = self.placed.remove(&(key, index)) {
                     self.dispatcher.refused(now, agent, job, index);
                 }
-            },
-            OwnerAction::Withdraw { agent, key, shard, ballot, reason } => {
+            }
+            OwnerAction::Withdraw {
+                agent,
+                key,
+                shard,
+                ballot,
+                reason,
+            } => {
                 let withdraw = v1::Withdraw {
                     key: key.to_string(),
                     shard: shard.into(),
@@ -150,7 +171,7 @@
                     reason: reason.to_string(),
                 };
                 self.frame(agent).withdraws.push(withdraw);
-            },
+            }
         }
     }
 
--- a/hemlockhook-entry/src/event.rs
+++ b/hemlockhook-entry/src/event.rs
@@ -6,7 +6,6 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
-use hemlockhook_inventory::admin::EntryStatus;
 use hemlockhook_ownership::Record;
 use hemlockhook_proto::convert::Reply;
 use hemlockhook_proto::v1::{AgentFrame, AgentHello, EntryFrame, PeerStatus};
@@ -59,8 +58,6 @@
         /// The stamps.
         stamps: Arc<StampTable>,
     },
-    /// The entry's state.
-    Status(Box<EntryStatus>),
     /// Whether an upstream of the given name was told to leave or come back.
     Drained(bool),
     /// The answer to a heartbeat.
@@ -168,11 +165,6 @@
         /// Where the reply goes.
         waiter: Waiter,
     },
-    /// An operator asks for the state.
-    Status {
-        /// Where it goes.
-        waiter: Waiter,
-    },
     /// The process is to shut down gracefully.
     Drain,
     /// Time has passed.
--- /dev/null
+++ b/hemlockhook-entry/src/follow.rs
@@ -0,0 +1,138 @@
+//! Follows the platform's log and announces this entry in it.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_channel::Receiver;
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use hemlockhook_ownership::Record;
+use hemlockhook_platform::{Batch, Log, LogError, LogRecord, Offset};
+use hemlockhook_types::Clock;
+
+use crate::control::Control;
+use crate::event::Event;
+
+/// The stream of announcements and takeovers.
+pub const MEMBERSHIP: &str = "membership";
+
+/// The stream of configurations.
+pub const CONFIG: &str = "config";
+
+/// Time between two reads of a stream that has been read to its end.
+const POLL: Duration = Duration::from_millis(200);
+
+/// Time before another try when the log does not answer.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Time after which the announcement is repeated.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(240);
+
+/// Records read at once.
+const READ_MAX: usize = 1_000;
+
+/// Follows the announcements. Each number from `to_end` is answered by an event once everything
+/// that was in the log when it came has been taken in.
+pub async fn follow_members(
+    log: Arc<dyn Log>,
+    control: Control,
+    to_end: Receiver<u64>,
+    clock: Arc<dyn Clock>,
+) {
+    let mut next = 0;
+    let mut waiting = Vec::new();
+    loop {
+        waiting.extend(std::iter::from_fn(|| to_end.try_recv().ok()));
+        match log.read(MEMBERSHIP, next, READ_MAX).await {
+            Ok(batch) => {
+                let at_end = pass_members(&control, &mut next, &batch, clock.wall());
+                control.send(Event::LogHealth(true));
+                if at_end {
+                    for takeover in waiting.drain(..) {
+                        control.send(Event::CaughtUp { takeover });
+                    }
+                    pause(POLL, &to_end, &mut waiting).await;
+                }
+            }
+            Err(LogError::Truncated { first_retained }) => next = first_retained,
+            Err(_) => {
+                control.send(Event::LogHealth(false));
+                Timer::after(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Follows the configurations.
+pub async fn follow_configs(log: Arc<dyn Log>, control: Control) {
+    let mut next = 0;
+    loop {
+        match log.read(CONFIG, next, READ_MAX).await {
+            Ok(batch) if batch.records.is_empty() => drop(Timer::after(POLL).await),
+            Ok(batch) => {
+                next = end_of(&batch);
+                let records: Vec<(u64, Bytes)> = batch
+                    .records
+                    .into_iter()
+                    .map(|record| (record.offset, record.body))
+                    .collect();
+                control.send(Event::Configs(records));
+            }
+            Err(LogError::Truncated { first_retained }) => next = first_retained,
+            Err(_) => drop(Timer::after(RETRY).await),
+        }
+    }
+}
+
+/// Announces this entry, and repeats it well within the log's retention.
+pub async fn announce(log: Arc<dyn Log>, record: Record) {
+    let body = serde_json::to_vec(&record).expect("records have string keys only");
+    loop {
+        match log.append(MEMBERSHIP, body.clone().into()).await {
+            Ok(_) => drop(Timer::after(ANNOUNCE_INTERVAL).await),
+            // One that took effect all the same does no harm twice.
+            Err(_) => drop(Timer::after(RETRY).await),
+        }
+    }
+}
+
+/// Passes announcements on and returns whether the stream has been read to its end.
+fn pass_members(control: &Control, next: &mut Offset, batch: &Batch, now: SystemTime) -> bool {
+    let records = batch
+        .records
+        .iter()
+        .filter_map(|record| read_member(record, now))
+        .collect();
+    *next = end_of(batch).max(*next);
+    let to_end = *next >= batch.end;
+    control.send(Event::Members { records, to_end });
+    to_end
+}
+
+fn read_member(record: &LogRecord, now: SystemTime) -> Option<(u64, Duration, Record)> {
+    let now_ms = now
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64;
+    let age = Duration::from_millis(now_ms.saturating_sub(record.appended_ms));
+    let body = serde_json::from_slice(&record.body);
+    if let Err(err) = &body {
+        spdlog::warn!("a record of the log cannot be read: {err}", kv: { offset = record.offset });
+    }
+    Some((record.offset, age, body.ok()?))
+}
+
+fn end_of(batch: &Batch) -> Offset {
+    batch.records.last().map_or(0, |record| record.offset + 1)
+}
+
+/// Waits, but not past the next request to read to the end.
+async fn pause(time: Duration, to_end: &Receiver<u64>, waiting: &mut Vec<u64>) {
+    let asked = async { to_end.recv().await.ok() };
+    let timer = async {
+        Timer::after(time).await;
+        None
+    };
+    waiting.extend(asked.or(timer).await);
+}
--- a/hemlockhook-entry/src/journal.rs
+++ b/hemlockhook-entry/src/journal.rs
@@ -18,7 +18,11 @@
 impl Journal {
     /// Creates an empty journal.
     pub fn new(entry: &str) -> Self {
-        Self { entry: entry.to_owned(), next_sequence: 1, events: VecDeque::new() }
+        Self {
+            entry: entry.to_owned(),
+            next_sequence: 1,
+            events: VecDeque::new(),
+        }
     }
 
     /// Adds an event.
@@ -39,6 +43,10 @@
 
     /// Returns the events after a sequence number.
     pub fn since(&self, sequence: u64) -> Vec<Event> {
-        self.events.iter().filter(|event| event.sequence > sequence).cloned().collect()
+        self.events
+            .iter()
+            .filter(|event| event.sequence > sequence)
+            .cloned()
+            .collect()
     }
 }
--- a/hemlockhook-entry/src/members.rs
+++ b/hemlockhook-entry/src/members.rs
@@ -63,21 +63,37 @@
     /// Takes an announcement in. Returns an agent's incarnation if it is new.
     pub fn on_record(&mut self, record: &Record) -> Option<Incarnation> {
         match record {
-            Record::Entry { incarnation, name, address, .. } if *incarnation != self.me => {
+            Record::Entry {
+                incarnation,
+                name,
+                address,
+                ..
+            } if *incarnation != self.me => {
                 self.add_peer(*incarnation, name, address);
                 self.keep(record);
                 None
-            },
-            Record::Agent { incarnation, name, address, .. } => {
+            }
+            Record::Agent {
+                incarnation,
+                name,
+                address,
+                ..
+            } => {
                 let address = address.parse().ok()?;
                 self.keep(record);
-                let agent = Agent { name: name.clone(), address };
-                self.agents.insert(*incarnation, agent).is_none().then_some(*incarnation)
-            },
+                let agent = Agent {
+                    name: name.clone(),
+                    address,
+                };
+                self.agents
+                    .insert(*incarnation, agent)
+                    .is_none()
+                    .then_some(*incarnation)
+            }
             Record::Left { incarnation, .. } => {
                 self.remove_agent(*incarnation);
                 None
-            },
+            }
             _ => None,
         }
     }
@@ -88,12 +104,17 @@
             return;
         }
         self.add_peer(status.incarnation, &status.name, &status.address);
-        let Some(peer) = self.peers.get_mut(&status.incarnation) else { return };
+        let Some(peer) = self.peers.get_mut(&status.incarnation) else {
+            return;
+        };
         peer.heard = Some(now);
         peer.draining = status.draining;
         peer.config_version = status.config_version;
-        peer.owned =
-            status.owned.iter().map(|owned| (owned.shard as ShardId, owned.ballot)).collect();
+        peer.owned = status
+            .owned
+            .iter()
+            .map(|owned| (owned.shard as ShardId, owned.ballot))
+            .collect();
     }
 
     /// Returns the entry that should own a shard: the highest hash of name and shard among the
@@ -131,7 +152,8 @@
         self.peers
             .iter()
             .filter(move |(_, peer)| {
-                peer.heard.is_some_and(|heard| now.saturating_duration_since(heard) < silence)
+                peer.heard
+                    .is_some_and(|heard| now.saturating_duration_since(heard) < silence)
             })
             .map(|(incarnation, peer)| (*incarnation, peer))
     }
@@ -164,7 +186,9 @@
 
     /// Adds a peer; an older incarnation at the same address has been replaced.
     fn add_peer(&mut self, incarnation: Incarnation, name: &str, address: &str) {
-        let Ok(address) = address.parse::<SocketAddr>() else { return };
+        let Ok(address) = address.parse::<SocketAddr>() else {
+            return;
+        };
         if self.peers.contains_key(&incarnation) {
             return;
         }
--- /dev/null
+++ b/hemlockhook-entry/src/process.rs
@@ -0,0 +1,246 @@
+//! One entry with its sockets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, UNIX_EPOCH};
+
+use async_channel::Sender;
+use async_executor::Task;
+use async_io::Timer;
+use async_net::TcpListener;
+use eyre::WrapErr;
+use futures_lite::FutureExt;
+use hemlockhook_ownership::Record;
+use hemlockhook_platform::{HttpLog, Log};
+use hemlockhook_proto::v1::EntryHello;
+use hemlockhook_proto::v1::entry_server::EntryServer;
+use hemlockhook_runtime::executor::{Executor, Threads};
+use hemlockhook_runtime::http::ServerLimits;
+use hemlockhook_runtime::{grpc, http, signal};
+use hemlockhook_types::{Clock, SystemClock, new_incarnation};
+
+use crate::admin::Admin;
+use crate::api::Api;
+use crate::control::{self, Control};
+use crate::engine::{Engine, Identity};
+use crate::event::Event;
+use crate::follow;
+use crate::metrics::EntryMetrics;
+use crate::service::EntryService;
+use crate::settings::Settings;
+use crate::shell::Shell;
+
+/// Time for a request to the log.
+const LOG_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest message taken from another entry, in bytes.
+const MAX_MESSAGE_BYTES: usize = 64 << 20;
+
+/// Time between two looks at whether a draining entry has finished.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Time for which a draining entry goes on accepting connections, so that a balancer that saw it
+/// ready still reaches it.
+const DRAIN_NOTICE: Duration = Duration::from_millis(500);
+
+/// Time for connections to finish after the last answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// An entry that runs on executors of its caller's.
+///
+/// Dropping it ends it abruptly, as the death of its process would.
+pub struct EntryProcess {
+    callers: SocketAddr,
+    admin: SocketAddr,
+    control: Control,
+    /// Closed to have the servers finish.
+    stop: Sender<()>,
+    /// Closed to have the callers' server finish.
+    stop_callers: Sender<()>,
+    callers_server: Task<()>,
+    servers: Vec<Task<()>>,
+    _tasks: Vec<Task<()>>,
+}
+
+impl EntryProcess {
+    /// Starts an entry: its control state on `control`, everything else on `traffic`.
+    pub async fn start(
+        settings: &Settings,
+        control_ex: Arc<Executor>,
+        traffic: Arc<Executor>,
+        clock: Arc<dyn Clock>,
+    ) -> eyre::Result<Self> {
+        let (callers_listener, callers) = listen("callers", settings.callers).await?;
+        let (peers_listener, peers) = listen("peers", settings.peers).await?;
+        let (admin_listener, admin) = listen("admin", settings.admin).await?;
+
+        let log: Arc<dyn Log> = Arc::new(HttpLog::new(traffic.clone(), settings.log, LOG_TIMEOUT));
+        let me = identity(settings, peers, &*clock);
+        spdlog::info!("the entry starts", kv: {
+            name = me.name.as_str(),
+            incarnation = format!("{:x}", me.incarnation),
+            callers = callers.to_string(),
+            peers = peers.to_string(),
+            admin = admin.to_string(),
+        });
+        let announcement = announcement(&me);
+        let hello = EntryHello {
+            incarnation: me.incarnation,
+            name: me.name.clone(),
+            data_center: me.data_center.clone(),
+        };
+        let engine = Engine::new(me, settings.timing.clone(), &settings.memory, clock.now());
+
+        let (control, inputs) = Control::new();
+        let (to_end_tx, to_end_rx) = async_channel::unbounded();
+        let shell = Shell::new(
+            traffic.clone(),
+            control.clone(),
+            log.clone(),
+            hello,
+            to_end_tx,
+        );
+        let tasks = vec![
+            control_ex.spawn(control::run(engine, shell, inputs, clock.clone())),
+            traffic.spawn(follow::follow_members(
+                log.clone(),
+                control.clone(),
+                to_end_rx,
+                clock.clone(),
+            )),
+            traffic.spawn(follow::follow_configs(log.clone(), control.clone())),
+            traffic.spawn(follow::announce(log, announcement)),
+        ];
+
+        let (stop, stopped) = async_channel::bounded(1);
+        let (stop_callers, callers_stopped) = async_channel::bounded(1);
+        let api = Api::new(control.clone(), settings.limits.clone());
+        let callers_server = traffic.spawn(http::serve(
+            traffic.clone(),
+            callers_listener,
+            server_limits(settings),
+            callers_stopped,
+            move |req| api.clone().answer(req),
+        ));
+        let service = EntryServer::new(EntryService::new(control.clone()))
+            .max_decoding_message_size(MAX_MESSAGE_BYTES);
+        let operators = Admin::new(control.clone(), EntryMetrics::new());
+        let servers = vec![
+            traffic.spawn(grpc::serve(
+                traffic.clone(),
+                peers_listener,
+                stopped.clone(),
+                service,
+            )),
+            traffic.spawn(http::serve(
+                traffic.clone(),
+                admin_listener,
+                ServerLimits::default(),
+                stopped,
+                move |req| operators.clone().answer(req),
+            )),
+        ];
+        Ok(Self {
+            callers,
+            admin,
+            control,
+            stop,
+            stop_callers,
+            callers_server,
+            servers,
+            _tasks: tasks,
+        })
+    }
+
+    /// Returns the address on which callers are served.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the address of the admin port.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Returns the sender of inputs to the control thread.
+    pub fn control(&self) -> &Control {
+        &self.control
+    }
+
+    /// Drains: hands the shards over, answers everything in flight, and ends.
+    pub async fn stop(self) {
+        self.control.send(Event::Drain);
+        Timer::after(DRAIN_NOTICE).await;
+        self.stop_callers.close();
+        self.callers_server.await;
+        while self.control.inspect(|engine, _| engine.is_idle()).await == Some(false) {
+            Timer::after(DRAIN_POLL).await;
+        }
+        self.stop.close();
+        let finish = async {
+            for server in self.servers {
+                server.await;
+            }
+        };
+        let expire = async {
+            Timer::after(CLOSE_TIMEOUT).await;
+        };
+        finish.or(expire).await;
+    }
+}
+
+/// Runs an entry as a process of its own until SIGTERM.
+pub fn run(settings: &Settings) -> eyre::Result<()> {
+    let threads = Threads::start("entry", settings.traffic_threads);
+    let control = threads.control();
+    let traffic = threads.traffic();
+    async_io::block_on(async {
+        let clock = Arc::new(SystemClock);
+        let entry = EntryProcess::start(settings, control, traffic, clock).await?;
+        signal::terminate().await;
+        spdlog::info!("the entry drains");
+        entry.stop().await;
+        spdlog::info!("the entry has finished");
+        Ok(())
+    })
+}
+
+async fn listen(key: &str, addr: SocketAddr) -> eyre::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(addr)
+        .await
+        .wrap_err_with(|| format!("{key}: can't listen on {addr}"))?;
+    let addr = listener.local_addr().wrap_err_with(|| key.to_owned())?;
+    Ok((listener, addr))
+}
+
+fn identity(settings: &Settings, peers: SocketAddr, clock: &dyn Clock) -> Identity {
+    let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Identity {
+        incarnation: new_incarnation(),
+        name: settings.name.clone(),
+        data_center: settings.data_center.clone(),
+        address: peers,
+        known_peers: settings.known_peers.clone(),
+        started_ms: started.as_millis() as u64,
+    }
+}
+
+fn announcement(me: &Identity) -> Record {
+    Record::Entry {
+        incarnation: me.incarnation,
+        name: me.name.clone(),
+        address: me.address.to_string(),
+        data_center: me.data_center.clone(),
+    }
+}
+
+fn server_limits(settings: &Settings) -> ServerLimits {
+    let limits = &settings.limits;
+    ServerLimits {
+        max_body: limits.body_bytes,
+        header_timeout: Duration::from_millis(limits.header_ms),
+        body_timeout: Duration::from_millis(limits.body_ms),
+        max_connections: limits.connections,
+        ..ServerLimits::default()
+    }
+}
--- a/hemlockhook-entry/src/request.rs
+++ b/hemlockhook-entry/src/request.rs
@@ -70,11 +70,20 @@
     check_name("team", body.team)?;
     check_name("service", body.service)?;
     check_range("deadline_ms", body.deadline_ms, limits.deadline_ms, "ms")?;
-    check_range("the number of tasks", body.tasks.len() as u64, limits.tasks as u64, "tasks")?;
+    check_range(
+        "the number of tasks",
+        body.tasks.len() as u64,
+        limits.tasks as u64,
+        "tasks",
+    )?;
 
     let fingerprint = fingerprint(&body);
-    let tasks =
-        body.tasks.iter().enumerate().map(parse_task).collect::<Result<Vec<_>, RequestError>>()?;
+    let tasks = body
+        .tasks
+        .iter()
+        .enumerate()
+        .map(parse_task)
+        .collect::<Result<Vec<_>, RequestError>>()?;
     Ok(Job {
         key: job_key(body.team, key),
         fingerprint,
@@ -88,8 +97,11 @@
 
 /// Reads a job that another entry has checked and forwarded under its full key.
 pub fn parse_forwarded(key: &JobKey, body: &[u8]) -> Result<Job, RequestError> {
-    let unlimited =
-        Limits { tasks: usize::MAX, deadline_ms: u64::MAX, ..Limits::default() };
+    let unlimited = Limits {
+        tasks: usize::MAX,
+        deadline_ms: u64::MAX,
+        ..Limits::default()
+    };
     let caller_key = key.split_once('/').map_or("", |(_, caller_key)| caller_key);
     let job = parse_job(caller_key, body, &unlimited)?;
     if job.key != *key {
@@ -135,7 +147,10 @@
     if (1..=max).contains(&value) {
         return Ok(());
     }
-    Err(RequestError::Range { field: field.to_owned(), range: format!("1 to {max} {unit}") })
+    Err(RequestError::Range {
+        field: field.to_owned(),
+        range: format!("1 to {max} {unit}"),
+    })
 }
 
 /// Hashes what must be the same when a key is sent again; a deadline may differ.
--- a/hemlockhook-entry/src/response.rs
+++ b/hemlockhook-entry/src/response.rs
@@ -65,7 +65,11 @@
         Reply::Answer(Answer::Complete(results)) => complete(key, results),
         Reply::Answer(answer) => not_complete(key, answer),
         Reply::Pending => pending(key),
-        Reply::NotFound => problem(StatusCode::NOT_FOUND, "no-such-job", "no job of this key is known"),
+        Reply::NotFound => problem(
+            StatusCode::NOT_FOUND,
+            "no-such-job",
+            "no job of this key is known",
+        ),
         Reply::KeyReused => problem(
             StatusCode::UNPROCESSABLE_ENTITY,
             "key-reused",
@@ -103,7 +107,14 @@
 
 fn complete(key: &JobKey, results: &[std::sync::Arc<[u8]>]) -> HttpResponse {
     let results = results.iter().map(|bytes| result_body(bytes)).collect();
-    json(StatusCode::OK, &CompleteBody { answer: "complete", key, results })
+    json(
+        StatusCode::OK,
+        &CompleteBody {
+            answer: "complete",
+            key,
+            results,
+        },
+    )
 }
 
 fn result_body(bytes: &[u8]) -> ResultBody<'_> {
@@ -115,7 +126,13 @@
 }
 
 fn pending(key: &JobKey) -> HttpResponse {
-    let response = json(StatusCode::ACCEPTED, &PendingBody { answer: "pending", key });
+    let response = json(
+        StatusCode::ACCEPTED,
+        &PendingBody {
+            answer: "pending",
+            key,
+        },
+    );
     with_retry_after(response, Some(PENDING_RETRY))
 }
 
@@ -124,7 +141,11 @@
     let (detail, task, retry_after) = match answer {
         Answer::Complete(_) => ("", None, None),
         Answer::Failed { detail, task, .. } => (detail.as_str(), *task, None),
-        Answer::NotRun { detail, retry_after, .. } => (detail.as_str(), None, *retry_after),
+        Answer::NotRun {
+            detail,
+            retry_after,
+            ..
+        } => (detail.as_str(), None, *retry_after),
         Answer::Unknown { detail, .. } => (detail.as_str(), None, None),
     };
     let status = status_of(answer, reason);
@@ -171,7 +192,9 @@
 fn with_retry_after(mut response: HttpResponse, wait: Option<Duration>) -> HttpResponse {
     if let Some(wait) = wait {
         let seconds = wait.as_millis().div_ceil(1_000) as u64;
-        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        response
+            .headers_mut()
+            .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
     response
 }
@@ -183,6 +206,8 @@
     let bytes = serde_json::to_vec(body).expect("response bodies have string keys only");
     let mut response = Response::new(Full::new(Bytes::from(bytes)));
     *response.status_mut() = status;
-    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(media_type));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(media_type));
     response
 }
--- /dev/null
+++ b/hemlockhook-entry/src/service.rs
@@ -0,0 +1,117 @@
+//! What an entry serves to other entries.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use hemlockhook_proto::convert::Reply;
+use hemlockhook_proto::v1;
+use hemlockhook_proto::v1::entry_server::Entry;
+use hemlockhook_types::JobKey;
+use tonic::{Request, Response, Status};
+
+use crate::control::Control;
+use crate::event;
+use crate::event::{Event, Origin, Question, Submission, Waiter};
+use crate::request::parse_forwarded;
+
+/// The gRPC service of an entry.
+pub struct EntryService {
+    control: Control,
+}
+
+impl EntryService {
+    /// Creates the service over the control thread.
+    pub fn new(control: Control) -> Self {
+        Self { control }
+    }
+
+    async fn ask(&self, req: v1::QueryRequest, question: Question) -> Result<v1::Answer, Status> {
+        let key: JobKey = req.key.as_str().into();
+        let hold = Duration::from_millis(req.wait_ms.into());
+        let asked = self.wait(|waiter| Event::Ask {
+            key,
+            question,
+            origin: Origin::Entry,
+            waiter,
+        });
+        let expire = async {
+            Timer::after(hold).await;
+            Ok(Reply::Pending.into())
+        };
+        match question {
+            Question::Wait => asked.or(expire).await,
+            Question::Look | Question::Cancel => asked.await,
+        }
+    }
+
+    async fn wait<F>(&self, event: F) -> Result<v1::Answer, Status>
+    where
+        F: FnOnce(Waiter) -> Event,
+    {
+        let (tx, rx) = async_channel::bounded(1);
+        self.control.send(event(tx));
+        match rx.recv().await {
+            Ok(event::Response::Job { reply, .. }) => Ok(reply.into()),
+            _ => Err(Status::unavailable("the entry is stopping")),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Entry for EntryService {
+    async fn submit(
+        &self,
+        req: Request<v1::SubmitRequest>,
+    ) -> Result<Response<v1::Answer>, Status> {
+        let req = req.into_inner();
+        let mut job = parse_forwarded(&req.key.as_str().into(), &req.job)
+            .map_err(|err| Status::invalid_argument(err.to_string()))?;
+        job.deadline = Duration::from_millis(req.deadline_ms.into());
+        let stamp = req.stamp.map(Into::into);
+        let submission = Submission {
+            job: job.into(),
+            body: req.job.into(),
+            stamp,
+        };
+        let origin = Origin::Entry;
+        let answer = self
+            .wait(|waiter| Event::Submit {
+                submission,
+                origin,
+                waiter,
+            })
+            .await?;
+        Ok(Response::new(answer))
+    }
+
+    async fn query(&self, req: Request<v1::QueryRequest>) -> Result<Response<v1::Answer>, Status> {
+        let req = req.into_inner();
+        let question = match req.wait_ms {
+            0 => Question::Look,
+            _ => Question::Wait,
+        };
+        self.ask(req, question).await.map(Response::new)
+    }
+
+    async fn cancel(&self, req: Request<v1::QueryRequest>) -> Result<Response<v1::Answer>, Status> {
+        self.ask(req.into_inner(), Question::Cancel)
+            .await
+            .map(Response::new)
+    }
+
+    async fn heartbeat(
+        &self,
+        req: Request<v1::PeerStatus>,
+    ) -> Result<Response<v1::PeerStatus>, Status> {
+        let (tx, rx) = async_channel::bounded(1);
+        self.control.send(Event::Peer {
+            status: req.into_inner(),
+            waiter: Some(tx),
+        });
+        match rx.recv().await {
+            Ok(event::Response::Peer(status)) => Ok(Response::new(*status)),
+            _ => Err(Status::unavailable("the entry is stopping")),
+        }
+    }
+}
--- a/hemlockhook-entry/src/settings.rs
+++ b/hemlockhook-entry/src/settings.rs
@@ -151,7 +151,11 @@
 
 impl Default for Memory {
     fn default() -> Self {
-        Self { window_s: 600, jobs: 2_000_000, result_bytes: 256 << 20 }
+        Self {
+            window_s: 600,
+            jobs: 2_000_000,
+            result_bytes: 256 << 20,
+        }
     }
 }
 
--- /dev/null
+++ b/hemlockhook-entry/src/shell.rs
@@ -0,0 +1,135 @@
+//! Does what the engine asks for: replies, links, calls to other entries and appends.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_executor::Task;
+use async_io::Timer;
+use hemlockhook_ownership::Record;
+use hemlockhook_platform::Log;
+use hemlockhook_proto::v1::{EntryFrame, EntryHello};
+use hemlockhook_runtime::executor::Executor;
+use hemlockhook_types::Incarnation;
+
+use crate::calls::Calls;
+use crate::control::Control;
+use crate::event::{Action, Event};
+use crate::follow::MEMBERSHIP;
+use crate::link;
+
+/// Frames that wait for a slow agent; one that falls further behind is hung up on.
+const LINK_QUEUE: usize = 4_096;
+
+/// The control thread's connections with the rest of the process.
+pub struct Shell {
+    ex: Arc<Executor>,
+    control: Control,
+    log: Arc<dyn Log>,
+    calls: Calls,
+    hello: EntryHello,
+    /// The links that are up or being made; dropping one closes it.
+    links: HashMap<Incarnation, (Sender<EntryFrame>, Task<()>)>,
+    /// Asks the follower of the log to read to its end.
+    read_to_end: Sender<u64>,
+}
+
+impl Shell {
+    /// Creates a shell whose tasks run on an executor.
+    pub fn new(
+        ex: Arc<Executor>,
+        control: Control,
+        log: Arc<dyn Log>,
+        hello: EntryHello,
+        read_to_end: Sender<u64>,
+    ) -> Self {
+        let calls = Calls::new(ex.clone(), control.clone());
+        Self {
+            ex,
+            control,
+            log,
+            calls,
+            hello,
+            links: HashMap::new(),
+            read_to_end,
+        }
+    }
+
+    /// Does one thing that the engine asks for. It does not wait for its end.
+    pub fn perform(&mut self, action: Action) {
+        match action {
+            // A caller that has gone needs no reply.
+            Action::Reply { waiter, response } => drop(waiter.try_send(response)),
+            Action::Dial {
+                agent,
+                address,
+                after,
+            } => self.dial(agent, address, after),
+            Action::HangUp { agent } => drop(self.links.remove(&agent)),
+            Action::Send { agent, frame } => self.send(agent, *frame),
+            Action::Relay {
+                address,
+                call,
+                submission,
+                deadline,
+            } => {
+                self.calls.submit(address, call, submission, deadline);
+            }
+            Action::RelayAsk {
+                address,
+                key,
+                question,
+                waiter,
+                stamps,
+            } => {
+                self.calls.ask(address, key, question, waiter, stamps);
+            }
+            Action::Heartbeat { address, status } => self.calls.heartbeat(address, *status),
+            Action::Append { takeover, record } => self.append(takeover, record),
+            Action::ReadToEnd { takeover } => {
+                // The follower ends with the process only.
+                let _ = self.read_to_end.try_send(takeover);
+            }
+        }
+    }
+
+    fn dial(&mut self, agent: Incarnation, address: SocketAddr, after: Duration) {
+        let (tx, rx) = async_channel::bounded(LINK_QUEUE);
+        let ex = self.ex.clone();
+        let hello = self.hello.clone();
+        let control = self.control.clone();
+        let run = async move {
+            Timer::after(after).await;
+            let end = link::run(ex, address, agent, hello, rx, &control).await;
+            control.send(Event::LinkDown { agent, end });
+        };
+        self.links.insert(agent, (tx, self.ex.spawn(run)));
+    }
+
+    fn send(&mut self, agent: Incarnation, frame: EntryFrame) {
+        let full = match self.links.get(&agent) {
+            Some((tx, _)) => tx.try_send(frame).is_err_and(|err| err.is_full()),
+            None => false,
+        };
+        if full {
+            self.links.remove(&agent);
+            self.control.send(Event::LinkDown {
+                agent,
+                end: crate::event::LinkEnd::Broken,
+            });
+        }
+    }
+
+    fn append(&self, takeover: u64, record: Record) {
+        let log = self.log.clone();
+        let control = self.control.clone();
+        let append = async move {
+            let body = serde_json::to_vec(&record).expect("records have string keys only");
+            let certain = log.append(MEMBERSHIP, body.into()).await.is_ok();
+            control.send(Event::Appended { takeover, certain });
+        };
+        self.ex.spawn(append).detach();
+    }
+}
--- a/hemlockhook-types/src/stamp.rs
+++ b/hemlockhook-types/src/stamp.rs
@@ -33,6 +33,11 @@
         self.ballots.get(&shard_of(key)).copied()
     }
 
+    /// Returns the ballot of a shard, if the table covers it.
+    pub fn get(&self, shard: ShardId) -> Option<Ballot> {
+        self.ballots.get(&shard).copied()
+    }
+
     /// Returns the number of shards covered.
     pub fn len(&self) -> usize {
         self.ballots.len()
