--- /dev/null
+++ b/hemlockhook-runtime/src/settings/de.rs
@@ -0,0 +1,280 @@
+//! Deserializes from a tree, with errors that know the path they arose at.
+
+use std::fmt::{self, Display, Formatter};
+
+use serde::de::value::StrDeserializer;
+use serde::de::{
+    self, DeserializeSeed, Deserializer, EnumAccess, IntoDeserializer, MapAccess, SeqAccess,
+    VariantAccess, Visitor,
+};
+use serde::forward_to_deserialize_any;
+
+use super::tree::{Entry, Node, Step, Value};
+
+/// An error, and the path of the value that it is about.
+#[derive(Clone, Debug)]
+pub(super) struct TreeError {
+    pub(super) path: Vec<Step>,
+    pub(super) kind: ErrorKind,
+    pub(super) message: String,
+}
+
+/// What is to be done about an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ErrorKind {
+    /// The value has the wrong type or form.
+    Value,
+    /// The key at the path's end must not be there.
+    UnknownKey,
+    /// The key at the path's end must be there.
+    MissingKey,
+}
+
+impl TreeError {
+    /// Returns the error as seen from one value further out.
+    fn within(mut self, step: Step) -> Self {
+        self.path.insert(0, step);
+        self
+    }
+}
+
+impl std::error::Error for TreeError {}
+
+impl Display for TreeError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl de::Error for TreeError {
+    fn custom<M>(message: M) -> Self
+    where
+        M: Display,
+    {
+        Self {
+            path: Vec::new(),
+            kind: ErrorKind::Value,
+            message: message.to_string(),
+        }
+    }
+
+    fn unknown_field(field: &str, expected: &'static [&'static str]) -> Self {
+        Self {
+            path: vec![Step::Key(field.to_owned())],
+            kind: ErrorKind::UnknownKey,
+            message: format!("no such key; there are {}", expected.join(", ")),
+        }
+    }
+
+    fn missing_field(field: &'static str) -> Self {
+        Self {
+            path: vec![Step::Key(field.to_owned())],
+            kind: ErrorKind::MissingKey,
+            message: "the key is missing".to_owned(),
+        }
+    }
+}
+
+impl<'de> Deserializer<'de> for &'de Node {
+    type Error = TreeError;
+
+    fn deserialize_any<V>(self, visitor: V) -> Result<V::Value, TreeError>
+    where
+        V: Visitor<'de>,
+    {
+        match &self.value {
+            Value::Null => visitor.visit_unit(),
+            Value::Bool(value) => visitor.visit_bool(*value),
+            Value::Int(value) => visitor.visit_i64(*value),
+            Value::Uint(value) => visitor.visit_u64(*value),
+            Value::Float(value) => visitor.visit_f64(*value),
+            Value::Str(value) => visitor.visit_str(value),
+            Value::Seq(nodes) => visitor.visit_seq(Elements { nodes, index: 0 }),
+            Value::Map(entries) => visitor.visit_map(Entries { entries, index: 0 }),
+        }
+    }
+
+    fn deserialize_str<V>(self, visitor: V) -> Result<V::Value, TreeError>
+    where
+        V: Visitor<'de>,
+    {
+        // YAML takes a plain scalar for what is asked for.
+        match &self.value {
+            Value::Bool(value) => visitor.visit_string(value.to_string()),
+            Value::Int(value) => visitor.visit_string(value.to_string()),
+            Value::Uint(value) => visitor.visit_string(value.to_string()),
+            Value::Float(value) => visitor.visit_string(value.to_string()),
+            _ => self.deserialize_any(visitor),
+        }
+    }
+
+    fn deserialize_string<V>(self, visitor: V) -> Result<V::Value, TreeError>
+    where
+        V: Visitor<'de>,
+    {
+        self.deserialize_str(visitor)
+    }
+
+    fn deserialize_option<V>(self, visitor: V) -> Result<V::Value, TreeError>
+    where
+        V: Visitor<'de>,
+    {
+        match self.value {
+            Value::Null => visitor.visit_none(),
+            _ => visitor.visit_some(self),
+        }
+    }
+
+    fn deserialize_newtype_struct<V>(
+        self,
+        _: &'static str,
+        visitor: V,
+    ) -> Result<V::Value, TreeError>
+    where
+        V: Visitor<'de>,
+    {
+        visitor.visit_newtype_struct(self)
+    }
+
+    fn deserialize_struct<V>(
+        self,
+        _: &'static str,
+        _: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, TreeError>
+    where
+        V: Visitor<'de>,
+    {
+        match self.value {
+            Value::Map(_) => self.deserialize_any(visitor),
+            _ => Err(de::Error::custom("expected keys with values")),
+        }
+    }
+
+    fn deserialize_enum<V>(
+        self,
+        _: &'static str,
+        _: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, TreeError>
+    where
+        V: Visitor<'de>,
+    {
+        match &self.value {
+            Value::Str(name) => {
+                let name: StrDeserializer<'_, TreeError> = name.as_str().into_deserializer();
+                visitor.visit_enum(name)
+            }
+            Value::Map(entries) if entries.len() == 1 => visitor.visit_enum(&entries[0]),
+            _ => Err(de::Error::custom("expected a name")),
+        }
+    }
+
+    forward_to_deserialize_any! {
+        bool i8 i16 i32 i64 i128 u8 u16 u32 u64 u128 f32 f64 char bytes byte_buf unit unit_struct
+        seq tuple tuple_struct map identifier ignored_any
+    }
+}
+
+struct Elements<'de> {
+    nodes: &'de [Node],
+    index: usize,
+}
+
+impl<'de> SeqAccess<'de> for Elements<'de> {
+    type Error = TreeError;
+
+    fn next_element_seed<T>(&mut self, seed: T) -> Result<Option<T::Value>, TreeError>
+    where
+        T: DeserializeSeed<'de>,
+    {
+        let index = self.index;
+        let Some(node) = self.nodes.get(index) else {
+            return Ok(None);
+        };
+        self.index += 1;
+        seed.deserialize(node)
+            .map(Some)
+            .map_err(|err| err.within(Step::Index(index)))
+    }
+}
+
+struct Entries<'de> {
+    entries: &'de [Entry],
+    index: usize,
+}
+
+impl<'de> MapAccess<'de> for Entries<'de> {
+    type Error = TreeError;
+
+    fn next_key_seed<K>(&mut self, seed: K) -> Result<Option<K::Value>, TreeError>
+    where
+        K: DeserializeSeed<'de>,
+    {
+        let Some(entry) = self.entries.get(self.index) else {
+            return Ok(None);
+        };
+        let key: StrDeserializer<'_, TreeError> = entry.key.as_str().into_deserializer();
+        seed.deserialize(key).map(Some)
+    }
+
+    fn next_value_seed<T>(&mut self, seed: T) -> Result<T::Value, TreeError>
+    where
+        T: DeserializeSeed<'de>,
+    {
+        let entry = &self.entries[self.index];
+        self.index += 1;
+        seed.deserialize(&entry.node)
+            .map_err(|err| err.within(Step::Key(entry.key.clone())))
+    }
+}
+
+/// An enum's variant with a value: `name: value`.
+impl<'de> EnumAccess<'de> for &'de Entry {
+    type Error = TreeError;
+    type Variant = Self;
+
+    fn variant_seed<T>(self, seed: T) -> Result<(T::Value, Self), TreeError>
+    where
+        T: DeserializeSeed<'de>,
+    {
+        let name: StrDeserializer<'_, TreeError> = self.key.as_str().into_deserializer();
+        Ok((seed.deserialize(name)?, self))
+    }
+}
+
+impl<'de> VariantAccess<'de> for &'de Entry {
+    type Error = TreeError;
+
+    fn unit_variant(self) -> Result<(), TreeError> {
+        Err(de::Error::custom(format!("{} takes no value", self.key)))
+    }
+
+    fn newtype_variant_seed<T>(self, seed: T) -> Result<T::Value, TreeError>
+    where
+        T: DeserializeSeed<'de>,
+    {
+        seed.deserialize(&self.node)
+            .map_err(|err| err.within(Step::Key(self.key.clone())))
+    }
+
+    fn tuple_variant<V>(self, _: usize, visitor: V) -> Result<V::Value, TreeError>
+    where
+        V: Visitor<'de>,
+    {
+        self.node
+            .deserialize_any(visitor)
+            .map_err(|err| err.within(Step::Key(self.key.clone())))
+    }
+
+    fn struct_variant<V>(
+        self,
+        _: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, TreeError>
+    where
+        V: Visitor<'de>,
+    {
+        self.tuple_variant(0, visitor)
+    }
+}
