--- a/hemlockhook-entry/src/counters.rs
+++ b/hemlockhook-entry/src/counters.rs
@@ -2,9 +2,10 @@
 
 use hemlockhook_proto::v1::{AgentFrame, EntryFrame};
 use hemlockhook_types::AnswerKind;
+use serde::{Deserialize, Serialize};
 
 /// Counts of jobs and messages since the start of an entry.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counters {
     /// Jobs submitted here, forwarded ones included.
     pub submitted: u64,
--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -3,13 +3,13 @@
 use std::time::{Duration, Instant};
 
 use hemlockhook_inventory::admin::EventKind;
-use hemlockhook_ownership::{FenceReport, RefusedOutcome, StartOrder, StartRecord, StartRefusal};
+use hemlockhook_ownership::{RefusedOutcome, StartOrder};
+use hemlockhook_proto::starts::read_refusal;
 use hemlockhook_proto::v1;
-use hemlockhook_proto::v1::refusal::Reason as RefusalReason;
 use hemlockhook_proto::v1::{AgentFrame, AgentHello, EntryFrame};
 use hemlockhook_runtime::log;
 use hemlockhook_schedule::{Placement, UpstreamSpec};
-use hemlockhook_types::{Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult};
+use hemlockhook_types::{Incarnation, JobKey, TaskEnd, TaskIndex, TaskResult};
 
 use super::Engine;
 use crate::event::{Action, LinkEnd, Response, Waiter};
@@ -188,9 +188,7 @@
             self.on_refusal(now, agent, refusal);
         }
         for withdrawn in frame.withdrawn {
-            let floor = withdrawn.floor.map(Into::into);
-            self.owner
-                .on_withdrawn(now, agent, &withdrawn.key.into(), withdrawn.marked, floor);
+            self.on_withdrawn(now, agent, withdrawn);
         }
         if frame.grants > 0 {
             self.dispatcher.granted(now, agent, frame.grants);
@@ -216,8 +214,7 @@
 
     fn on_report(&mut self, now: Instant, agent: Incarnation, report: v1::FenceReport) {
         let takeover = report.takeover;
-        self.owner
-            .on_report(now, agent, takeover, read_report(report));
+        self.owner.on_report(now, agent, takeover, report.into());
     }
 
     fn on_done(&mut self, now: Instant, agent: Incarnation, done: v1::TaskDone) {
@@ -232,7 +229,7 @@
     }
 
     fn on_refusal(&mut self, now: Instant, agent: Incarnation, refusal: v1::Refusal) {
-        let reason = read_refusal(&refusal);
+        let reason = read_refusal(refusal.reason(), refusal.floor);
         let key = JobKey::from(refusal.key);
         let outcome = self.owner.refused(now, agent, &key, refusal.index, reason);
         let Some((_, job)) = self.placed.remove(&(key.clone(), refusal.index)) else {
@@ -248,6 +245,15 @@
         }
     }
 
+    fn on_withdrawn(&mut self, now: Instant, agent: Incarnation, withdrawn: v1::Withdrawn) {
+        let outcome = match withdrawn.refusal {
+            None => Ok(()),
+            Some(_) => Err(read_refusal(withdrawn.refusal(), withdrawn.floor)),
+        };
+        self.owner
+            .on_withdrawn(now, agent, &withdrawn.key.into(), outcome);
+    }
+
     /// Starts what the dispatcher has placed.
     pub(super) fn place_tasks(&mut self, now: Instant) {
         while let Some(placement) = self.dispatcher.next(now) {
@@ -280,12 +286,12 @@
         let Some(submitted) = self.submissions.get(&key) else {
             return;
         };
-        let task = &submitted.submission.job.tasks[index as usize];
+        let task = &submitted.job().tasks[index as usize];
         let start = v1::Start {
             payload: task.payload.to_vec(),
-            timeout_ms: self.task_limit(&order, submitted.deadline, now),
+            timeout_ms: self.task_limit(&order, submitted.deadline(), now),
             long,
-            ..write_order(&order)
+            ..v1::Start::from(&order)
         };
         self.placed.insert((key, index), (agent, job));
         self.counters.starts += 1;
@@ -379,63 +385,3 @@
         slots: hello.slots,
     }
 }
-
-fn write_order(order: &StartOrder) -> v1::Start {
-    v1::Start {
-        key: order.key.to_string(),
-        index: order.index,
-        job_tasks: order.job_tasks,
-        fingerprint: order.fingerprint,
-        shard: order.shard.into(),
-        ballot: order.ballot.counter,
-        service: order.service.to_string(),
-        idempotent: order.idempotent,
-        ..v1::Start::default()
-    }
-}
-
-fn read_refusal(refusal: &v1::Refusal) -> StartRefusal {
-    match refusal.reason() {
-        RefusalReason::StaleBallot => {
-            StartRefusal::StaleBallot(refusal.floor.unwrap_or_default().into())
-        }
-        RefusalReason::AlreadyStarted => StartRefusal::AlreadyStarted,
-        RefusalReason::NotJoined => StartRefusal::NotJoined,
-        RefusalReason::Full => StartRefusal::Full,
-        RefusalReason::Leaving | RefusalReason::NoGrant | RefusalReason::Unspecified => {
-            StartRefusal::Leaving
-        }
-    }
-}
-
-fn read_report(report: v1::FenceReport) -> FenceReport {
-    let refused = report
-        .refused
-        .into_iter()
-        .map(|refused| {
-            (
-                refused.shard as ShardId,
-                refused.floor.unwrap_or_default().into(),
-            )
-        })
-        .collect();
-    FenceReport {
-        refused,
-        records: report.records.into_iter().map(read_record).collect(),
-        adopted: report.adopted,
-        withdrawn: report.withdrawn.into_iter().map(Into::into).collect(),
-    }
-}
-
-fn read_record(record: v1::StartRecord) -> StartRecord {
-    StartRecord {
-        key: record.key.into(),
-        index: record.index,
-        job_tasks: record.job_tasks,
-        fingerprint: record.fingerprint,
-        shard: record.shard as ShardId,
-        service: record.service.into(),
-        idempotent: record.idempotent,
-        result: record.result.map(Into::into),
-    }
-}
--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -1,6 +1,7 @@
 //! Submissions: from their arrival to their answer.
 
 use std::cmp::Reverse;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hemlockhook_ownership::{Admission, LookUp};
@@ -28,6 +29,23 @@
     entries: Vec<Waiter>,
 }
 
+impl Submitted {
+    /// Returns the job.
+    pub fn job(&self) -> &Arc<Job> {
+        &self.submission.job
+    }
+
+    /// Returns when the job's answer ceases to be of use.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// Returns the time since the job arrived.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.arrived)
+    }
+}
+
 /// Where a submission is dealt with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Place {
@@ -347,7 +365,7 @@
         let grace_over = at >= submitted.deadline + RELAY_GRACE;
         match submitted.place {
             _ if at < submitted.deadline => {}
-            Place::Local(_) => self.owner.expire(now, key),
+            Place::Local(_) => self.pass_deadline(now, key),
             Place::Relayed(_) | Place::Held if !grace_over => {
                 self.deadlines
                     .push(Reverse((submitted.deadline + RELAY_GRACE, key.clone())));
@@ -361,6 +379,27 @@
         }
     }
 
+    /// Ends a job of ours that was not answered in time.
+    fn pass_deadline(&mut self, now: Instant, key: &JobKey) {
+        let (reason, task) = (Reason::Deadline, None);
+        let answer = if self.owner.any_started(key) {
+            let detail = "the job had not ended when its deadline passed".to_owned();
+            Answer::Failed {
+                reason,
+                task,
+                detail,
+            }
+        } else {
+            let detail = "no task of the job was started before its deadline".to_owned();
+            Answer::NotRun {
+                reason,
+                detail,
+                retry_after: None,
+            }
+        };
+        self.owner.settle(now, key, answer);
+    }
+
     pub(super) fn on_ask(
         &mut self,
         now: Instant,
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -193,6 +193,11 @@
         !self.draining && self.inventory.is_some() && !self.stamps.is_empty()
     }
 
+    /// Returns the stamps known here.
+    pub fn stamps(&self) -> Arc<StampTable> {
+        self.stamps.clone()
+    }
+
     /// Returns what has been counted since the start.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/hemlockhook-entry/src/engine/peers.rs
+++ b/hemlockhook-entry/src/engine/peers.rs
@@ -31,7 +31,7 @@
         addresses.dedup();
         for address in addresses {
             if address != self.me.address {
-                let status = Box::new(self.peer_status(now, 0));
+                let status = Box::new(self.peer_status(0));
                 self.actions.push(Action::Heartbeat { address, status });
             }
         }
@@ -65,7 +65,7 @@
                 .set_peer_usage(status.incarnation, &name, running, queued);
         }
         if let Some(waiter) = waiter {
-            let mut ours = self.peer_status(now, status.config_version);
+            let mut ours = self.peer_status(status.config_version);
             if status.want_members {
                 ours.members = self.members.records().iter().map(write_member).collect();
             }
@@ -89,9 +89,9 @@
     }
 
     /// Returns our state; the configuration goes along to those whose version is lower.
-    fn peer_status(&self, now: Instant, their_version: u64) -> PeerStatus {
+    fn peer_status(&self, their_version: u64) -> PeerStatus {
         let version = self.config.version();
-        let owned = self.owner.owned(now).into_iter();
+        let owned = self.owner.owned().into_iter();
         let teams = self.dispatcher.snapshot().teams.into_iter();
         PeerStatus {
             incarnation: self.me.incarnation,
--- a/hemlockhook-entry/src/engine/report.rs
+++ b/hemlockhook-entry/src/engine/report.rs
@@ -32,7 +32,7 @@
             _ if submitted.is_none() => return None,
             _ => None,
         };
-        let service = submitted.map_or_else(String::new, |s| s.service().to_string());
+        let service = submitted.map_or_else(String::new, |s| s.job().service.to_string());
         Some(JobStatus {
             key: key.to_string(),
             entry: self.me.name.clone(),
@@ -42,7 +42,7 @@
             reason: answer.as_ref().and_then(Answer::reason),
             detail: None,
             age_ms: submitted.map(|s| s.age(now).as_millis() as u64),
-            deadline_in_ms: submitted.map(|s| s.deadline_in_ms(now)),
+            deadline_in_ms: submitted.map(|s| millis_until(now, s.deadline())),
             tasks: Vec::new(),
         })
     }
@@ -105,7 +105,7 @@
 
     fn shard_statuses(&self, now: Instant) -> Vec<ShardStatus> {
         self.owner
-            .owned(now)
+            .owned()
             .into_iter()
             .map(|(shard, ballot)| ShardStatus {
                 shard,
@@ -192,3 +192,9 @@
     });
     by_service.chain(by_team).collect()
 }
+
+/// Returns the milliseconds until a time, negative once it has passed.
+fn millis_until(now: Instant, at: Instant) -> i64 {
+    let ahead = at.saturating_duration_since(now).as_millis() as i64;
+    ahead - now.saturating_duration_since(at).as_millis() as i64
+}
--- a/hemlockhook-entry/src/engine/takeover.rs
+++ b/hemlockhook-entry/src/engine/takeover.rs
@@ -73,7 +73,7 @@
             .1
             .iter()
             .copied()
-            .filter(|shard| !self.owner.holds(*shard))
+            .filter(|shard| !self.owner.is_held(*shard))
             .filter(|shard| match self.members.claimant(now, *shard) {
                 None => settled >= FREE_SETTLE,
                 Some((ballot, _)) => may_move || self.is_draining(now, ballot.owner),
@@ -159,18 +159,14 @@
             }
             OwnerAction::Withdraw {
                 agent,
-                key,
-                shard,
                 ballot,
-                reason,
+                withdrawal,
             } => {
-                let withdraw = v1::Withdraw {
-                    key: key.to_string(),
-                    shard: shard.into(),
+                let job = Some(withdrawal.into());
+                self.frame(agent).withdraws.push(v1::Withdraw {
+                    job,
                     ballot: ballot.counter,
-                    reason: reason.to_string(),
-                };
-                self.frame(agent).withdraws.push(withdraw);
+                });
             }
         }
     }
@@ -192,7 +188,7 @@
         for (shard, ballot) in self.members.claims(now) {
             table.insert(shard, ballot);
         }
-        for (shard, stamp) in self.owner.owned(now) {
+        for (shard, stamp) in self.owner.owned() {
             let newer = |known: Ballot| known > stamp;
             if !table.get(shard).is_some_and(newer) {
                 table.insert(shard, stamp);
--- a/hemlockhook-entry/src/settings.rs
+++ b/hemlockhook-entry/src/settings.rs
@@ -5,6 +5,7 @@
 
 use garde::Validate;
 use serde::Deserialize;
+use strum::IntoStaticStr;
 
 /// Settings of one entry, read from its YAML file.
 #[derive(Clone, Debug, Deserialize, Validate)]
@@ -45,9 +46,9 @@
     pub traffic_threads: usize,
 
     /// Lowest level of the log lines that are written.
-    #[garde(pattern(r"^(trace|debug|info|warn|error)$"))]
-    #[serde(default = "default_log_level")]
-    pub log_level: String,
+    #[garde(skip)]
+    #[serde(default)]
+    pub log_level: LogLevel,
 
     /// Bounds on what callers may send.
     #[garde(dive)]
@@ -65,6 +66,24 @@
     pub timing: Timing,
 }
 
+/// Levels of log lines, from the most to the least talkative.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, IntoStaticStr)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum LogLevel {
+    /// Every detail.
+    Trace,
+    /// What helps to find a fault.
+    Debug,
+    /// What an operator may want to know.
+    #[default]
+    Info,
+    /// What an operator should look at.
+    Warn,
+    /// What went wrong.
+    Error,
+}
+
 /// Bounds on what callers may send.
 #[derive(Clone, Debug, Deserialize, Validate)]
 #[serde(deny_unknown_fields, default)]
@@ -196,7 +215,3 @@
 fn default_traffic_threads() -> usize {
     3
 }
-
-fn default_log_level() -> String {
-    "info".to_owned()
-}
--- a/hemlockhook-ownership/src/owner.rs
+++ b/hemlockhook-ownership/src/owner.rs
@@ -251,6 +251,17 @@
             .is_some_and(|takeover| self.accounts_for(now, takeover, None))
     }
 
+    /// Returns whether a shard is held, being taken or about to be.
+    pub fn is_held(&self, shard: ShardId) -> bool {
+        let role = self.shards.get(&shard).map(|state| state.role);
+        !matches!(role, None | Some(Role::None))
+    }
+
+    /// Returns whether a task of a job has been started, as far as is known here.
+    pub fn any_started(&self, key: &JobKey) -> bool {
+        self.jobs.get(key).is_some_and(JobState::any_started)
+    }
+
     /// Returns the number of jobs held.
     pub fn jobs(&self) -> usize {
         self.jobs.len()
--- a/hemlockhook-proto/src/lib.rs
+++ b/hemlockhook-proto/src/lib.rs
@@ -4,6 +4,7 @@
 //! a build needs no generator.
 
 pub mod convert;
+pub mod starts;
 
 /// Version 1 of the messages.
 #[allow(missing_docs, clippy::all)]
