--- a/hemlockhook-entry/src/api.rs
+++ b/hemlockhook-entry/src/api.rs
@@ -29,6 +29,27 @@
 /// Longest time that a request is held.
 const HOLD_MAX: Duration = Duration::from_secs(3_600);
 
+/// Why a request is not taken.
+struct Refusal {
+    status: StatusCode,
+    kind: &'static str,
+    detail: String,
+}
+
+impl Refusal {
+    fn new(status: StatusCode, kind: &'static str, detail: &str) -> Self {
+        Self {
+            status,
+            kind,
+            detail: detail.to_owned(),
+        }
+    }
+
+    fn into_response(self) -> HttpResponse {
+        problem(self.status, self.kind, &self.detail)
+    }
+}
+
 /// The callers' interface.
 #[derive(Clone)]
 pub struct Api {
@@ -50,7 +71,10 @@
         let path = req.uri().path().to_owned();
         let parts: Vec<_> = path.split('/').skip(1).collect();
         match (req.method().clone(), parts.as_slice()) {
-            (Method::POST, ["v1", "jobs"]) => self.submit(req).await.unwrap_or_else(|err| err),
+            (Method::POST, ["v1", "jobs"]) => self
+                .submit(req)
+                .await
+                .unwrap_or_else(Refusal::into_response),
             (Method::GET, ["v1", "jobs", team, key]) => self.look(&req, team, key).await,
             (Method::DELETE, ["v1", "jobs", team, key]) => {
                 self.ask(team, key, Question::Cancel, HOLD_MAX).await
@@ -68,11 +92,11 @@
         }
     }
 
-    async fn submit(&self, req: Request<Incoming>) -> Result<HttpResponse, HttpResponse> {
+    async fn submit(&self, req: Request<Incoming>) -> Result<HttpResponse, Refusal> {
         let headers = req.headers();
         let key = single_header(headers, IDEMPOTENCY_KEY)?.ok_or_else(|| {
             let detail = "a job needs the header idempotency-key";
-            problem(StatusCode::BAD_REQUEST, "idempotency-key-missing", detail)
+            Refusal::new(StatusCode::BAD_REQUEST, "idempotency-key-missing", detail)
         })?;
         let hold = preferred_wait(headers)?;
         let table = stamp_table(headers)?;
@@ -80,9 +104,9 @@
         let timeout = Duration::from_millis(self.limits.body_ms);
         let body = read_body(req.into_body(), self.limits.body_bytes, timeout)
             .await
-            .map_err(|err| problem(err.status(), "body", &err.to_string()))?;
+            .map_err(|err| Refusal::new(err.status(), "body", &err.to_string()))?;
         let job = parse_job(&key, &body, &self.limits).map_err(|err| {
-            problem(
+            Refusal::new(
                 StatusCode::UNPROCESSABLE_ENTITY,
                 "invalid-job",
                 &err.to_string(),
@@ -109,7 +133,7 @@
         match preferred_wait(req.headers()) {
             Ok(HOLD_MAX) => self.ask(team, key, Question::Look, HOLD_MAX).await,
             Ok(hold) => self.ask(team, key, Question::Wait, hold).await,
-            Err(response) => response,
+            Err(refusal) => refusal.into_response(),
         }
     }
 
@@ -183,8 +207,8 @@
 }
 
 /// Returns a header that may be given once at most.
-fn single_header(headers: &HeaderMap, name: &str) -> Result<Option<String>, HttpResponse> {
-    let refuse = |detail: String| problem(StatusCode::BAD_REQUEST, "invalid-header", &detail);
+fn single_header(headers: &HeaderMap, name: &str) -> Result<Option<String>, Refusal> {
+    let refuse = |detail: String| Refusal::new(StatusCode::BAD_REQUEST, "invalid-header", &detail);
     let mut values = headers.get_all(name).iter();
     match (values.next(), values.next()) {
         (None, _) => Ok(None),
@@ -196,16 +220,16 @@
     }
 }
 
-fn stamp_table(headers: &HeaderMap) -> Result<Option<StampTable>, HttpResponse> {
+fn stamp_table(headers: &HeaderMap) -> Result<Option<StampTable>, Refusal> {
     let text = single_header(headers, STAMP)?;
     text.map(|text| text.parse()).transpose().map_err(|_| {
         let detail = "the header hemlockhook-stamp is not one that this service gave out";
-        problem(StatusCode::BAD_REQUEST, "invalid-stamp", detail)
+        Refusal::new(StatusCode::BAD_REQUEST, "invalid-stamp", detail)
     })
 }
 
 /// Returns the time that a caller wants to wait, from `Prefer: wait=SECONDS` of RFC 7240.
-fn preferred_wait(headers: &HeaderMap) -> Result<Duration, HttpResponse> {
+fn preferred_wait(headers: &HeaderMap) -> Result<Duration, Refusal> {
     let Some(text) = single_header(headers, PREFER)? else {
         return Ok(HOLD_MAX);
     };
@@ -217,7 +241,11 @@
                 Ok(seconds) => hold = Duration::from_secs(seconds).min(HOLD_MAX),
                 Err(_) => {
                     let detail = "Prefer: wait takes a number of seconds";
-                    return Err(problem(StatusCode::BAD_REQUEST, "invalid-header", detail));
+                    return Err(Refusal::new(
+                        StatusCode::BAD_REQUEST,
+                        "invalid-header",
+                        detail,
+                    ));
                 }
             },
             _ if preference == "respond-async" => hold = Duration::ZERO,
--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -8,7 +8,7 @@
 use hemlockhook_proto::convert::Reply;
 use hemlockhook_runtime::log;
 use hemlockhook_schedule::{JobId, JobSpec, Rejection, TaskSpec};
-use hemlockhook_types::{Answer, Job, JobKey, Reason, TaskIndex, shard_of};
+use hemlockhook_types::{Answer, Incarnation, Job, JobKey, Reason, TaskIndex, shard_of};
 
 use super::Engine;
 use crate::event::{Action, CallId, Origin, Question, Response, Submission, Waiter};
@@ -54,7 +54,7 @@
     /// Here; scheduled unless all its tasks have been started.
     Local(Option<JobId>),
     /// At the shard's owner.
-    Relayed(CallId),
+    Relayed(CallId, Incarnation),
 }
 
 impl Engine {
@@ -223,14 +223,14 @@
             self.submissions.remove(key);
             return;
         }
-        let Some((_, address)) = self.members.claimant(now, shard) else {
+        let Some((ballot, address)) = self.members.claimant(now, shard) else {
             self.hold(key);
             return;
         };
 
         self.next_call += 1;
         let call = self.next_call;
-        submitted.place = Place::Relayed(call);
+        submitted.place = Place::Relayed(call, ballot.owner);
         self.held.remove(key);
         self.counters.forwarded += 1;
         let submission = submitted.submission.clone();
@@ -254,20 +254,20 @@
         match reply {
             // A call that was given up may not refuse the job: its entry may have lost the shard.
             Some(Reply::Answer(answer @ Answer::Complete(_))) => self.answer(now, &key, answer),
-            _ if place != Some(Place::Relayed(call)) => {}
+            _ if !is_current(place, call) => {}
             Some(Reply::Answer(answer)) => self.answer(now, &key, answer),
             Some(Reply::KeyReused) => self.finish(now, &key, Reply::KeyReused),
             Some(Reply::NotOwner | Reply::Pending | Reply::NotFound) | None => self.hold(&key),
         }
     }
 
-    /// Gives up the calls to entries that are not heard any more.
-    pub(super) fn abandon_calls(&mut self) {
-        let relayed = |submitted: &Submitted| matches!(submitted.place, Place::Relayed(_));
+    /// Gives up the calls to an entry that is not heard any more.
+    pub(super) fn abandon_calls(&mut self, peer: Incarnation) {
+        let is_there = |place| matches!(place, Place::Relayed(_, to) if to == peer);
         let keys: Vec<_> = self
             .submissions
             .iter()
-            .filter(|(_, submitted)| relayed(submitted))
+            .filter(|(_, submitted)| is_there(submitted.place))
             .map(|(key, _)| key.clone())
             .collect();
         keys.iter().for_each(|key| self.hold(key));
@@ -366,11 +366,11 @@
         match submitted.place {
             _ if at < submitted.deadline => {}
             Place::Local(_) => self.pass_deadline(now, key),
-            Place::Relayed(_) | Place::Held if !grace_over => {
+            Place::Relayed(..) | Place::Held if !grace_over => {
                 self.deadlines
                     .push(Reverse((submitted.deadline + RELAY_GRACE, key.clone())));
             }
-            Place::Relayed(_) | Place::Held => {
+            Place::Relayed(..) | Place::Held => {
                 log::job(key).warn("no owner of the shard answered before the deadline");
                 let detail = "no owner of the key's shard answered in time".to_owned();
                 let reason = Reason::OwnerUnreachable;
@@ -453,3 +453,8 @@
         }
     }
 }
+
+/// Returns whether a forwarded submission is still waited for under this call.
+fn is_current(place: Option<Place>, call: CallId) -> bool {
+    matches!(place, Some(Place::Relayed(current, _)) if current == call)
+}
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -73,6 +73,8 @@
     log_up: bool,
     log_heard: Option<Instant>,
     last_heartbeat: Option<Instant>,
+    /// The entries that were alive at the last tick.
+    alive: Vec<(Incarnation, String)>,
     /// Since when the preferred owners have been the same, and which shards are preferred here.
     preference: (Instant, Vec<ShardId>),
     draining: bool,
@@ -111,6 +113,7 @@
             log_up: false,
             log_heard: None,
             last_heartbeat: None,
+            alive: Vec::new(),
             preference: (now, Vec::new()),
             draining: false,
             stamps: Arc::default(),
@@ -208,6 +211,7 @@
         self.expire_jobs(now);
         self.watch_links(now);
         self.heartbeat(now);
+        self.watch_peers(now);
         self.balance_shards(now);
         self.retry_held(now);
         self.refresh_stamps(now);
@@ -218,9 +222,4 @@
         self.last_heartbeat = None;
         self.heartbeat(now);
     }
-
-    fn call_id(&mut self) -> u64 {
-        self.next_call += 1;
-        self.next_call
-    }
 }
--- a/hemlockhook-entry/src/engine/peers.rs
+++ b/hemlockhook-entry/src/engine/peers.rs
@@ -38,14 +38,6 @@
     }
 
     pub(super) fn on_peer(&mut self, now: Instant, status: PeerStatus, waiter: Option<Waiter>) {
-        let known: Vec<_> = self
-            .members
-            .alive(now)
-            .map(|(incarnation, _)| incarnation)
-            .collect();
-        if !known.contains(&status.incarnation) && status.incarnation != self.me.incarnation {
-            self.note(EventKind::PeerUp, &status.name, "the entry answers");
-        }
         self.members.on_status(now, &status);
         self.take_members(now, &status);
         if let Some(config) = &status.config {
@@ -76,6 +68,27 @@
         }
     }
 
+    /// Notices which entries came up and which fell silent.
+    pub(super) fn watch_peers(&mut self, now: Instant) {
+        let mut alive: Vec<_> = self
+            .members
+            .alive(now)
+            .map(|(incarnation, peer)| (incarnation, peer.name.clone()))
+            .collect();
+        alive.sort();
+        if alive == self.alive {
+            return;
+        }
+        let before = std::mem::replace(&mut self.alive, alive.clone());
+        for (_, name) in alive.iter().filter(|peer| !before.contains(peer)) {
+            self.note(EventKind::PeerUp, name, "the entry answers");
+        }
+        for (peer, name) in before.iter().filter(|peer| !alive.contains(peer)) {
+            self.note(EventKind::PeerDown, name, "the entry does not answer");
+            self.abandon_calls(*peer);
+        }
+    }
+
     /// Learns of members from a peer while the log cannot be read.
     fn take_members(&mut self, now: Instant, status: &PeerStatus) {
         if self.members_read {
