--- /dev/null
+++ b/hemlockhook-agent/src/engine/links.rs
@@ -0,0 +1,256 @@
+//! Links with entries: greeting, configuration, demand and grants.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use hemlockhook_proto::v1;
+use hemlockhook_schedule::{Demand, SlotAction};
+use hemlockhook_types::{Incarnation, SHARD_COUNT};
+
+use super::{Action, Engine, LinkId};
+
+/// Bytes of results after which a further frame is begun.
+const FRAME_BYTES: usize = 512 * 1024;
+
+/// A link whose entry has introduced itself.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub(super) entry: Incarnation,
+    /// Frames not yet sent, in order.
+    out: Vec<v1::AgentFrame>,
+    /// Bytes of results in the last of them.
+    out_bytes: usize,
+    /// Highest configuration version that the entry is known to have.
+    entry_version: u64,
+}
+
+impl Link {
+    fn new(entry: Incarnation) -> Self {
+        Self {
+            entry,
+            out: Vec::new(),
+            out_bytes: 0,
+            entry_version: 0,
+        }
+    }
+
+    /// Returns the frame to add to. Nothing is added to a frame after a fence report, so that an
+    /// entry sees results in the order of the reports whatever order it reads a frame in.
+    fn frame(&mut self) -> &mut v1::AgentFrame {
+        let is_open = |frame: &v1::AgentFrame| frame.reports.is_empty();
+        if !self.out.last().is_some_and(is_open) || self.out_bytes >= FRAME_BYTES {
+            self.out.push(v1::AgentFrame::default());
+            self.out_bytes = 0;
+        }
+        self.out.last_mut().expect("a frame was just added")
+    }
+
+    pub(super) fn done(&mut self, done: v1::TaskDone) {
+        let bytes = done.result.as_ref().map_or(0, |result| result.body.len());
+        self.frame().done.push(done);
+        self.out_bytes += bytes;
+    }
+
+    pub(super) fn refuse(&mut self, refusal: v1::Refusal) {
+        self.frame().refusals.push(refusal);
+    }
+
+    pub(super) fn report(&mut self, report: v1::FenceReport) {
+        self.frame().reports.push(report);
+    }
+
+    pub(super) fn recall(&mut self, count: u32) {
+        self.frame().recalled_grants += count;
+    }
+
+    pub(super) fn tell_leaving(&mut self, leaving: bool) {
+        let frame = self.frame();
+        frame.leaving = leaving;
+        frame.leaving_changed = true;
+    }
+}
+
+impl Engine {
+    pub(super) fn on_frame(&mut self, now: Instant, id: LinkId, mut frame: v1::EntryFrame) {
+        if let Some(hello) = frame.hello.take() {
+            self.on_hello(now, id, &hello);
+        }
+        let Some(entry) = self.links.get(&id).map(|link| link.entry) else {
+            // The link was replaced, or never introduced itself.
+            self.actions.push(Action::Close { link: id });
+            return;
+        };
+        if !is_well_formed(&frame) {
+            self.counters.bad_frames += 1;
+            self.drop_link(now, id);
+            self.actions.push(Action::Close { link: id });
+            return;
+        }
+
+        self.counters.frames_received += 1;
+        self.on_config(now, id, frame.config_version, frame.config);
+        if let Some(drain) = frame.drain {
+            self.on_drain(now, drain.leaving);
+        }
+        // Starts come first: a fence report then counts them whatever their order on the wire was.
+        for start in frame.starts {
+            self.on_start(now, id, entry, start);
+        }
+        for cancel in frame.cancels {
+            self.on_cancel(now, entry, &cancel);
+        }
+        for fence in frame.fences {
+            self.on_fence(now, id, &fence);
+        }
+        if let Some(demand) = frame.demand {
+            let demand = Demand {
+                queued: demand.queued,
+                head_urgency: demand.head_urgency,
+                queued_long: demand.queued_long,
+            };
+            self.slots.demand(now, entry, demand);
+        }
+        if frame.returned_grants > 0 {
+            self.slots.returned(now, entry, frame.returned_grants);
+        }
+    }
+
+    fn on_hello(&mut self, now: Instant, id: LinkId, hello: &v1::EntryHello) {
+        if self.links.contains_key(&id) || hello.incarnation == 0 {
+            return;
+        }
+        if let Some(older) = self.by_entry.get(&hello.incarnation).copied() {
+            self.drop_link(now, older);
+            self.actions.push(Action::Close { link: older });
+        }
+        self.links.insert(id, Link::new(hello.incarnation));
+        self.by_entry.insert(hello.incarnation, id);
+        self.slots.entry_up(now, hello.incarnation);
+        self.say_hello(id);
+    }
+
+    /// Tells an entry what this agent is; repeated when it changes.
+    fn say_hello(&mut self, id: LinkId) {
+        let hello = self.hello();
+        if let Some(link) = self.links.get_mut(&id) {
+            link.frame().hello = Some(hello);
+        }
+    }
+
+    pub(super) fn say_hello_to_all(&mut self) {
+        let hello = self.hello();
+        for link in self.links.values_mut() {
+            link.frame().hello = Some(hello.clone());
+        }
+    }
+
+    pub(super) fn on_link_down(&mut self, now: Instant, id: LinkId) {
+        self.drop_link(now, id);
+    }
+
+    fn drop_link(&mut self, now: Instant, id: LinkId) {
+        let Some(link) = self.links.remove(&id) else {
+            return;
+        };
+        if self.by_entry.get(&link.entry) == Some(&id) {
+            self.by_entry.remove(&link.entry);
+            self.slots.entry_down(now, link.entry);
+        }
+    }
+
+    pub(super) fn link_of(&mut self, entry: Incarnation) -> Option<&mut Link> {
+        let id = self.by_entry.get(&entry)?;
+        self.links.get_mut(id)
+    }
+
+    fn on_config(&mut self, now: Instant, id: LinkId, version: u64, config: Option<v1::Config>) {
+        let told = config.as_ref().map_or(version, |config| config.version);
+        if let Some(link) = self.links.get_mut(&id) {
+            link.entry_version = link.entry_version.max(told).max(version);
+        }
+        let adopted = match config {
+            Some(config) if !config.document.is_empty() => {
+                self.config.adopt(config.version, &config.document)
+            }
+            _ => false,
+        };
+        if adopted {
+            self.apply_config(now);
+        } else if told > self.config_version() {
+            // An empty frame tells the entry that the agent lacks that version.
+            if let Some(link) = self.links.get_mut(&id) {
+                link.frame();
+            }
+        }
+        self.send_config(id);
+    }
+
+    /// Sends the configuration in force to an entry that has an older one.
+    fn send_config(&mut self, id: LinkId) {
+        let version = self.config_version();
+        let document = self.config.document();
+        match self.links.get_mut(&id) {
+            Some(link) if link.entry_version < version => {
+                link.entry_version = version;
+                link.frame().config = Some(v1::Config {
+                    version,
+                    document: document.to_owned(),
+                });
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn flush_grants(&mut self, now: Instant) {
+        for action in self.slots.actions(now) {
+            match action {
+                SlotAction::Grant { entry, count } => {
+                    if let Some(link) = self.link_of(entry) {
+                        link.frame().grants += count;
+                    }
+                }
+                SlotAction::Recall { entry, count } => {
+                    if let Some(link) = self.link_of(entry) {
+                        link.recall(count);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn flush_links(&mut self) {
+        let config_version = self.config_version();
+        for (id, link) in &mut self.links {
+            for mut frame in link.out.drain(..) {
+                frame.config_version = config_version;
+                self.counters.frames_sent += 1;
+                self.actions.push(Action::Send { link: *id, frame });
+            }
+        }
+    }
+
+    pub(super) fn granted(&self) -> u32 {
+        let entries = self.by_entry.keys();
+        entries.map(|entry| self.slots.held(*entry)).sum()
+    }
+
+    /// Counts the shards whose floor each entry holds.
+    pub(super) fn floors(&self) -> BTreeMap<String, u16> {
+        let mut floors = BTreeMap::new();
+        for shard in 0..SHARD_COUNT {
+            let owner = self.gate.floor(shard).owner;
+            *floors.entry(format!("{owner:x}")).or_default() += 1;
+        }
+        floors
+    }
+}
+
+/// Checks what a correct entry never gets wrong.
+fn is_well_formed(frame: &v1::EntryFrame) -> bool {
+    let is_shard = |shard: u32| shard < u32::from(SHARD_COUNT);
+    let starts = frame.starts.iter().all(super::frames::is_well_formed_start);
+    let fences = frame.fences.iter().all(|fence| {
+        fence.ballot.is_some() && fence.shards.iter().all(|shard| is_shard(*shard))
+    });
+    starts && fences
+}
