--- a/hemlockhook-agent/src/engine/log.rs
+++ b/hemlockhook-agent/src/engine/log.rs
@@ -283,16 +283,24 @@
 
     pub(super) fn hello(&self) -> v1::AgentHello {
         let services = self.services_in_force();
+        let (worker, rack) = self.own_worker().unwrap_or_default();
         v1::AgentHello {
             incarnation: self.cfg.incarnation,
             name: self.cfg.name.to_string(),
             services: services.iter().map(|name| name.to_string()).collect(),
-            worker: String::new(),
-            rack: String::new(),
+            worker,
+            rack,
             data_center: self.cfg.data_center.to_string(),
             slots: self.slots_in_force(),
             leaving: self.leaving.is_leaving(),
             config_version: self.config_version(),
         }
     }
+
+    /// Returns the worker that the inventory puts this upstream on, and its rack.
+    fn own_worker(&self) -> Option<(String, String)> {
+        let (_, inventory) = self.config.current()?;
+        let worker = inventory.worker(&inventory.upstream(&self.cfg.name)?.worker)?;
+        Some((worker.name.to_string(), worker.rack.to_string()))
+    }
 }
--- /dev/null
+++ b/hemlockhook-agent/src/settings.rs
@@ -0,0 +1,132 @@
+//! The agent's settings.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use garde::Validate;
+use hemlockhook_ownership::GateConfig;
+use hemlockhook_types::Incarnation;
+use serde::Deserialize;
+
+use crate::engine::EngineConfig;
+
+/// Settings of one agent, in YAML.
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the upstream instance in the inventory.
+    #[garde(length(min = 1, max = 200))]
+    pub name: String,
+    /// The data center that the agent runs in.
+    #[garde(length(min = 1, max = 200))]
+    pub data_center: String,
+    /// Address on which entries are served.
+    #[garde(skip)]
+    pub link_address: SocketAddr,
+    /// Address that is announced to entries, where it differs from `link_address`.
+    #[garde(skip)]
+    #[serde(default)]
+    pub announced_address: Option<SocketAddr>,
+    /// Address of the admin port: health, readiness, metrics and status.
+    #[garde(skip)]
+    pub admin_address: SocketAddr,
+    /// Address of the upstream.
+    #[garde(skip)]
+    pub upstream_address: SocketAddr,
+    /// Address of the platform's log.
+    #[garde(skip)]
+    pub log_address: SocketAddr,
+    /// Lowest level that is logged: trace, debug, info, warn, error, critical or off.
+    #[garde(length(min = 1))]
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+    /// Bounds and times.
+    #[garde(dive)]
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// Bounds and times of an agent.
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Threads for traffic, beside the control thread.
+    #[garde(range(min = 1, max = 64))]
+    pub traffic_threads: usize,
+    /// Most connections to the upstream.
+    #[garde(range(min = 1, max = 65_535))]
+    pub upstream_connections: usize,
+    /// Longest answer taken from the upstream, in bytes.
+    #[garde(range(min = 1, max = 67_108_864))]
+    pub max_answer_bytes: usize,
+    /// Time for the upstream to answer where the entry sets none, in seconds.
+    #[garde(range(min = 1, max = 86_400))]
+    pub task_timeout_s: u64,
+    /// Time for which start markers are kept after a task's end, in seconds. All processes of a
+    /// deployment have the same.
+    #[garde(range(min = 10, max = 86_400))]
+    pub window_s: u64,
+    /// Most start markers kept. At this bound new starts are refused.
+    #[garde(range(min = 1, max = 10_000_000))]
+    pub max_starts: usize,
+    /// Most bytes of results kept. At this bound the oldest results are dropped first.
+    #[garde(range(min = 0, max = 1_073_741_824))]
+    pub max_result_bytes: usize,
+    /// Time for running tasks to end on a graceful stop, in seconds.
+    #[garde(range(min = 0, max = 86_400))]
+    pub drain_timeout_s: u64,
+    /// Time between two announcements in the log, in seconds. Well below the log's retention.
+    #[garde(range(min = 1, max = 3_600))]
+    pub announce_period_s: u64,
+    /// Time between two reads of the log, in milliseconds.
+    #[garde(range(min = 50, max = 60_000))]
+    pub log_read_period_ms: u64,
+    /// Time after which a request to the log is given up, in milliseconds.
+    #[garde(range(min = 10, max = 60_000))]
+    pub log_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            traffic_threads: 1,
+            upstream_connections: 64,
+            max_answer_bytes: 1024 * 1024,
+            task_timeout_s: 3600,
+            window_s: 600,
+            max_starts: 100_000,
+            max_result_bytes: 8 * 1024 * 1024,
+            drain_timeout_s: 60,
+            announce_period_s: 120,
+            log_read_period_ms: 5_000,
+            log_timeout_ms: 2_000,
+        }
+    }
+}
+
+impl Settings {
+    /// Returns the engine's part of the settings.
+    pub fn engine(&self, incarnation: Incarnation, address: SocketAddr) -> EngineConfig {
+        let limits = &self.limits;
+        EngineConfig {
+            incarnation,
+            name: Arc::from(self.name.as_str()),
+            data_center: Arc::from(self.data_center.as_str()),
+            address: self.announced_address.unwrap_or(address).to_string(),
+            gate: GateConfig {
+                window: Duration::from_secs(limits.window_s),
+                max_starts: limits.max_starts,
+                max_result_bytes: limits.max_result_bytes,
+                ..GateConfig::default()
+            },
+            drain_timeout: Duration::from_secs(limits.drain_timeout_s),
+            announce_period: Duration::from_secs(limits.announce_period_s),
+            read_period: Duration::from_millis(limits.log_read_period_ms),
+        }
+    }
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
