--- a/hemlockhook-agent/src/engine/tasks.rs
+++ b/hemlockhook-agent/src/engine/tasks.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// Returns a running task's job and index.
+    pub fn task(&self, task: TaskId) -> Option<(&JobKey, TaskIndex)> {
+        let running = self.tasks.get(task)?;
+        Some((&running.key, running.index))
+    }
+
     fn serves(&self, order: &StartOrder) -> bool {
         self.services_in_force().contains(&order.service)
     }
--- a/hemlockhook-agent/src/upstream.rs
+++ b/hemlockhook-agent/src/upstream.rs
@@ -104,15 +104,13 @@
         let attempt = self.attempt_id();
         let timeout = call.timeout.unwrap_or(self.limits.timeout);
         let req = request(call, &attempt)?;
+        let is_ours = |res: &Response<Bytes>| res.headers().get(ATTEMPT_HEADER) == Some(&attempt);
         let res = self
             .client
-            .send_checked(req, self.limits.max_answer, timeout, |head| {
-                head.headers.get(ATTEMPT_HEADER) == Some(&attempt)
-            })
+            .send_checked(req, self.limits.max_answer, timeout, is_ours)
             .await?;
-        let is_ours = res.headers().get(ATTEMPT_HEADER) == Some(&attempt);
         match res.status() {
-            _ if !is_ours => Err(CallError::WrongTask),
+            _ if !is_ours(&res) => Err(CallError::WrongTask),
             status if status.is_success() => Ok(res.into_body()),
             status => Err(CallError::Status {
                 status: status.as_u16(),
--- /dev/null
+++ b/hemlockhook-agent/tests/joining.rs
@@ -0,0 +1,197 @@
+//! Announcing, joining and the configuration.
+
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hemlockhook_agent::{Action, Event, Stream};
+use hemlockhook_ownership::Record;
+use hemlockhook_proto::v1;
+use hemlockhook_proto::v1::refusal::Reason;
+use hemlockhook_types::shard_of;
+use support::*;
+
+#[gtest]
+fn announces_nothing_until_the_inventory_names_it() {
+    let mut agent = Agent::new();
+    agent.read(Stream::Config, 1, vec![]);
+    agent.advance(Duration::from_secs(10));
+    expect_that!(agent.take_appends(), is_empty());
+
+    agent.read(Stream::Config, 1, vec![config(0, &inventory(2, SERVICE))]);
+    expect_that!(
+        agent.take_appends(),
+        elements_are![matches_pattern!(Record::Agent {
+            incarnation: eq(&AGENT),
+            name: eq("desk-1"),
+            ..
+        })]
+    );
+}
+
+#[gtest]
+fn gives_no_grants_before_it_has_read_the_log_past_its_announcement() {
+    let mut agent = Agent::new();
+    agent.link(1, 5);
+    // The end of the log as it was before the announcement does not count.
+    agent.read(Stream::Membership, 1, vec![]);
+    agent.read(Stream::Config, 1, vec![config(0, &inventory(2, SERVICE))]);
+    expect_false!(agent.engine.status().joined);
+
+    agent.handle(Event::Appended);
+    expect_that!(
+        agent.actions,
+        contains(eq(&Action::Read {
+            stream: Stream::Membership,
+            from: 0
+        }))
+    );
+    expect_that!(agent.engine.status().grants, eq(0));
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    expect_that!(agent.refusals(1), elements_are![eq(&Reason::NotJoined)]);
+
+    agent.read(Stream::Membership, 1, vec![]);
+    expect_true!(agent.engine.status().joined);
+    expect_that!(agent.engine.status().grants, eq(2));
+}
+
+#[gtest]
+fn a_read_begun_before_the_announcement_does_not_join() {
+    let mut agent = Agent::new();
+    agent.read(Stream::Config, 1, vec![config(0, &inventory(2, SERVICE))]);
+    // The first read of the membership is still under way when the announcement is in.
+    agent.handle(Event::Appended);
+    agent.read(Stream::Membership, 1, vec![]);
+    expect_false!(agent.engine.status().joined);
+}
+
+#[gtest]
+fn reads_a_long_log_to_its_end_before_it_joins() {
+    let mut agent = Agent::new();
+    agent.read(Stream::Membership, 1, vec![]);
+    agent.read(Stream::Config, 1, vec![config(0, &inventory(2, SERVICE))]);
+    agent.handle(Event::Appended);
+
+    let takeover = Record::Takeover {
+        shards: vec![shard_of(KEY)],
+        ballot: ballot(3, 6),
+    };
+    let body = record(&takeover);
+    let batch = hemlockhook_platform::Batch {
+        records: vec![hemlockhook_platform::LogRecord {
+            offset: 1,
+            appended_ms: 0,
+            body: body.into(),
+        }],
+        first_retained: 1,
+        end: 3,
+    };
+    agent.handle(Event::Read {
+        stream: Stream::Membership,
+        batch,
+    });
+    expect_false!(agent.engine.status().joined);
+    agent.read(Stream::Membership, 2, vec![b"not a record".to_vec()]);
+    expect_true!(agent.engine.status().joined);
+    expect_that!(agent.engine.status().counters.bad_records, eq(1));
+
+    // It knows the takeover that was recorded before it joined.
+    agent.link(1, 5);
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    expect_that!(agent.refusals(1), elements_are![eq(&Reason::StaleBallot)]);
+}
+
+#[gtest]
+fn repeats_an_announcement_whose_reply_was_lost() {
+    let mut agent = Agent::new();
+    agent.read(Stream::Config, 1, vec![config(0, &inventory(2, SERVICE))]);
+    agent.take_appends();
+    for _ in 0..8 {
+        agent.handle(Event::AppendFailed);
+        expect_that!(agent.take_appends(), is_empty());
+        agent.advance(Duration::from_secs(5));
+        expect_that!(agent.take_appends(), len(eq(1)));
+    }
+}
+
+#[gtest]
+fn repeats_its_announcement_within_retention() {
+    let mut agent = Agent::joined();
+    agent.advance(Duration::from_secs(59));
+    expect_that!(agent.take_appends(), is_empty());
+    agent.advance(Duration::from_secs(1));
+    expect_that!(agent.take_appends(), len(eq(1)));
+}
+
+#[gtest]
+fn goes_on_at_the_first_retained_record() {
+    let mut agent = Agent::new();
+    agent.actions.clear();
+    agent.handle(Event::ReadFailed {
+        stream: Stream::Membership,
+        first_retained: Some(40),
+    });
+    let read = Action::Read {
+        stream: Stream::Membership,
+        from: 40,
+    };
+    expect_that!(agent.actions, elements_are![eq(&read)]);
+}
+
+#[gtest]
+fn adopts_a_newer_configuration_from_an_entry_and_never_goes_back() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    let pushed = |version, slots| v1::EntryFrame {
+        config_version: version,
+        config: Some(v1::Config {
+            version,
+            document: inventory(slots, SERVICE),
+        }),
+        ..v1::EntryFrame::default()
+    };
+    agent.frame(1, pushed(7, 3));
+    expect_that!(agent.engine.status().config_version, eq(7));
+    let frames = agent.take_frames(1);
+    expect_that!(frames[0].hello.as_ref().map(|hello| hello.slots), some(eq(3)));
+
+    agent.frame(1, pushed(6, 4));
+    expect_that!(agent.engine.status().config_version, eq(7));
+    expect_that!(agent.engine.status().slots, eq(3));
+    // The entry that lags is told the newer one.
+    agent.link(2, 6);
+    agent.frame(2, pushed(6, 4));
+    let frames = agent.take_frames(2);
+    let told = frames.iter().filter_map(|frame| frame.config.as_ref());
+    expect_that!(told.map(|config| config.version).collect::<Vec<_>>(), elements_are![eq(&7)]);
+}
+
+#[gtest]
+fn a_new_service_is_announced_before_it_is_served() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.frame(
+        1,
+        v1::EntryFrame {
+            config: Some(v1::Config {
+                version: 7,
+                document: inventory(2, "quote, stock"),
+            }),
+            ..v1::EntryFrame::default()
+        },
+    );
+    expect_that!(agent.engine.status().services, len(eq(1)));
+    expect_that!(agent.take_appends(), len(eq(1)));
+    let stock = v1::Start {
+        service: "stock".to_owned(),
+        ..start(KEY, 0)
+    };
+    agent.frame(1, starts(vec![stock.clone()]));
+    expect_that!(agent.refusals(1), elements_are![eq(&Reason::NotJoined)]);
+
+    agent.handle(Event::Appended);
+    expect_that!(agent.engine.status().services, len(eq(2)));
+    agent.frame(1, starts(vec![stock]));
+    expect_that!(agent.take_runs(), len(eq(1)));
+}
--- /dev/null
+++ b/hemlockhook-agent/tests/starting.rs
@@ -0,0 +1,207 @@
+//! Starts, ends, cancellations and fences.
+
+mod support;
+
+use googletest::prelude::*;
+use hemlockhook_agent::{Action, Event};
+use hemlockhook_proto::v1;
+use hemlockhook_proto::v1::refusal::Reason;
+use hemlockhook_proto::v1::task_result::Kind;
+use hemlockhook_types::TaskEnd;
+use support::*;
+
+fn kinds(frames: &[v1::AgentFrame]) -> Vec<Kind> {
+    let done = frames.iter().flat_map(|frame| &frame.done);
+    done.filter_map(|done| done.result.as_ref().map(v1::TaskResult::kind))
+        .collect()
+}
+
+#[gtest]
+fn a_task_runs_on_a_grant_and_its_result_comes_with_the_next_grant() {
+    let mut agent = Agent::joined();
+    agent.frame(1, hello(5));
+    let greeting = agent.take_frames(1);
+    expect_that!(greeting.iter().map(|f| f.grants).sum::<u32>(), eq(2));
+
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    let tasks = agent.take_runs();
+    expect_that!(tasks, len(eq(1)));
+    agent.end(tasks[0], done_well());
+    let frames = agent.take_frames(1);
+    expect_that!(frames, len(eq(1)));
+    expect_that!(kinds(&frames), elements_are![eq(&Kind::Ok)]);
+    expect_that!(frames[0].grants, eq(1));
+}
+
+#[gtest]
+fn a_task_never_starts_twice() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.frame(1, starts(vec![start(KEY, 0), start(KEY, 0)]));
+    let tasks = agent.take_runs();
+    expect_that!(tasks, len(eq(1)));
+    expect_that!(agent.refusals(1), elements_are![eq(&Reason::AlreadyStarted)]);
+
+    agent.end(tasks[0], done_well());
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    expect_that!(agent.take_runs(), is_empty());
+    expect_that!(agent.refusals(1), elements_are![eq(&Reason::AlreadyStarted)]);
+}
+
+#[gtest]
+fn a_start_without_a_grant_is_refused_but_not_if_it_ran_before() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.frame(1, starts(vec![start(KEY, 0), start(KEY, 1), start(KEY, 2)]));
+    expect_that!(agent.take_runs(), len(eq(2)));
+    expect_that!(agent.refusals(1), elements_are![eq(&Reason::NoGrant)]);
+
+    // Were this refused for want of a grant, the entry would start it elsewhere.
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    expect_that!(agent.refusals(1), elements_are![eq(&Reason::AlreadyStarted)]);
+}
+
+#[gtest]
+fn a_result_goes_to_the_owner_of_the_shards_floor() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.link(2, 6);
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    let tasks = agent.take_runs();
+
+    agent.frame(2, fence(KEY, ballot(2, 6)));
+    let reports = agent.take_frames(2);
+    let record = &reports[0].reports[0].records[0];
+    expect_that!(record.key, eq(KEY));
+    expect_that!(record.result, none());
+
+    agent.end(tasks[0], done_well());
+    expect_that!(kinds(&agent.take_frames(2)), elements_are![eq(&Kind::Ok)]);
+    expect_that!(kinds(&agent.take_frames(1)), is_empty());
+    agent.frame(1, starts(vec![start(KEY, 1)]));
+    expect_that!(agent.refusals(1), elements_are![eq(&Reason::StaleBallot)]);
+}
+
+#[gtest]
+fn results_stay_behind_the_report_that_calls_their_task_running() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    let tasks = agent.take_runs();
+    let now = agent.now;
+    let frame = fence(KEY, ballot(1, 5));
+    agent.engine.handle(now, Event::Frame { link: 1, frame });
+    let result = hemlockhook_types::TaskResult {
+        end: done_well(),
+        run_time: std::time::Duration::ZERO,
+    };
+    let task = tasks[0];
+    agent.engine.handle(now, Event::Ended { task, result });
+    agent.poll();
+
+    let frames = agent.take_frames(1);
+    expect_that!(frames, len(eq(2)));
+    expect_that!(frames[0].reports, len(eq(1)));
+    expect_that!(frames[0].done, is_empty());
+    expect_that!(kinds(&frames[1..]), elements_are![eq(&Kind::Ok)]);
+}
+
+#[gtest]
+fn a_result_without_a_linked_owner_is_kept_for_its_fence() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    let tasks = agent.take_runs();
+    agent.handle(Event::LinkDown { link: 1 });
+    agent.end(tasks[0], done_well());
+
+    agent.link(2, 5);
+    agent.frame(2, fence(KEY, ballot(1, 5)));
+    let frames = agent.take_frames(2);
+    let record = &frames[0].reports[0].records[0];
+    expect_that!(
+        record.result.as_ref().map(v1::TaskResult::kind),
+        some(eq(Kind::Ok))
+    );
+}
+
+#[gtest]
+fn a_cancelled_task_is_stopped_and_its_late_answer_reaches_nobody() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.frame(1, starts(vec![start(KEY, 0), start(KEY, 1)]));
+    let tasks = agent.take_runs();
+    agent.frame(1, cancel(KEY));
+    for task in &tasks {
+        expect_that!(agent.actions, contains(eq(&Action::Stop { task: *task })));
+    }
+    let frames = agent.take_frames(1);
+    expect_that!(kinds(&frames), each(eq(&Kind::Cancelled)));
+
+    agent.end(tasks[0], done_well());
+    expect_that!(agent.take_frames(1), is_empty());
+    expect_that!(agent.engine.status().counters.late_answers, eq(1));
+    expect_that!(agent.engine.status().running, eq(0));
+}
+
+#[gtest]
+fn a_former_owner_cancels_nothing() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.link(2, 6);
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    agent.frame(2, fence(KEY, ballot(2, 6)));
+    agent.frame(1, cancel(KEY));
+    expect_that!(agent.engine.status().running, eq(1));
+}
+
+#[gtest]
+fn a_second_link_of_an_entry_replaces_the_first() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.frame(2, hello(5));
+    expect_that!(agent.actions, contains(eq(&Action::Close { link: 1 })));
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    expect_that!(agent.take_runs(), is_empty());
+    // The end of the first link takes nothing from the second.
+    agent.handle(Event::LinkDown { link: 1 });
+    agent.frame(2, starts(vec![start(KEY, 0)]));
+    expect_that!(agent.take_runs(), len(eq(1)));
+}
+
+#[gtest]
+fn a_frame_that_no_correct_entry_sends_closes_its_link() {
+    let bad = [
+        v1::Start {
+            shard: 9999,
+            ..start(KEY, 0)
+        },
+        v1::Start {
+            index: 4,
+            ..start(KEY, 0)
+        },
+    ];
+    for start in bad {
+        let mut agent = Agent::joined();
+        agent.link(1, 5);
+        agent.frame(1, starts(vec![start]));
+        expect_that!(agent.actions, contains(eq(&Action::Close { link: 1 })));
+        expect_that!(agent.engine.status().links, eq(0));
+    }
+
+    let mut agent = Agent::joined();
+    agent.frame(1, returned(1));
+    expect_that!(agent.actions, contains(eq(&Action::Close { link: 1 })));
+}
+
+#[gtest]
+fn failures_are_passed_on_with_their_reason() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    let tasks = agent.take_runs();
+    agent.end(tasks[0], TaskEnd::Failed("no film".to_owned()));
+    let frames = agent.take_frames(1);
+    let result = frames[0].done[0].result.as_ref();
+    expect_that!(result.map(|result| result.reason.as_str()), some(eq("no film")));
+}
--- /dev/null
+++ b/hemlockhook-agent/tests/support/mod.rs
@@ -0,0 +1,271 @@
+//! An engine with its clock, and the messages of entries.
+
+#![allow(dead_code)]
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hemlockhook_agent::{Action, Engine, EngineConfig, Event, LinkId, Stream, TaskId};
+use hemlockhook_inventory::ConfigRecord;
+use hemlockhook_ownership::{GateConfig, Record};
+use hemlockhook_platform::{Batch, LogRecord};
+use hemlockhook_proto::v1;
+use hemlockhook_types::{Ballot, Incarnation, TaskEnd, TaskResult, shard_of};
+
+pub const AGENT: Incarnation = 77;
+pub const SERVICE: &str = "quote";
+pub const KEY: &str = "farms/job-1";
+
+/// Counters of takeovers are this far apart, as their low bits hold the epoch.
+pub const TAKEOVER: u64 = 1 << 16;
+
+pub fn inventory(slots: u32, services: &str) -> String {
+    format!(
+        "deployment: test
+data_centers: [{{ name: osijek, region: slavonia }}]
+workers:
+  - {{ name: os-1, rack: os-r1, data_center: osijek, processors: 8, memory_gb: 16 }}
+services:
+  - {{ name: quote, deadline: 10s, max_task_time: 5s, objective: {{ percent: 99.0, within: 1s }} }}
+  - {{ name: stock, deadline: 10s, max_task_time: 5s, objective: {{ percent: 99.0, within: 1s }} }}
+upstreams:
+  - {{ name: desk-1, worker: os-1, services: [{services}], slots: {slots}, connections: 64 }}
+teams:
+  - {{ name: farms }}
+"
+    )
+}
+
+/// An agent under test.
+pub struct Agent {
+    pub engine: Engine,
+    pub now: Instant,
+    start: Instant,
+    /// What the engine asked for and the test has not taken yet.
+    pub actions: Vec<Action>,
+}
+
+impl Agent {
+    pub fn new() -> Self {
+        let now = Instant::now();
+        let cfg = EngineConfig {
+            incarnation: AGENT,
+            name: "desk-1".into(),
+            data_center: "osijek".into(),
+            address: "127.0.0.1:7001".to_owned(),
+            gate: GateConfig::default(),
+            drain_timeout: Duration::from_secs(30),
+            announce_period: Duration::from_secs(60),
+            read_period: Duration::from_secs(5),
+        };
+        let mut agent = Self {
+            engine: Engine::new(now, cfg),
+            now,
+            start: now,
+            actions: Vec::new(),
+        };
+        agent.poll();
+        agent
+    }
+
+    /// An agent that has joined, with two slots for the service `quote`.
+    pub fn joined() -> Self {
+        let mut agent = Self::new();
+        agent.read(Stream::Config, 1, vec![config(0, &inventory(2, SERVICE))]);
+        agent.handle(Event::Appended);
+        agent.read(Stream::Membership, 1, vec![]);
+        agent.actions.clear();
+        agent
+    }
+
+    pub fn handle(&mut self, event: Event) {
+        self.engine.handle(self.now, event);
+        self.poll();
+    }
+
+    pub fn poll(&mut self) {
+        self.actions.extend(self.engine.actions(self.now));
+    }
+
+    pub fn advance(&mut self, by: Duration) {
+        self.now += by;
+        self.poll();
+    }
+
+    pub fn elapsed(&self) -> Duration {
+        self.now - self.start
+    }
+
+    /// Answers the read under way with records from offset `from` on.
+    pub fn read(&mut self, stream: Stream, from: u64, bodies: Vec<Vec<u8>>) {
+        let end = from + bodies.len() as u64;
+        let records = bodies.into_iter().zip(from..);
+        let batch = Batch {
+            records: records
+                .map(|(body, offset)| LogRecord {
+                    offset,
+                    appended_ms: 0,
+                    body: Bytes::from(body),
+                })
+                .collect(),
+            first_retained: 1,
+            end,
+        };
+        self.handle(Event::Read { stream, batch });
+    }
+
+    /// Links an entry and drops what the agent says on it.
+    pub fn link(&mut self, link: LinkId, entry: Incarnation) {
+        self.frame(link, hello(entry));
+        self.actions.clear();
+    }
+
+    pub fn frame(&mut self, link: LinkId, frame: v1::EntryFrame) {
+        self.handle(Event::Frame { link, frame });
+    }
+
+    pub fn end(&mut self, task: TaskId, end: TaskEnd) {
+        let result = TaskResult {
+            end,
+            run_time: Duration::from_millis(50),
+        };
+        self.handle(Event::Ended { task, result });
+    }
+
+    /// Takes the tasks that the upstream is to run.
+    pub fn take_runs(&mut self) -> Vec<TaskId> {
+        let runs = self.actions.extract_if(.., |a| matches!(a, Action::Run { .. }));
+        runs.filter_map(|action| match action {
+            Action::Run { task, .. } => Some(task),
+            _ => None,
+        })
+        .collect()
+    }
+
+    /// Takes the frames sent on a link.
+    pub fn take_frames(&mut self, to: LinkId) -> Vec<v1::AgentFrame> {
+        let sent = self
+            .actions
+            .extract_if(.., |a| matches!(a, Action::Send { link, .. } if *link == to));
+        sent.filter_map(|action| match action {
+            Action::Send { frame, .. } => Some(frame),
+            _ => None,
+        })
+        .collect()
+    }
+
+    /// Takes the records that are to be appended.
+    pub fn take_appends(&mut self) -> Vec<Record> {
+        let appends = self
+            .actions
+            .extract_if(.., |a| matches!(a, Action::Append { .. }));
+        appends
+            .filter_map(|action| match action {
+                Action::Append { body } => serde_json::from_slice(&body).done_well(),
+                _ => None,
+            })
+            .collect()
+    }
+
+    pub fn refusals(&mut self, link: LinkId) -> Vec<v1::refusal::Reason> {
+        let frames = self.take_frames(link);
+        let refusals = frames.iter().flat_map(|frame| &frame.refusals);
+        refusals.map(|refusal| refusal.reason()).collect()
+    }
+}
+
+pub fn config(base: u64, document: &str) -> Vec<u8> {
+    ConfigRecord {
+        change_id: format!("change-{base}"),
+        base,
+        document: document.to_owned(),
+        ..ConfigRecord::default()
+    }
+    .to_bytes()
+}
+
+pub fn record(record: &Record) -> Vec<u8> {
+    serde_json::to_vec(record).expect("a record is valid JSON")
+}
+
+pub fn ballot(takeover: u64, owner: Incarnation) -> Ballot {
+    Ballot {
+        counter: takeover * TAKEOVER,
+        owner,
+    }
+}
+
+pub fn hello(entry: Incarnation) -> v1::EntryFrame {
+    v1::EntryFrame {
+        hello: Some(v1::EntryHello {
+            incarnation: entry,
+            name: format!("entry-{entry}"),
+            data_center: "osijek".to_owned(),
+        }),
+        ..v1::EntryFrame::default()
+    }
+}
+
+/// Orders a task of a job of four under the first takeover.
+pub fn start(key: &str, index: u32) -> v1::Start {
+    v1::Start {
+        key: key.to_owned(),
+        index,
+        job_tasks: 4,
+        fingerprint: 1,
+        shard: u32::from(shard_of(key)),
+        ballot: TAKEOVER,
+        service: SERVICE.to_owned(),
+        payload: b"{}".to_vec(),
+        ..v1::Start::default()
+    }
+}
+
+pub fn starts(starts: Vec<v1::Start>) -> v1::EntryFrame {
+    v1::EntryFrame {
+        starts,
+        ..v1::EntryFrame::default()
+    }
+}
+
+pub fn fence(key: &str, ballot: Ballot) -> v1::EntryFrame {
+    v1::EntryFrame {
+        fences: vec![v1::Fence {
+            shards: vec![u32::from(shard_of(key))],
+            ballot: Some(v1::Ballot {
+                counter: ballot.counter,
+                owner: ballot.owner,
+            }),
+            takeover: 9,
+        }],
+        ..v1::EntryFrame::default()
+    }
+}
+
+pub fn cancel(key: &str) -> v1::EntryFrame {
+    v1::EntryFrame {
+        cancels: vec![v1::Cancel {
+            key: key.to_owned(),
+            indexes: vec![],
+        }],
+        ..v1::EntryFrame::default()
+    }
+}
+
+pub fn returned(count: u32) -> v1::EntryFrame {
+    v1::EntryFrame {
+        returned_grants: count,
+        ..v1::EntryFrame::default()
+    }
+}
+
+pub fn drain(leaving: bool) -> v1::EntryFrame {
+    v1::EntryFrame {
+        drain: Some(v1::Drain { leaving }),
+        ..v1::EntryFrame::default()
+    }
+}
+
+pub fn done_well() -> TaskEnd {
+    TaskEnd::Ok(b"done".as_slice().into())
+}
--- a/hemlockhook-runtime/src/http/client.rs
+++ b/hemlockhook-runtime/src/http/client.rs
@@ -90,18 +90,38 @@
         max_body: usize,
         timeout: Duration,
     ) -> Result<Response<Bytes>, HttpError> {
+        self.send_checked(req, max_body, timeout, |_| true).await
+    }
+
+    /// Sends a request as [`HttpClient::send`] does. The connection is not used again after a
+    /// response that `is_ours` denies, so that what the server has yet to send on it is never taken
+    /// for the response to a later request.
+    pub async fn send_checked<C>(
+        &self,
+        req: Request<Full<Bytes>>,
+        max_body: usize,
+        timeout: Duration,
+        is_ours: C,
+    ) -> Result<Response<Bytes>, HttpError>
+    where
+        C: Fn(&Response<Bytes>) -> bool,
+    {
         let expire = async {
             Timer::after(timeout).await;
             Err(HttpError::Timeout(timeout))
         };
-        self.exchange(req, max_body).or(expire).await
+        self.exchange(req, max_body, is_ours).or(expire).await
     }
 
-    async fn exchange(
+    async fn exchange<C>(
         &self,
         mut req: Request<Full<Bytes>>,
         max_body: usize,
-    ) -> Result<Response<Bytes>, HttpError> {
+        is_ours: C,
+    ) -> Result<Response<Bytes>, HttpError>
+    where
+        C: Fn(&Response<Bytes>) -> bool,
+    {
         let permit = self.pool.permit().await;
         req.headers_mut()
             .entry(header::HOST)
@@ -112,7 +132,9 @@
             None => Conn::open(self.addr).await?,
         };
         let res = conn.exchange(req, max_body).await?;
-        permit.keep(conn);
+        if is_ours(&res) {
+            permit.keep(conn);
+        }
         Ok(res)
     }
 }
