Add the replay of traces in virtual time with three baselines

hemlockhook-bench compare makes a trace from a seed, replays it through the dispatchers and slot tables and through three pushing baselines, and prints their figures side by side with a clairvoyant reference.

--- a/hemlockhook-bench/src/main.rs
+++ b/hemlockhook-bench/src/main.rs
@@ -1,3 +1,89 @@
 //! The load and experiment tool.
 
-fn main() {}
+mod baseline;
+mod clairvoyant;
+mod compare;
+mod replay;
+mod report;
+mod trace;
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+use crate::compare::{Comparison, Output};
+use crate::trace::{DeploymentName, Trace};
+
+/// Experiments with the scheduling policy of hemlockhook.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Replays one trace under each policy, in virtual time, and prints their figures side by side.
+    #[bpaf(command)]
+    Compare {
+        /// The deployment: tunelpokrov or asante.
+        #[bpaf(long, argument("NAME"), optional)]
+        deployment: Option<DeploymentName>,
+        /// Seed of the trace.
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Replays this trace file instead of making a trace.
+        #[bpaf(long, argument("FILE"), optional)]
+        trace: Option<PathBuf>,
+        /// Only this policy.
+        #[bpaf(long, argument("NAME"), optional)]
+        only: Option<String>,
+        /// How to print: text or json.
+        #[bpaf(long, argument("FORMAT"), fallback(Output::Text), display_fallback)]
+        output: Output,
+        /// Draws a chart into this SVG file.
+        #[bpaf(long, argument("FILE"), optional)]
+        chart: Option<PathBuf>,
+    },
+    /// Writes the trace of a deployment to a file, as JSON Lines.
+    #[bpaf(command)]
+    Export {
+        /// The deployment: tunelpokrov or asante.
+        #[bpaf(long, argument("NAME"))]
+        deployment: DeploymentName,
+        /// Seed of the trace.
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// The file.
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
+fn main() -> eyre::Result<()> {
+    match command().run() {
+        Command::Compare {
+            deployment,
+            seed,
+            trace,
+            only,
+            output,
+            chart,
+        } => {
+            let comparison = match (trace, deployment) {
+                (Some(path), _) => Comparison {
+                    trace: Trace::read(&path)?,
+                    seed: None,
+                    only,
+                },
+                (None, Some(name)) => Comparison {
+                    trace: Trace::generate(name, seed),
+                    seed: Some(seed),
+                    only,
+                },
+                (None, None) => eyre::bail!("give --deployment or --trace"),
+            };
+            comparison.run(output, chart.as_deref())
+        }
+        Command::Export {
+            deployment,
+            seed,
+            file,
+        } => Trace::generate(deployment, seed).write(&file),
+    }
+}
--- /dev/null
+++ b/hemlockhook-bench/src/trace.rs
@@ -0,0 +1,404 @@
+//! Traces: the upstreams, jobs and faults that a replay goes through.
+//!
+//! A trace file is JSON Lines. The first line is the [`Deployment`]; each further line is a [`Job`],
+//! in the order of `at_us`. Durations carry their unit in their name.
+
+use std::fs;
+use std::path::Path;
+
+use eyre::{Context, OptionExt};
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+/// Tasks up to this run time, on an upstream of speed 1, are short.
+pub const SHORT_US: u64 = 1_000_000;
+
+/// Tasks from this run time on, on an upstream of speed 1, are long.
+pub const LONG_US: u64 = 5_000_000;
+
+const SPEEDS: [f64; 11] = [1.5, 1.5, 1.3, 1.2, 1.1, 1.0, 0.9, 0.8, 0.7, 0.5, 0.5];
+const SLOTS: u32 = 8;
+const UPSTREAMS_PER_RACK: usize = 3;
+const DATA_CENTERS: usize = 3;
+const DURATION_US: u64 = 600_000_000;
+const SWING_US: u64 = 20_000_000;
+const CREST_US: u64 = 4_000_000;
+const MEAN_LOAD: f64 = 0.7;
+const CANCEL_EVERY_US: u64 = 60_000_000;
+const CANCEL_WINDOW_US: u64 = 2_000_000;
+
+/// A deployment that the brief describes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum DeploymentName {
+    /// Tunelpokrov d.o.o., three data centers in Slavonia.
+    Tunelpokrov,
+    /// Asante Magnetics, three data centers in Greater Accra.
+    Asante,
+}
+
+/// The first line of a trace: what the jobs run on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Deployment {
+    /// Name of the deployment.
+    pub name: String,
+    /// Number of entries; entry `i` is in data center `i % 3`.
+    pub entries: usize,
+    /// The upstreams.
+    pub upstreams: Vec<Upstream>,
+    /// One-way latency within a data center.
+    pub local_us: u64,
+    /// One-way latency between data centers.
+    pub remote_us: u64,
+    /// One-way latency between a client and its entry.
+    pub client_us: u64,
+    /// Time windows, from and until, in which more work arrives than the upstreams can do.
+    pub crests_us: Vec<(u64, u64)>,
+    /// Faults, in the order of their time.
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+/// One upstream instance.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Upstream {
+    /// Speed; a task's run time is its `run_us` divided by this.
+    pub speed: f64,
+    /// Tasks that it runs at once.
+    pub slots: u32,
+    /// Number of its rack.
+    pub rack: usize,
+    /// Number of its data center.
+    pub data_center: usize,
+    /// Services that it runs.
+    pub services: Vec<String>,
+}
+
+/// Something that goes wrong at a time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fault {
+    /// When.
+    pub at_us: u64,
+    /// Index of the upstream.
+    pub upstream: usize,
+    /// What.
+    pub kind: FaultKind,
+}
+
+/// What can go wrong with an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultKind {
+    /// Every task that starts fails after a millisecond.
+    FailFast,
+    /// Its speed is multiplied by this from now on, for tasks that start.
+    Speed(f64),
+    /// It and its agent are lost, with the tasks that run there.
+    Lost,
+}
+
+/// One job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// When its client sends it.
+    pub at_us: u64,
+    /// Its team.
+    pub team: String,
+    /// Its service.
+    pub service: String,
+    /// Time from `at_us` until its deadline.
+    pub deadline_ms: u64,
+    /// Time from `at_us` until its client cancels it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cancel_after_ms: Option<u64>,
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+}
+
+/// One task of a job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Task {
+    /// Run time on an upstream of speed 1.
+    pub run_us: u64,
+    /// Run time that the client declares.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub declared_us: Option<u64>,
+    /// Class that the client declares.
+    pub class: String,
+}
+
+/// A whole trace.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trace {
+    /// What the jobs run on.
+    pub deployment: Deployment,
+    /// The jobs, by time.
+    pub jobs: Vec<Job>,
+}
+
+impl Trace {
+    /// Reads a trace file.
+    pub fn read(path: &Path) -> eyre::Result<Self> {
+        let text = fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+        let mut lines = text.lines().filter(|line| !line.is_empty());
+        let deployment = serde_json::from_str(lines.next().ok_or_eyre("the trace is empty")?)?;
+        let jobs = lines.map(serde_json::from_str).collect::<Result<_, _>>()?;
+        Ok(Self { deployment, jobs })
+    }
+
+    /// Writes the trace to a file.
+    pub fn write(&self, path: &Path) -> eyre::Result<()> {
+        let mut text = serde_json::to_string(&self.deployment)? + "\n";
+        for job in &self.jobs {
+            text += &(serde_json::to_string(job)? + "\n");
+        }
+        fs::write(path, text).wrap_err_with(|| path.display().to_string())
+    }
+
+    /// Makes the trace of a deployment, which is the same for the same seed.
+    pub fn generate(name: DeploymentName, seed: u64) -> Self {
+        let deployment = deployment(name);
+        let workload = Workload::of(name);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let capacity: f64 = deployment
+            .upstreams
+            .iter()
+            .map(|u| u.speed * f64::from(u.slots))
+            .sum();
+        let mut jobs = Vec::new();
+        let mut at_us = 0.0;
+        // Work arrives at `load(t) * capacity`: the gap to the next job is exponential.
+        while at_us < DURATION_US as f64 {
+            let job = workload.job(&mut rng, at_us as u64);
+            let rate = load_at(at_us as u64, &deployment.crests_us) * capacity;
+            let gap = -(1.0 - rng.f64()).ln() * workload.mean_work_us / rate;
+            at_us += gap;
+            jobs.push(job);
+        }
+        cancel_waves(&mut rng, &mut jobs);
+        Self { deployment, jobs }
+    }
+
+    /// Returns the trace without the jobs that hold long work.
+    pub fn without_long(&self) -> Self {
+        let short = |job: &&Job| job.tasks.iter().all(|task| task.run_us < LONG_US);
+        let jobs = self.jobs.iter().filter(short).cloned().collect();
+        Self {
+            deployment: self.deployment.clone(),
+            jobs,
+        }
+    }
+}
+
+impl Deployment {
+    /// Returns whether a time lies in a crest.
+    pub fn is_crest(&self, at_us: u64) -> bool {
+        self.crests_us
+            .iter()
+            .any(|(from, until)| (*from..*until).contains(&at_us))
+    }
+
+    /// Returns the speed of the fastest upstream that runs a service.
+    pub fn fastest(&self, service: &str) -> f64 {
+        let suitable = self.upstreams.iter().filter(|u| u.runs(service));
+        suitable.map(|u| u.speed).fold(0.0, f64::max)
+    }
+
+    /// Returns the one-way latency between an entry and an upstream.
+    pub fn latency_us(&self, entry: usize, upstream: usize) -> u64 {
+        match self.upstreams[upstream].data_center == entry % DATA_CENTERS {
+            true => self.local_us,
+            false => self.remote_us,
+        }
+    }
+
+    /// Returns the response time of a job that has every fast slot to itself.
+    pub fn ideal_us(&self, job: &Job) -> u64 {
+        let longest = job.tasks.iter().map(|task| task.run_us).max().unwrap_or(0);
+        let run = longest as f64 / self.fastest(&job.service);
+        run as u64 + 2 * (self.client_us + self.local_us)
+    }
+}
+
+impl Upstream {
+    /// Returns whether it runs a service.
+    pub fn runs(&self, service: &str) -> bool {
+        self.services.iter().any(|name| name == service)
+    }
+}
+
+/// What a deployment's clients send.
+struct Workload {
+    services: [&'static str; 3],
+    teams: [&'static str; 3],
+    /// Out of 1,000 jobs, those of a single task of some seconds.
+    medium_per_mille: u32,
+    /// Out of 1,000 jobs, those of a single task of 10 to 60 seconds.
+    long_per_mille: u32,
+    mean_work_us: f64,
+}
+
+impl Workload {
+    fn of(name: DeploymentName) -> Self {
+        let mut workload = match name {
+            DeploymentName::Tunelpokrov => Self {
+                services: Self::services(name),
+                teams: ["farms", "agronomists", "sales"],
+                medium_per_mille: 50,
+                long_per_mille: 8,
+                mean_work_us: 0.0,
+            },
+            DeploymentName::Asante => Self {
+                services: Self::services(name),
+                teams: ["merchants", "rewinders", "schools"],
+                medium_per_mille: 50,
+                long_per_mille: 12,
+                mean_work_us: 0.0,
+            },
+        };
+        let mut rng = fastrand::Rng::with_seed(1);
+        let work = |rng: &mut _| {
+            workload
+                .job(rng, 0)
+                .tasks
+                .iter()
+                .map(|t| t.run_us)
+                .sum::<u64>()
+        };
+        let total: u64 = (0..100_000).map(|_| work(&mut rng)).sum();
+        workload.mean_work_us = total as f64 / 100_000.0;
+        workload
+    }
+
+    fn job(&self, rng: &mut fastrand::Rng, at_us: u64) -> Job {
+        let service = rng.usize(..3);
+        let kind = rng.u32(..1000);
+        let (count, class, median_us, spread): (usize, &str, f64, f64) = match kind {
+            k if k < self.long_per_mille => (1, "report", 24e6, 0.9),
+            k if k < self.long_per_mille + self.medium_per_mille => (1, "batch", 2.2e6, 0.7),
+            _ => {
+                let class = rng.usize(..3);
+                let median = [90e3, 250e3, 550e3][class];
+                (
+                    job_size(rng),
+                    ["light", "plain", "heavy"][class],
+                    median,
+                    0.5,
+                )
+            }
+        };
+        let (low, high) = match class {
+            "report" => (10e6, 60e6),
+            "batch" => (1e6, 5e6),
+            _ => (50e3, 1e6),
+        };
+        // Half of the long work arrives under the class of short work.
+        let hidden = class == "report" && rng.bool();
+        let declared_class = if hidden { "plain" } else { class };
+        let task = |_| {
+            let run =
+                (median_us * (spread * (rng.f64() + rng.f64() - 1.0) * 2.0).exp()).clamp(low, high);
+            let declared = if hidden { run / 60.0 } else { run };
+            Task {
+                run_us: run as u64,
+                declared_us: declare(rng, declared),
+                class: declared_class.into(),
+            }
+        };
+        let tasks = (0..count).map(task).collect();
+        Job {
+            at_us,
+            team: self.teams[rng.usize(..3)].into(),
+            service: self.services[service].into(),
+            deadline_ms: if class == "report" { 600_000 } else { 60_000 },
+            cancel_after_ms: None,
+            tasks,
+        }
+    }
+}
+
+/// Draws the number of tasks of a job of short work: mostly a few, at most 110.
+fn job_size(rng: &mut fastrand::Rng) -> usize {
+    let size = -(1.0 - rng.f64()).ln() * 4.0;
+    match rng.u32(..200) {
+        0 => 110,
+        _ => (1 + size as usize).min(110),
+    }
+}
+
+/// Draws what a client declares: nothing in a fifth of the cases, and wrong by up to ten either way
+/// in three tenths.
+fn declare(rng: &mut fastrand::Rng, run_us: f64) -> Option<u64> {
+    match rng.u32(..10) {
+        0..2 => None,
+        2..5 => Some((run_us * 10f64.powf(rng.f64() * 2.0 - 1.0)) as u64),
+        _ => Some((run_us * (0.7 + 0.6 * rng.f64())) as u64),
+    }
+}
+
+/// Cancels, at the end of each wave's window, two fifths of the jobs that arrived in it.
+fn cancel_waves(rng: &mut fastrand::Rng, jobs: &mut [Job]) {
+    for job in jobs {
+        let since_wave = job.at_us % CANCEL_EVERY_US;
+        let left = (CANCEL_EVERY_US - since_wave) / 1000;
+        if left <= CANCEL_WINDOW_US / 1000 && rng.u32(..5) < 2 {
+            job.cancel_after_ms = Some(left);
+        }
+    }
+}
+
+fn deployment(name: DeploymentName) -> Deployment {
+    let services = Workload::services(name);
+    let upstream = |(index, speed): (usize, &f64)| Upstream {
+        speed: *speed,
+        slots: SLOTS,
+        rack: index / UPSTREAMS_PER_RACK,
+        data_center: (index / UPSTREAMS_PER_RACK) % DATA_CENTERS,
+        // The third service needs what two of the workers lack.
+        services: services[..if index % 4 == 3 { 2 } else { 3 }]
+            .iter()
+            .map(|s| s.to_string())
+            .collect(),
+    };
+    // Neighbours in a rack differ in speed.
+    let spread: Vec<f64> = (0..SPEEDS.len())
+        .map(|i| SPEEDS[i * 4 % SPEEDS.len()])
+        .collect();
+    let (remote_us, client_us) = match name {
+        DeploymentName::Tunelpokrov => (1500, 1000),
+        DeploymentName::Asante => (1000, 3000),
+    };
+    let starts = (0..DURATION_US / SWING_US).map(|n| n * SWING_US + SWING_US / 2);
+    Deployment {
+        name: name.to_string(),
+        entries: 3,
+        upstreams: spread.iter().enumerate().map(upstream).collect(),
+        local_us: 200,
+        remote_us,
+        client_us,
+        crests_us: starts.map(|from| (from, from + CREST_US)).collect(),
+        faults: Vec::new(),
+    }
+}
+
+impl Workload {
+    fn services(name: DeploymentName) -> [&'static str; 3] {
+        match name {
+            DeploymentName::Tunelpokrov => ["price", "stock", "booking"],
+            DeploymentName::Asante => ["stock", "quotation", "hold"],
+        }
+    }
+}
+
+/// Returns the load at a time, as a share of what the upstreams can do. Crests reach 1.1 to 1.3.
+fn load_at(at_us: u64, crests: &[(u64, u64)]) -> f64 {
+    let share = CREST_US as f64 / SWING_US as f64;
+    let base = (MEAN_LOAD - 1.2 * share) / (1.0 - share);
+    match crests
+        .iter()
+        .position(|(from, until)| (*from..*until).contains(&at_us))
+    {
+        Some(n) => [1.1, 1.3, 1.2][n % 3],
+        None => base,
+    }
+}
