--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -1,13 +1,14 @@
 //! Submissions: from their arrival to their answer.
 
 use std::cmp::Reverse;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hemlockhook_ownership::{Admission, LookUp};
 use hemlockhook_proto::convert::Reply;
 use hemlockhook_runtime::log;
 use hemlockhook_schedule::{JobId, JobSpec, Rejection, TaskSpec};
-use hemlockhook_types::{Answer, Job, JobKey, Reason, TaskIndex, shard_of};
+use hemlockhook_types::{Answer, Incarnation, Job, JobKey, Reason, TaskIndex, shard_of};
 
 use super::Engine;
 use crate::event::{Action, CallId, Origin, Question, Response, Submission, Waiter};
@@ -28,6 +29,23 @@
     entries: Vec<Waiter>,
 }
 
+impl Submitted {
+    /// Returns the job.
+    pub fn job(&self) -> &Arc<Job> {
+        &self.submission.job
+    }
+
+    /// Returns when the job's answer ceases to be of use.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// Returns the time since the job arrived.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.arrived)
+    }
+}
+
 /// Where a submission is dealt with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Place {
@@ -36,7 +54,7 @@
     /// Here; scheduled unless all its tasks have been started.
     Local(Option<JobId>),
     /// At the shard's owner.
-    Relayed(CallId),
+    Relayed(CallId, Incarnation),
 }
 
 impl Engine {
@@ -205,14 +223,14 @@
             self.submissions.remove(key);
             return;
         }
-        let Some((_, address)) = self.members.claimant(now, shard) else {
+        let Some((ballot, address)) = self.members.claimant(now, shard) else {
             self.hold(key);
             return;
         };
 
         self.next_call += 1;
         let call = self.next_call;
-        submitted.place = Place::Relayed(call);
+        submitted.place = Place::Relayed(call, ballot.owner);
         self.held.remove(key);
         self.counters.forwarded += 1;
         let submission = submitted.submission.clone();
@@ -236,20 +254,20 @@
         match reply {
             // A call that was given up may not refuse the job: its entry may have lost the shard.
             Some(Reply::Answer(answer @ Answer::Complete(_))) => self.answer(now, &key, answer),
-            _ if place != Some(Place::Relayed(call)) => {}
+            _ if !is_current(place, call) => {}
             Some(Reply::Answer(answer)) => self.answer(now, &key, answer),
             Some(Reply::KeyReused) => self.finish(now, &key, Reply::KeyReused),
             Some(Reply::NotOwner | Reply::Pending | Reply::NotFound) | None => self.hold(&key),
         }
     }
 
-    /// Gives up the calls to entries that are not heard any more.
-    pub(super) fn abandon_calls(&mut self) {
-        let relayed = |submitted: &Submitted| matches!(submitted.place, Place::Relayed(_));
+    /// Gives up the calls to an entry that is not heard any more.
+    pub(super) fn abandon_calls(&mut self, peer: Incarnation) {
+        let is_there = |place| matches!(place, Place::Relayed(_, to) if to == peer);
         let keys: Vec<_> = self
             .submissions
             .iter()
-            .filter(|(_, submitted)| relayed(submitted))
+            .filter(|(_, submitted)| is_there(submitted.place))
             .map(|(key, _)| key.clone())
             .collect();
         keys.iter().for_each(|key| self.hold(key));
@@ -347,12 +365,12 @@
         let grace_over = at >= submitted.deadline + RELAY_GRACE;
         match submitted.place {
             _ if at < submitted.deadline => {}
-            Place::Local(_) => self.owner.expire(now, key),
-            Place::Relayed(_) | Place::Held if !grace_over => {
+            Place::Local(_) => self.pass_deadline(now, key),
+            Place::Relayed(..) | Place::Held if !grace_over => {
                 self.deadlines
                     .push(Reverse((submitted.deadline + RELAY_GRACE, key.clone())));
             }
-            Place::Relayed(_) | Place::Held => {
+            Place::Relayed(..) | Place::Held => {
                 log::job(key).warn("no owner of the shard answered before the deadline");
                 let detail = "no owner of the key's shard answered in time".to_owned();
                 let reason = Reason::OwnerUnreachable;
@@ -361,6 +379,27 @@
         }
     }
 
+    /// Ends a job of ours that was not answered in time.
+    fn pass_deadline(&mut self, now: Instant, key: &JobKey) {
+        let (reason, task) = (Reason::Deadline, None);
+        let answer = if self.owner.any_started(key) {
+            let detail = "the job had not ended when its deadline passed".to_owned();
+            Answer::Failed {
+                reason,
+                task,
+                detail,
+            }
+        } else {
+            let detail = "no task of the job was started before its deadline".to_owned();
+            Answer::NotRun {
+                reason,
+                detail,
+                retry_after: None,
+            }
+        };
+        self.owner.settle(now, key, answer);
+    }
+
     pub(super) fn on_ask(
         &mut self,
         now: Instant,
@@ -414,3 +453,8 @@
         }
     }
 }
+
+/// Returns whether a forwarded submission is still waited for under this call.
+fn is_current(place: Option<Place>, call: CallId) -> bool {
+    matches!(place, Some(Place::Relayed(current, _)) if current == call)
+}
