Decide published configurations in log order, also after retention

A reader that misses records no longer takes what it sees next for decided: it waits for a repeat that says how far its writer had read, or for a peer's version, and decides the records since that point.

--- a/hemlockhook-inventory/src/lib.rs
+++ b/hemlockhook-inventory/src/lib.rs
@@ -11,5 +11,6 @@
 
 pub use check::{MAX_DOCUMENT_BYTES, Problem, check};
 pub use model::{DataCenter, Inventory, Objective, Rules, Service, Team, Upstream, Worker};
-pub use publish::reader::{ConfigReader, Verdict};
-pub use publish::record::ConfigRecord;
+pub use publish::{
+    ConfigReader, ConfigRecord, PublishAction, PublishOutcome, Publisher, Repeater, Verdict,
+};
--- a/hemlockhook-inventory/src/publish/reader.rs
+++ b/hemlockhook-inventory/src/publish/reader.rs
@@ -1,8 +1,6 @@
 //! The rule by which every reader of the log decides which configuration is in force.
-//!
-//! The version of an accepted record is its offset plus one, so that 0 can stand for "none yet".
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -11,8 +9,14 @@
 use crate::model::Inventory;
 use crate::publish::record::ConfigRecord;
 
+/// Changes whose outcome is remembered.
+const MAX_OUTCOMES: usize = 4096;
+
+/// Records kept while the reader cannot decide.
+const MAX_UNDECIDED: usize = 64;
+
 /// What a reader makes of one record.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "verdict")]
 pub enum Verdict {
     /// The record's document is in force as this version.
@@ -27,21 +31,22 @@
     },
     /// The record repeats the version in force.
     Repeated,
-    /// The record was read before, or is no configuration record.
+    /// The record was read before, or is no configuration record, or is a repeat of an old version.
     Ignored,
-    /// Retention dropped records that the reader would need to decide.
+    /// Records are missing that the reader would need to decide.
     Undecided,
 }
 
 /// Reads the stream `config` and holds the configuration in force.
+///
+/// The configuration in force is the highest of what the log decided and what a peer had in force.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigReader {
-    next: u64,
-    version: u64,
-    document: String,
+    in_force: Versioned,
     usable: Option<(u64, Arc<Inventory>)>,
     problems: Vec<Problem>,
-    outcomes: HashMap<String, Verdict>,
+    log: Position,
+    outcomes: Outcomes,
 }
 
 impl ConfigReader {
@@ -50,85 +55,281 @@
         Self::default()
     }
 
-    /// Takes the record at an offset. Records are given in the order of the log.
+    /// Takes the record at an offset. Records are given in the order of the log; one that was given
+    /// before is ignored, and a jump counts as records missed.
     pub fn on_record(&mut self, offset: u64, body: &[u8]) -> Verdict {
-        if offset < self.next {
+        if offset < self.log.next {
             return Verdict::Ignored;
         }
-        self.next = offset + 1;
-        let Ok(record) = serde_json::from_slice::<ConfigRecord>(body) else {
-            return Verdict::Ignored;
+        self.on_truncated(offset);
+        self.log.next = offset + 1;
+
+        let record = ConfigRecord::from_bytes(body);
+        match (&self.log.decided, record) {
+            (Some(_), Some(record)) => self.decide(offset, record),
+            (Some(_), None) => Verdict::Ignored,
+            (None, record) => {
+                self.postpone(offset, record);
+                self.resume()
+            }
+        }
+    }
+
+    /// Takes that every record below an offset is gone from the log.
+    pub fn on_truncated(&mut self, first_retained: u64) {
+        if first_retained <= self.log.next {
+            return;
+        }
+        self.log = Position {
+            next: first_retained,
+            since: first_retained,
+            decided: None,
+            decided_since: first_retained,
+            undecided: VecDeque::new(),
         };
-        let verdict = self.decide(offset, &record);
-        self.outcomes
-            .entry(record.change_id)
-            .or_insert_with(|| verdict.clone());
-        verdict
+        self.resume();
     }
 
     /// Takes the configuration that a peer has in force. Returns whether it is now in force here.
     pub fn adopt(&mut self, version: u64, document: &str) -> bool {
-        if version <= self.version {
+        if version <= self.in_force.version {
             return false;
         }
-        self.put_in_force(version, document);
+        self.put_in_force(Versioned {
+            version,
+            document: document.into(),
+            change_id: String::new(),
+        });
+        self.resume();
         true
     }
 
-    /// Returns the configuration in force and its version.
+    /// Returns the configuration in force and its version. If this release can't use the document
+    /// in force, it is the last one that it can.
     pub fn current(&self) -> Option<(u64, Arc<Inventory>)> {
         self.usable.clone()
     }
 
     /// Returns the version in force, or 0 if there is none.
     pub fn version(&self) -> u64 {
-        self.version
+        self.in_force.version
     }
 
     /// Returns the document in force, or an empty text if there is none.
     pub fn document(&self) -> &str {
-        &self.document
+        &self.in_force.document
     }
 
-    /// Returns why the document in force can't be used by this release, if so.
+    /// Returns why this release can't use the document in force, or nothing.
     pub fn problems(&self) -> &[Problem] {
         &self.problems
     }
 
-    /// Returns what became of a change, if the reader has seen it.
+    /// Returns the next offset to read.
+    pub fn next_offset(&self) -> u64 {
+        self.log.next
+    }
+
+    /// Returns the version that the log put in force at the end of what was read, or `None` while
+    /// it can't be told.
+    pub fn decided_version(&self) -> Option<u64> {
+        self.log.decided.as_ref().map(|decided| decided.version)
+    }
+
+    /// Returns the offset from which on every record was read and decided. What became of changes
+    /// before it is not known.
+    pub fn decided_since(&self) -> u64 {
+        self.log.decided_since
+    }
+
+    /// Returns what became of a change, if the reader could decide it and still remembers.
     pub fn outcome(&self, change_id: &str) -> Option<Verdict> {
-        self.outcomes.get(change_id).cloned()
+        self.outcomes.get(change_id)
+    }
+
+    /// Returns the record that repeats the version in force, if the reader knows that it is the one
+    /// in force at the end of what it has read.
+    pub fn repeat(&self) -> Option<ConfigRecord> {
+        let decided = self.log.decided.as_ref()?;
+        (decided.version > 0 && decided.version == self.in_force.version).then(|| ConfigRecord {
+            change_id: decided.change_id.clone(),
+            base: decided.version,
+            document: decided.document.to_string(),
+            author: String::new(),
+            version: Some(decided.version),
+            read_to: Some(self.log.next),
+        })
     }
 
-    fn decide(&mut self, offset: u64, record: &ConfigRecord) -> Verdict {
+    /// Decides a record, given the version in force just before it.
+    fn decide(&mut self, offset: u64, record: ConfigRecord) -> Verdict {
+        let in_force = self.log.decided.as_ref().map_or(0, |d| d.version);
         match record.version {
-            Some(version) if version > self.version => {
-                self.put_in_force(version, &record.document);
-                Verdict::Repeated
-            }
-            Some(_) => Verdict::Repeated,
-            None if record.base != self.version => Verdict::Refused {
-                in_force: self.version,
-            },
-            None => {
-                self.put_in_force(offset + 1, &record.document);
-                Verdict::Accepted {
-                    version: self.version,
-                }
-            }
+            Some(version) if version == in_force => return Verdict::Repeated,
+            Some(_) => return Verdict::Ignored,
+            None => {}
+        }
+
+        if record.base != in_force {
+            let refused = Verdict::Refused { in_force };
+            self.outcomes.insert(&record.change_id, refused);
+            return refused;
+        }
+        let version = offset + 1;
+        let accepted = Verdict::Accepted { version };
+        self.outcomes.insert(&record.change_id, accepted);
+        self.accept(Versioned {
+            version,
+            document: record.document.into(),
+            change_id: record.change_id,
+        });
+        accepted
+    }
+
+    fn accept(&mut self, accepted: Versioned) {
+        self.log.decided = Some(accepted.clone());
+        if accepted.version > self.in_force.version {
+            self.put_in_force(accepted);
+        }
+    }
+
+    /// Keeps a record that can't be decided yet.
+    fn postpone(&mut self, offset: u64, record: Option<ConfigRecord>) {
+        let log = &mut self.log;
+        if log.undecided.len() == MAX_UNDECIDED {
+            let dropped = log.undecided.pop_front();
+            log.since = dropped.map_or(log.since, |(offset, _)| offset + 1);
+        }
+        log.undecided.push_back((offset, record));
+    }
+
+    /// Decides again from the first point for which the version in force is known. Returns the
+    /// verdict on the last record.
+    fn resume(&mut self) -> Verdict {
+        if self.log.decided.is_some() {
+            return Verdict::Ignored;
+        }
+        let Some((known_at, known)) = self.known_point() else {
+            return Verdict::Undecided;
+        };
+        if !known.change_id.is_empty() {
+            let version = known.version;
+            self.outcomes
+                .insert(&known.change_id, Verdict::Accepted { version });
+        }
+        self.accept(known);
+        self.log.decided_since = known_at;
+
+        let mut last = Verdict::Undecided;
+        for (offset, record) in std::mem::take(&mut self.log.undecided) {
+            last = match record {
+                Some(record) if offset >= known_at => self.decide(offset, record),
+                Some(_) => Verdict::Undecided,
+                None => Verdict::Ignored,
+            };
+        }
+        last
+    }
+
+    /// Returns an offset and the version in force just before it, such that every record from
+    /// there on has been read.
+    fn known_point(&self) -> Option<(u64, Versioned)> {
+        let log = &self.log;
+        let is_read = |offset: u64| (log.since..=log.next).contains(&offset);
+
+        let adopted = self.in_force.version;
+        if adopted > 0 && is_read(adopted) {
+            return Some((adopted, self.in_force.clone()));
         }
+        log.undecided.iter().find_map(|(_, record)| {
+            let record = record.as_ref()?;
+            let read_to = record.read_to.filter(|offset| is_read(*offset))?;
+            let known = Versioned {
+                version: record.version?,
+                document: record.document.as_str().into(),
+                change_id: record.change_id.clone(),
+            };
+            Some((read_to, known))
+        })
     }
 
-    fn put_in_force(&mut self, version: u64, document: &str) {
-        assert!(version > self.version, "a configuration never reverts");
-        self.version = version;
-        self.document = document.to_owned();
-        match check(document) {
+    fn put_in_force(&mut self, next: Versioned) {
+        assert!(
+            next.version > self.in_force.version,
+            "a configuration never reverts: {} after {}",
+            next.version,
+            self.in_force.version
+        );
+        match check(&next.document) {
             Ok(inventory) => {
-                self.usable = Some((version, Arc::new(inventory)));
+                self.usable = Some((next.version, Arc::new(inventory)));
                 self.problems.clear();
             }
             Err(problems) => self.problems = problems,
         }
+        self.in_force = next;
+    }
+}
+
+/// A version, its document and the change that it came from, if known.
+#[derive(Clone, Debug, Default)]
+struct Versioned {
+    version: u64,
+    document: Arc<str>,
+    change_id: String,
+}
+
+/// How far the log has been read, and what it decided.
+#[derive(Clone, Debug)]
+struct Position {
+    /// Next offset to read.
+    next: u64,
+    /// Every record from here to `next` has been read without a gap, and is kept while undecided.
+    since: u64,
+    /// The version in force just before `next`; `None` while it can't be told.
+    decided: Option<Versioned>,
+    /// Every record from here to `next` has been decided, if `decided` is set.
+    decided_since: u64,
+    /// Records from `since` on, while nothing can be decided; `None` for what is no record.
+    undecided: VecDeque<(u64, Option<ConfigRecord>)>,
+}
+
+impl Default for Position {
+    /// The start of a log of which nothing was dropped.
+    fn default() -> Self {
+        Self {
+            next: 0,
+            since: 0,
+            decided: Some(Versioned::default()),
+            decided_since: 0,
+            undecided: VecDeque::new(),
+        }
+    }
+}
+
+/// What became of the latest changes. The first verdict on a change stands: a record that the log
+/// holds twice counts once.
+#[derive(Clone, Debug, Default)]
+struct Outcomes {
+    by_change: HashMap<String, Verdict>,
+    order: VecDeque<String>,
+}
+
+impl Outcomes {
+    fn get(&self, change_id: &str) -> Option<Verdict> {
+        self.by_change.get(change_id).copied()
+    }
+
+    fn insert(&mut self, change_id: &str, verdict: Verdict) {
+        if self.by_change.contains_key(change_id) {
+            return;
+        }
+        if self.order.len() == MAX_OUTCOMES
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.by_change.remove(&oldest);
+        }
+        self.order.push_back(change_id.to_owned());
+        self.by_change.insert(change_id.to_owned(), verdict);
     }
 }
--- a/hemlockhook-inventory/src/publish/record.rs
+++ b/hemlockhook-inventory/src/publish/record.rs
@@ -26,6 +26,11 @@
 }
 
 impl ConfigRecord {
+    /// Reads a record. Returns `None` for what is none.
+    pub fn from_bytes(body: &[u8]) -> Option<Self> {
+        serde_json::from_slice(body).ok()
+    }
+
     /// Returns the record as it is appended.
     pub fn to_bytes(&self) -> Vec<u8> {
         serde_json::to_vec(self).expect("a record of strings and numbers is valid JSON")
