--- a/hemlockhook-inventory/src/publish/publisher.rs
+++ b/hemlockhook-inventory/src/publish/publisher.rs
@@ -120,12 +120,14 @@
             (Some(Verdict::Accepted { version }), _) => {
                 PublishAction::Done(PublishOutcome::Accepted { version })
             }
+            (Some(Verdict::Refused { in_force }), _) => {
+                PublishAction::Done(PublishOutcome::Refused { in_force })
+            }
             (_, None) => self.give_up("the log does not hold the version in force any more"),
-            (Some(_), Some(in_force)) => PublishAction::Done(PublishOutcome::Refused { in_force }),
-            (None, Some(in_force)) if self.record.base == in_force => {
+            (_, Some(in_force)) if self.record.base == in_force => {
                 PublishAction::Append(self.record.to_bytes())
             }
-            (None, Some(in_force)) => self.not_found(in_force),
+            (_, Some(in_force)) => self.not_found(in_force),
         };
     }
 
--- /dev/null
+++ b/hemlockhook-inventory/tests/publishing/cases.rs
@@ -0,0 +1,122 @@
+//! Single cases of the publishing rule.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use hemlockhook_inventory::{
+    ConfigReader, ConfigRecord, PublishAction, PublishOutcome, Publisher, Repeater, Verdict,
+};
+
+const TUNELPOKROV: &str = include_str!("../../../inventories/tunelpokrov.yaml");
+
+fn record(change_id: &str, base: u64) -> ConfigRecord {
+    ConfigRecord {
+        change_id: change_id.to_owned(),
+        base,
+        document: TUNELPOKROV.to_owned(),
+        ..ConfigRecord::default()
+    }
+}
+
+#[gtest]
+fn of_two_records_with_one_base_the_first_wins() {
+    let mut reader = ConfigReader::new();
+    let first = reader.on_record(0, &record("a", 0).to_bytes());
+    let second = reader.on_record(1, &record("b", 0).to_bytes());
+    expect_that!(first, eq(Verdict::Accepted { version: 1 }));
+    expect_that!(second, eq(Verdict::Refused { in_force: 1 }));
+    expect_that!(reader.outcome("b"), some(eq(second)));
+    expect_that!(reader.current().map(|(version, _)| version), some(eq(1)));
+}
+
+#[gtest]
+fn what_is_no_record_changes_nothing() {
+    let mut reader = ConfigReader::new();
+    expect_that!(reader.on_record(0, b"{}"), eq(Verdict::Ignored));
+    expect_that!(
+        reader.on_record(1, &record("a", 0).to_bytes()),
+        eq(Verdict::Accepted { version: 2 })
+    );
+    expect_that!(
+        reader.on_record(1, &record("a", 0).to_bytes()),
+        eq(Verdict::Ignored)
+    );
+}
+
+#[gtest]
+fn an_unusable_document_leaves_the_last_usable_one_in_use() {
+    let mut reader = ConfigReader::new();
+    reader.on_record(0, &record("a", 0).to_bytes());
+    let unusable = ConfigRecord {
+        document: "teams: 3".to_owned(),
+        ..record("b", 1)
+    };
+    reader.on_record(1, &unusable.to_bytes());
+    expect_that!(reader.version(), eq(2));
+    expect_that!(reader.current().map(|(version, _)| version), some(eq(1)));
+    expect_that!(reader.problems(), not(is_empty()));
+}
+
+#[gtest]
+fn a_publish_while_the_log_is_down_fails_clearly() {
+    let mut publisher = Publisher::new(ConfigReader::new(), record("a", 0));
+    publisher.on_read_failed("connection refused");
+    let why = "connection refused".to_owned();
+    expect_that!(
+        publisher.action(),
+        eq(&PublishAction::Done(PublishOutcome::NotPublished { why }))
+    );
+}
+
+#[gtest]
+fn a_lost_reply_is_settled_by_reading() {
+    let mut publisher = Publisher::new(ConfigReader::new(), record("a", 0));
+    publisher.on_caught_up();
+    let PublishAction::Append(body) = publisher.action().clone() else {
+        panic!("the change is to be appended");
+    };
+    publisher.on_append_uncertain();
+    publisher.on_record(0, &body);
+    publisher.on_caught_up();
+    expect_that!(
+        publisher.action(),
+        eq(&PublishAction::Done(PublishOutcome::Accepted {
+            version: 1
+        }))
+    );
+}
+
+#[gtest]
+fn a_record_is_repeated_before_retention_drops_it() {
+    let start = Instant::now();
+    let retention = Duration::from_secs(400);
+    let mut repeater = Repeater::new(retention, 0.5);
+    let mut reader = ConfigReader::new();
+    expect_that!(repeater.due(start, &reader), none());
+
+    let verdict = reader.on_record(0, &record("a", 0).to_bytes());
+    repeater.on_verdict(start, Duration::from_secs(100), verdict);
+    expect_that!(
+        repeater.due(start + Duration::from_secs(49), &reader),
+        none()
+    );
+
+    let due = start + Duration::from_secs(50);
+    let repeat = repeater
+        .due(due, &reader)
+        .expect("150 s of 400 s have passed");
+    expect_that!(repeat.version, some(eq(1)));
+    expect_that!(repeater.due(due + Duration::from_secs(1), &reader), none());
+    expect_that!(
+        repeater.due(due + Duration::from_secs(20), &reader),
+        some(anything())
+    );
+
+    let verdict = reader.on_record(1, &repeat.to_bytes());
+    expect_that!(verdict, eq(Verdict::Repeated));
+    repeater.on_verdict(due, Duration::ZERO, verdict);
+    expect_that!(
+        repeater.due(due + Duration::from_secs(149), &reader),
+        none()
+    );
+}
