Count versions by offsets that begin at 1, as the log does

The log's first record has offset 1, so a new reader that began at 0 took the start of a fresh log for dropped records and decided nothing.

--- a/hemlockhook-inventory/src/publish/mod.rs
+++ b/hemlockhook-inventory/src/publish/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! A publish appends the whole document with the version that it was edited from. Every reader
 //! applies one rule in the order of the log: a record is accepted if its base is the version then
-//! in force. The version of an accepted record is its offset plus one, so versions only rise and 0
-//! can stand for "none yet".
+//! in force. The version of an accepted record is its offset, so versions only rise; offsets begin at 1
+//! and 0 stands for "none yet".
 //!
 //! Retention drops old records, so the version in force is appended again before it is dropped,
 //! unchanged in version. Such a repeat says up to which offset its writer had read. A reader that
--- a/hemlockhook-inventory/src/publish/publisher.rs
+++ b/hemlockhook-inventory/src/publish/publisher.rs
@@ -133,8 +133,8 @@
 
     /// Decides on a change that is not in the log and whose base is not in force.
     fn not_found(&self, in_force: u64) -> PublishAction {
-        // A copy of the record can only have been accepted at or after the offset of its base.
-        let is_known = self.reader.decided_since() <= self.record.base;
+        // A copy of the record can only have been accepted after its base.
+        let is_known = self.reader.decided_since() <= self.record.base + 1;
         match self.may_be_in_log && !is_known {
             true => self.give_up("the log holds the records since the change's base no longer"),
             // A base that is no longer in force never is again: a copy that comes late is refused.
--- a/hemlockhook-inventory/src/publish/reader.rs
+++ b/hemlockhook-inventory/src/publish/reader.rs
@@ -9,6 +9,9 @@
 use crate::model::Inventory;
 use crate::publish::record::ConfigRecord;
 
+/// Offset of the first record of a stream.
+const FIRST_OFFSET: u64 = 1;
+
 /// Changes whose outcome is remembered.
 const MAX_OUTCOMES: usize = 4096;
 
@@ -175,7 +178,7 @@
             self.outcomes.insert(&record.change_id, refused);
             return refused;
         }
-        let version = offset + 1;
+        let version = offset;
         let accepted = Verdict::Accepted { version };
         self.outcomes.insert(&record.change_id, accepted);
         self.accept(Versioned {
@@ -237,9 +240,9 @@
         let log = &self.log;
         let is_read = |offset: u64| (log.since..=log.next).contains(&offset);
 
-        let adopted = self.in_force.version;
-        if adopted > 0 && is_read(adopted) {
-            return Some((adopted, self.in_force.clone()));
+        let after_adopted = self.in_force.version + 1;
+        if self.in_force.version > 0 && is_read(after_adopted) {
+            return Some((after_adopted, self.in_force.clone()));
         }
         log.undecided.iter().find_map(|(_, record)| {
             let record = record.as_ref()?;
@@ -298,10 +301,10 @@
     /// The start of a log of which nothing was dropped.
     fn default() -> Self {
         Self {
-            next: 0,
-            since: 0,
+            next: FIRST_OFFSET,
+            since: FIRST_OFFSET,
             decided: Some(Versioned::default()),
-            decided_since: 0,
+            decided_since: FIRST_OFFSET,
             undecided: VecDeque::new(),
         }
     }
--- a/hemlockhook-inventory/tests/publishing/cases.rs
+++ b/hemlockhook-inventory/tests/publishing/cases.rs
@@ -21,8 +21,8 @@
 #[gtest]
 fn of_two_records_with_one_base_the_first_wins() {
     let mut reader = ConfigReader::new();
-    let first = reader.on_record(0, &record("a", 0).to_bytes());
-    let second = reader.on_record(1, &record("b", 0).to_bytes());
+    let first = reader.on_record(1, &record("a", 0).to_bytes());
+    let second = reader.on_record(2, &record("b", 0).to_bytes());
     expect_that!(first, eq(Verdict::Accepted { version: 1 }));
     expect_that!(second, eq(Verdict::Refused { in_force: 1 }));
     expect_that!(reader.outcome("b"), some(eq(second)));
@@ -32,13 +32,13 @@
 #[gtest]
 fn what_is_no_record_changes_nothing() {
     let mut reader = ConfigReader::new();
-    expect_that!(reader.on_record(0, b"{}"), eq(Verdict::Ignored));
+    expect_that!(reader.on_record(1, b"{}"), eq(Verdict::Ignored));
     expect_that!(
-        reader.on_record(1, &record("a", 0).to_bytes()),
+        reader.on_record(2, &record("a", 0).to_bytes()),
         eq(Verdict::Accepted { version: 2 })
     );
     expect_that!(
-        reader.on_record(1, &record("a", 0).to_bytes()),
+        reader.on_record(2, &record("a", 0).to_bytes()),
         eq(Verdict::Ignored)
     );
 }
@@ -46,12 +46,12 @@
 #[gtest]
 fn an_unusable_document_leaves_the_last_usable_one_in_use() {
     let mut reader = ConfigReader::new();
-    reader.on_record(0, &record("a", 0).to_bytes());
+    reader.on_record(1, &record("a", 0).to_bytes());
     let unusable = ConfigRecord {
         document: "teams: 3".to_owned(),
         ..record("b", 1)
     };
-    reader.on_record(1, &unusable.to_bytes());
+    reader.on_record(2, &unusable.to_bytes());
     expect_that!(reader.version(), eq(2));
     expect_that!(reader.current().map(|(version, _)| version), some(eq(1)));
     expect_that!(reader.problems(), not(is_empty()));
@@ -76,7 +76,7 @@
         panic!("the change is to be appended");
     };
     publisher.on_append_uncertain();
-    publisher.on_record(0, &body);
+    publisher.on_record(1, &body);
     publisher.on_caught_up();
     expect_that!(
         publisher.action(),
@@ -94,7 +94,7 @@
     let mut reader = ConfigReader::new();
     expect_that!(repeater.due(start, &reader), none());
 
-    let verdict = reader.on_record(0, &record("a", 0).to_bytes());
+    let verdict = reader.on_record(1, &record("a", 0).to_bytes());
     repeater.on_verdict(start, Duration::from_secs(100), verdict);
     expect_that!(
         repeater.due(start + Duration::from_secs(49), &reader),
@@ -112,7 +112,7 @@
         some(anything())
     );
 
-    let verdict = reader.on_record(1, &repeat.to_bytes());
+    let verdict = reader.on_record(2, &repeat.to_bytes());
     expect_that!(verdict, eq(Verdict::Repeated));
     repeater.on_verdict(due, Duration::ZERO, verdict);
     expect_that!(
--- a/hemlockhook-inventory/tests/publishing/world.rs
+++ b/hemlockhook-inventory/tests/publishing/world.rs
@@ -92,7 +92,7 @@
 pub struct FakeLog {
     pub down: bool,
     records: Vec<Vec<u8>>,
-    first_retained: usize,
+    dropped: usize,
     late: Vec<Vec<u8>>,
     truth: Truth,
 }
@@ -118,7 +118,7 @@
         if self.down {
             return Appended::Failed;
         }
-        let offset = self.records.len() as u64;
+        let offset = self.end();
         match fate {
             Fate::Done | Fate::ReplyLost => self.push(body),
             Fate::Doubled | Fate::DoubledReplyLost => {
@@ -144,19 +144,27 @@
 
     /// Drops all but the last records.
     pub fn truncate(&mut self, keep: usize) {
-        let first = self.records.len().saturating_sub(keep);
-        self.first_retained = self.first_retained.max(first);
+        let dropped = self.records.len().saturating_sub(keep);
+        self.dropped = self.dropped.max(dropped);
     }
 
     fn push(&mut self, body: Vec<u8>) {
         let record = ConfigRecord::from_bytes(&body).expect("only records are appended");
-        let offset = self.records.len() as u64;
+        let offset = self.end();
         self.truth.push(offset, record);
         self.records.push(body);
     }
 
     fn end(&self) -> u64 {
-        self.records.len() as u64
+        self.records.len() as u64 + 1
+    }
+
+    fn first_retained(&self) -> u64 {
+        self.dropped as u64 + 1
+    }
+
+    fn body(&self, offset: u64) -> &[u8] {
+        &self.records[index(offset)]
     }
 }
 
@@ -173,7 +181,7 @@
             }));
             return;
         }
-        let version = offset + 1;
+        let version = offset;
         self.version = version;
         self.documents.insert(version, record.document);
         let before = self.accepted.insert(record.change_id, version);
@@ -182,7 +190,7 @@
     }
 
     fn version_at(&self, offset: u64) -> u64 {
-        let before = self.version_before.get(offset as usize);
+        let before = self.version_before.get(index(offset));
         before.copied().unwrap_or(self.version)
     }
 }
@@ -232,13 +240,13 @@
         }
         let subject = &mut self.readers[reader].inner;
         let was_deciding = subject.decided_version().is_some();
-        let first = self.log.first_retained as u64;
+        let first = self.log.first_retained();
         if self.mutant != Some(Mutant::NoGapCheck) {
             subject.on_truncated(first);
         }
         for offset in (first.max(subject.next_offset())..self.log.end()).take(max) {
             let verdict = give(subject, offset, &self.log, self.mutant);
-            let truth = self.log.truth.verdicts[offset as usize];
+            let truth = self.log.truth.verdicts[index(offset)];
             match verdict {
                 Verdict::Accepted { .. } | Verdict::Refused { .. } => {
                     assert_eq!(Some(verdict), truth, "the verdict on record {offset}");
@@ -321,10 +329,10 @@
         match run.publisher.action().clone() {
             PublishAction::Read if self.log.down => run.publisher.on_read_failed("down"),
             PublishAction::Read => {
-                let first = self.log.first_retained as u64;
+                let first = self.log.first_retained();
                 run.publisher.on_truncated(first);
                 for offset in run.publisher.next_offset()..self.log.end() {
-                    let body = &self.log.records[offset as usize];
+                    let body = self.log.body(offset);
                     run.publisher.on_record(offset, body);
                 }
                 run.publisher.on_caught_up();
@@ -460,9 +468,14 @@
     }
 }
 
+/// Returns where the record of an offset is kept; the first offset is 1.
+fn index(offset: u64) -> usize {
+    offset as usize - 1
+}
+
 /// Gives a record to a reader, with a mutant's change to what the reader sees.
 fn give(reader: &mut ConfigReader, offset: u64, log: &FakeLog, mutant: Option<Mutant>) -> Verdict {
-    let body = &log.records[offset as usize];
+    let body = log.body(offset);
     let mut record = ConfigRecord::from_bytes(body).expect("only records are appended");
     match mutant {
         Some(Mutant::NoBaseCheck) => record.base = reader.version(),
