--- a/hemlockhook-entry/src/process.rs
+++ b/hemlockhook-entry/src/process.rs
@@ -70,11 +70,16 @@
         traffic: Arc<Executor>,
         clock: Arc<dyn Clock>,
     ) -> eyre::Result<Self> {
-        let (callers_listener, callers) = listen("callers", settings.callers).await?;
-        let (peers_listener, peers) = listen("peers", settings.peers).await?;
-        let (admin_listener, admin) = listen("admin", settings.admin).await?;
+        let (callers_listener, callers) =
+            listen("callers_address", settings.callers_address).await?;
+        let (peers_listener, peers) = listen("peers_address", settings.peers_address).await?;
+        let (admin_listener, admin) = listen("admin_address", settings.admin_address).await?;
 
-        let log: Arc<dyn Log> = Arc::new(HttpLog::new(traffic.clone(), settings.log, LOG_TIMEOUT));
+        let log: Arc<dyn Log> = Arc::new(HttpLog::new(
+            traffic.clone(),
+            settings.log_address,
+            LOG_TIMEOUT,
+        ));
         let me = identity(settings, peers, &*clock);
         spdlog::info!("the entry starts", kv: {
             name = me.name.as_str(),
--- a/hemlockhook-entry/src/settings.rs
+++ b/hemlockhook-entry/src/settings.rs
@@ -21,19 +21,19 @@
 
     /// Where callers connect, HTTP.
     #[garde(skip)]
-    pub callers: SocketAddr,
+    pub callers_address: SocketAddr,
 
     /// Where other entries connect, gRPC.
     #[garde(skip)]
-    pub peers: SocketAddr,
+    pub peers_address: SocketAddr,
 
     /// Where operators connect, HTTP.
     #[garde(skip)]
-    pub admin: SocketAddr,
+    pub admin_address: SocketAddr,
 
     /// The platform's log.
     #[garde(skip)]
-    pub log: SocketAddr,
+    pub log_address: SocketAddr,
 
     /// Peer addresses of other entries, asked for the members when the log is down at start.
     #[garde(length(max = 64))]
--- /dev/null
+++ b/hemlockhook/src/demo/fleet.rs
@@ -0,0 +1,341 @@
+//! The processes of the demonstration.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use async_executor::Task;
+use async_io::Timer;
+use async_net::TcpListener;
+use eyre::{WrapErr, ensure, eyre};
+use hemlockhook_agent::AgentProcess;
+use hemlockhook_entry::EntryProcess;
+use hemlockhook_entry::counters::Counters;
+use hemlockhook_inventory::{ConfigRecord, Inventory, check};
+use hemlockhook_platform::{HttpLog, Log};
+use hemlockhook_runtime::executor::{Executor, Threads};
+use hemlockhook_runtime::http::HttpClient;
+use hemlockhook_standin::{LogSettings, LogStandin, UpstreamSettings, UpstreamStandin};
+use hemlockhook_types::{Clock, SystemClock};
+use http::Request;
+use http_body_util::Full;
+
+/// The inventory that the deployment runs.
+const INVENTORY: &str = include_str!("../../../inventories/tunelpokrov.yaml");
+
+/// Speeds of the upstreams, slowest and fastest 3 to 1.
+const SPEEDS: [f64; 4] = [1.0, 0.75, 0.5, 0.34];
+
+/// Number of entries.
+const ENTRIES: usize = 3;
+
+/// Time after which a leaving upstream may get no new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time for a change of configuration to be in force everywhere.
+const CONFIG_LIMIT: Duration = Duration::from_secs(7);
+
+/// Time for a request to a stand-in or an admin port.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A deployment on loopback.
+pub struct Fleet {
+    control: Arc<Executor>,
+    traffic: Arc<Executor>,
+    clock: Arc<dyn Clock>,
+    inventory: Inventory,
+    log_address: SocketAddr,
+    log: HttpLog,
+    upstreams: Vec<(UpstreamStandin, SocketAddr)>,
+    agents: Vec<Option<AgentProcess>>,
+    entries: Vec<Option<EntryProcess>>,
+    /// Counts of entries that were killed.
+    lost: Vec<Counters>,
+    _servers: Vec<Task<()>>,
+    _stop: Sender<()>,
+}
+
+/// An upstream that was told to leave, with its number of starts when it had to be left alone.
+pub struct Drained {
+    upstream: usize,
+    starts: u64,
+}
+
+impl Fleet {
+    /// Starts every process.
+    pub async fn start(threads: &Threads) -> eyre::Result<Self> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let inventory = check(INVENTORY).map_err(|problems| eyre!("inventory: {problems:?}"))?;
+        let (control, traffic) = (threads.control(), threads.traffic());
+        let (stop, stopped) = async_channel::bounded(1);
+
+        let listener = TcpListener::bind(loopback()).await?;
+        let log_address = listener.local_addr()?;
+        let standin = LogStandin::new(LogSettings::new(log_address), clock.clone());
+        let mut servers =
+            vec![traffic.spawn(standin.serve(traffic.clone(), listener, stopped.clone()))];
+        let mut upstreams = Vec::new();
+        for (index, upstream) in inventory.upstreams.iter().enumerate() {
+            let listener = TcpListener::bind(loopback()).await?;
+            let address = listener.local_addr()?;
+            let mut settings = UpstreamSettings::new(&upstream.name, address);
+            settings.speed = SPEEDS[index % SPEEDS.len()];
+            let standin = UpstreamStandin::new(settings, clock.clone());
+            let serve = standin
+                .clone()
+                .serve(traffic.clone(), listener, stopped.clone());
+            servers.push(traffic.spawn(serve));
+            upstreams.push((standin, address));
+        }
+
+        let mut fleet = Self {
+            log: HttpLog::new(traffic.clone(), log_address, REQUEST_TIMEOUT),
+            control,
+            traffic,
+            clock,
+            inventory,
+            log_address,
+            upstreams,
+            agents: Vec::new(),
+            entries: Vec::new(),
+            lost: Vec::new(),
+            _servers: servers,
+            _stop: stop,
+        };
+        for index in 0..fleet.upstreams.len() {
+            let agent = fleet.start_agent(index).await?;
+            fleet.agents.push(Some(agent));
+        }
+        for index in 0..ENTRIES {
+            let entry = fleet.start_entry(index).await?;
+            fleet.entries.push(Some(entry));
+        }
+        Ok(fleet)
+    }
+
+    /// Returns where callers reach the entries.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .flatten()
+            .map(EntryProcess::callers)
+            .collect()
+    }
+
+    /// Publishes the inventory.
+    pub async fn publish(&self) -> eyre::Result<()> {
+        self.append_config(0, INVENTORY.to_owned()).await
+    }
+
+    /// Publishes a change and returns the time until every entry had it in force.
+    pub async fn publish_change(&self) -> eyre::Result<Duration> {
+        let base = self
+            .config_versions()
+            .await
+            .into_iter()
+            .max()
+            .unwrap_or_default();
+        let started = Instant::now();
+        let document = format!("{INVENTORY}\n# Changed while jobs ran.\n");
+        self.append_config(base, document).await?;
+        loop {
+            let versions = self.config_versions().await;
+            let took = started.elapsed();
+            if versions.iter().all(|version| *version > base) || took > CONFIG_LIMIT {
+                return Ok(took);
+            }
+            Timer::after(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Waits until every entry takes jobs and every shard is owned.
+    pub async fn ready(&self, timeout: Duration) -> eyre::Result<()> {
+        let deadline = Instant::now() + timeout;
+        while !self.is_ready().await {
+            ensure!(
+                Instant::now() < deadline,
+                "the deployment did not become ready"
+            );
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
+    /// Kills an agent and starts another in its place.
+    pub async fn replace_agent(&mut self, index: usize) -> eyre::Result<()> {
+        self.agents[index] = None;
+        self.agents[index] = Some(self.start_agent(index).await?);
+        Ok(())
+    }
+
+    /// Kills an entry and starts another in its place.
+    pub async fn replace_entry(&mut self, index: usize) -> eyre::Result<()> {
+        let counters = match &self.entries[index] {
+            Some(entry) => {
+                entry
+                    .control()
+                    .inspect(|engine, _| *engine.counters())
+                    .await
+            }
+            None => None,
+        };
+        self.lost.extend(counters);
+        self.entries[index] = None;
+        self.entries[index] = Some(self.start_entry(index).await?);
+        Ok(())
+    }
+
+    /// Tells an upstream to leave and waits until it may get no new work.
+    pub async fn drain_upstream(&self, index: usize) -> eyre::Result<Drained> {
+        let name = &self.inventory.upstreams[index].name;
+        let entry = self
+            .entries
+            .iter()
+            .flatten()
+            .next()
+            .ok_or_else(|| eyre!("no entry"))?;
+        let client = HttpClient::new(self.traffic.clone(), entry.admin(), 1);
+        let body = format!(r#"{{"upstream":"{name}","leaving":true}}"#);
+        let req = Request::post("/v1/drain").body(Full::from(body))?;
+        let response = client.send(req, 64 << 10, REQUEST_TIMEOUT).await?;
+        ensure!(
+            response.status().is_success(),
+            "drain: {}",
+            response.status()
+        );
+        Timer::after(LEAVING_LIMIT).await;
+        let starts = self.upstreams[index].0.status().started;
+        Ok(Drained {
+            upstream: index,
+            starts,
+        })
+    }
+
+    /// Returns the starts at an upstream after it had to be left alone.
+    pub fn starts_after_leaving(&self, drained: Drained) -> u64 {
+        self.upstreams[drained.upstream].0.status().started - drained.starts
+    }
+
+    /// Returns how often each task was started, by `key/index`.
+    pub fn starts(&self) -> HashMap<String, u32> {
+        let mut starts = HashMap::new();
+        for (upstream, _) in &self.upstreams {
+            for (task, count) in upstream.starts() {
+                *starts.entry(task).or_default() += count;
+            }
+        }
+        starts
+    }
+
+    /// Returns the counts of all entries, the killed ones among them.
+    pub async fn counters(&self) -> Vec<Counters> {
+        let mut all = self.lost.clone();
+        for entry in self.entries.iter().flatten() {
+            all.extend(
+                entry
+                    .control()
+                    .inspect(|engine, _| *engine.counters())
+                    .await,
+            );
+        }
+        all
+    }
+
+    /// Stops every process gracefully.
+    pub async fn stop(self) {
+        for entry in self.entries.into_iter().flatten() {
+            entry.stop().await;
+        }
+        for agent in self.agents.into_iter().flatten() {
+            agent.stop().await;
+        }
+    }
+
+    async fn append_config(&self, base: u64, document: String) -> eyre::Result<()> {
+        let record = ConfigRecord {
+            change_id: format!("demo-{:x}", fastrand::u64(..)),
+            base,
+            document,
+            author: "demo".to_owned(),
+            version: None,
+        };
+        self.log
+            .append("config", record.to_bytes().into())
+            .await
+            .wrap_err("publish")?;
+        Ok(())
+    }
+
+    async fn config_versions(&self) -> Vec<u64> {
+        let mut versions = Vec::new();
+        for entry in self.entries.iter().flatten() {
+            let status = entry
+                .control()
+                .inspect(|engine, now| engine.status(now))
+                .await;
+            versions.extend(status.map(|status| status.config_version));
+        }
+        versions
+    }
+
+    async fn is_ready(&self) -> bool {
+        let upstreams = self.upstreams.len();
+        let mut shards = 0;
+        for entry in self.entries.iter().flatten() {
+            let look = entry.control().inspect(|engine, now| {
+                let status = engine.status(now);
+                let linked = status.agents.iter().filter(|agent| agent.slots > 0).count();
+                (engine.is_ready(), linked, status.shards.len())
+            });
+            match look.await {
+                Some((true, linked, owned)) if linked == upstreams => shards += owned,
+                _ => return false,
+            }
+        }
+        shards == usize::from(hemlockhook_types::SHARD_COUNT)
+    }
+
+    async fn start_agent(&self, index: usize) -> eyre::Result<AgentProcess> {
+        let upstream = &self.inventory.upstreams[index];
+        let worker = self.inventory.worker(&upstream.worker);
+        let settings = hemlockhook_agent::Settings {
+            name: upstream.name.to_string(),
+            data_center: worker.map_or_else(String::new, |worker| worker.data_center.to_string()),
+            link_address: loopback(),
+            announced_address: None,
+            admin_address: loopback(),
+            upstream_address: self.upstreams[index].1,
+            log_address: self.log_address,
+            log_level: "warn".to_owned(),
+            limits: Default::default(),
+        };
+        let (control, traffic) = (self.control.clone(), self.traffic.clone());
+        AgentProcess::start(&settings, control, traffic, self.clock.clone()).await
+    }
+
+    async fn start_entry(&self, index: usize) -> eyre::Result<EntryProcess> {
+        let settings = hemlockhook_entry::Settings {
+            name: format!("entry-{index}"),
+            data_center: self.inventory.data_centers[index].name.to_string(),
+            callers_address: loopback(),
+            peers_address: loopback(),
+            admin_address: loopback(),
+            log_address: self.log_address,
+            known_peers: Vec::new(),
+            traffic_threads: 1,
+            log_level: Default::default(),
+            limits: Default::default(),
+            memory: Default::default(),
+            timing: Default::default(),
+        };
+        let (control, traffic) = (self.control.clone(), self.traffic.clone());
+        EntryProcess::start(&settings, control, traffic, self.clock.clone()).await
+    }
+}
+
+/// Returns an address on loopback whose port is drawn by the operating system.
+fn loopback() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
