Answer pings, check a start without recording it, begin a new read after the announcement

A read of the membership under way when the announcement was taken ended with the usual pause before the next one, so joining took five seconds more.

--- a/hemlockhook-agent/src/engine/frames.rs
+++ b/hemlockhook-agent/src/engine/frames.rs
@@ -5,8 +5,7 @@
 use hemlockhook_ownership::{FenceReport, StartOrder, StartRecord, StartRefusal};
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::refusal::Reason;
-use hemlockhook_proto::v1::task_result::Kind;
-use hemlockhook_types::{Ballot, Incarnation, ShardId, TaskEnd, TaskResult, shard_of};
+use hemlockhook_types::{Ballot, Incarnation, ShardId, shard_of};
 
 /// Checks that a start names its own key's shard and a task of its job.
 pub(super) fn is_well_formed_start(start: &v1::Start) -> bool {
@@ -30,23 +29,9 @@
     }
 }
 
-pub(super) fn ballot(ballot: v1::Ballot) -> Ballot {
-    Ballot {
-        counter: ballot.counter,
-        owner: ballot.owner,
-    }
-}
-
-fn wire_ballot(ballot: Ballot) -> v1::Ballot {
-    v1::Ballot {
-        counter: ballot.counter,
-        owner: ballot.owner,
-    }
-}
-
 pub(super) fn refusal(order: &StartOrder, why: StartRefusal) -> v1::Refusal {
     let (reason, floor) = match why {
-        StartRefusal::StaleBallot(floor) => (Reason::StaleBallot, Some(wire_ballot(floor))),
+        StartRefusal::StaleBallot(floor) => (Reason::StaleBallot, Some(floor.into())),
         StartRefusal::AlreadyStarted => (Reason::AlreadyStarted, None),
         StartRefusal::NotJoined => (Reason::NotJoined, None),
         StartRefusal::Leaving => (Reason::Leaving, None),
@@ -68,37 +53,24 @@
     }
 }
 
-pub(super) fn wire_result(result: &TaskResult) -> v1::TaskResult {
-    let (kind, body, reason) = match &result.end {
-        TaskEnd::Ok(body) => (Kind::Ok, body.to_vec(), String::new()),
-        TaskEnd::Failed(reason) => (Kind::Failed, Vec::new(), reason.clone()),
-        TaskEnd::Cancelled => (Kind::Cancelled, Vec::new(), String::new()),
-        TaskEnd::Evicted => (Kind::Evicted, Vec::new(), String::new()),
-    };
-    v1::TaskResult {
-        kind: kind.into(),
-        body,
-        reason,
-        run_time_us: u64::try_from(result.run_time.as_micros()).unwrap_or(u64::MAX),
-    }
-}
-
 pub(super) fn wire_report(takeover: u64, report: FenceReport) -> v1::FenceReport {
     let refused = report.refused.into_iter();
-    let records = report.records.iter();
+    let records = report.records.into_iter();
     v1::FenceReport {
         takeover,
         refused: refused
             .map(|(shard, floor)| v1::RefusedShard {
                 shard: u32::from(shard),
-                floor: Some(wire_ballot(floor)),
+                floor: Some(floor.into()),
             })
             .collect(),
         records: records.map(wire_record).collect(),
+        adopted: report.adopted,
+        ..v1::FenceReport::default()
     }
 }
 
-fn wire_record(record: &StartRecord) -> v1::StartRecord {
+fn wire_record(record: StartRecord) -> v1::StartRecord {
     v1::StartRecord {
         shard: u32::from(record.shard),
         key: record.key.to_string(),
@@ -107,6 +79,6 @@
         fingerprint: record.fingerprint,
         service: record.service.to_string(),
         idempotent: record.idempotent,
-        result: record.result.as_ref().map(wire_result),
+        result: record.result.map(Into::into),
     }
 }
--- a/hemlockhook-agent/src/engine/links.rs
+++ b/hemlockhook-agent/src/engine/links.rs
@@ -113,6 +113,9 @@
         if frame.returned_grants > 0 {
             self.slots.returned(now, entry, frame.returned_grants);
         }
+        if frame.ping {
+            self.answer_ping(id);
+        }
     }
 
     fn on_hello(&mut self, now: Instant, id: LinkId, hello: &v1::EntryHello) {
@@ -137,6 +140,12 @@
         }
     }
 
+    fn answer_ping(&mut self, id: LinkId) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.frame().pong = true;
+        }
+    }
+
     pub(super) fn say_hello_to_all(&mut self) {
         let hello = self.hello();
         for link in self.links.values_mut() {
@@ -249,8 +258,9 @@
 fn is_well_formed(frame: &v1::EntryFrame) -> bool {
     let is_shard = |shard: u32| shard < u32::from(SHARD_COUNT);
     let starts = frame.starts.iter().all(super::frames::is_well_formed_start);
-    let fences = frame.fences.iter().all(|fence| {
-        fence.ballot.is_some() && fence.shards.iter().all(|shard| is_shard(*shard))
-    });
+    let fences = frame
+        .fences
+        .iter()
+        .all(|fence| fence.ballot.is_some() && fence.shards.iter().all(|shard| is_shard(*shard)));
     starts && fences
 }
--- a/hemlockhook-agent/src/engine/log.rs
+++ b/hemlockhook-agent/src/engine/log.rs
@@ -209,9 +209,15 @@
             }
         }
         let at_end = self.membership.advance(now, batch);
-        if at_end && self.membership.after_announcement && !self.gate.is_joined() {
-            self.gate.join();
-            self.apply_config(now);
+        match self.membership.after_announcement {
+            _ if !at_end || self.gate.is_joined() => {}
+            true => {
+                self.gate.join();
+                self.apply_config(now);
+            }
+            // The announcement came while this read was under way: only a later one counts.
+            false if self.announcer.announced.is_some() => self.membership.due = now,
+            false => {}
         }
     }
 
--- a/hemlockhook-agent/src/engine/tasks.rs
+++ b/hemlockhook-agent/src/engine/tasks.rs
@@ -8,9 +8,7 @@
 use hemlockhook_ownership::{StartOrder, StartRefusal};
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::refusal::Reason;
-use hemlockhook_types::{
-    Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of,
-};
+use hemlockhook_types::{Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of};
 
 use super::frames;
 use super::{Action, Call, Engine, LinkId, TaskId};
@@ -115,7 +113,7 @@
         let done = v1::TaskDone {
             key: running.key.to_string(),
             index: running.index,
-            result: Some(frames::wire_result(&result)),
+            result: Some(result.clone().into()),
         };
         self.gate.finish(now, &running.key, running.index, result);
         match self.link_of(owner) {
@@ -157,7 +155,7 @@
     }
 
     pub(super) fn on_fence(&mut self, now: Instant, link: LinkId, fence: &v1::Fence) {
-        let Some(ballot) = fence.ballot.map(frames::ballot) else {
+        let Some(ballot) = fence.ballot.map(Into::into) else {
             return;
         };
         let shards: Vec<ShardId> = fence.shards.iter().map(|shard| *shard as ShardId).collect();
--- a/hemlockhook-agent/src/shell.rs
+++ b/hemlockhook-agent/src/shell.rs
@@ -127,14 +127,16 @@
     }
 
     fn send(&mut self, engine: &mut Engine, link: LinkId, frame: v1::AgentFrame) {
-        let sent = self.links.get(&link).map(|tx| tx.try_send(frame));
-        match sent {
-            Some(Ok(())) => {}
-            Some(Err(TrySendError::Full(_))) => {
+        let Some(tx) = self.links.get(&link) else {
+            return;
+        };
+        match tx.try_send(frame) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => {
                 spdlog::warn!("an entry does not keep up; its link is closed", kv: { link });
                 self.close(engine, link);
             }
-            Some(Err(TrySendError::Closed(_))) | None => self.close(engine, link),
+            Err(TrySendError::Closed(_)) => self.close(engine, link),
         }
     }
 
--- a/hemlockhook-agent/tests/support/mod.rs
+++ b/hemlockhook-agent/tests/support/mod.rs
@@ -30,6 +30,7 @@
   - {{ name: stock, deadline: 10s, max_task_time: 5s, objective: {{ percent: 99.0, within: 1s }} }}
 upstreams:
   - {{ name: desk-1, worker: os-1, services: [{services}], slots: {slots}, connections: 64 }}
+  - {{ name: desk-2, worker: os-1, services: [quote, stock], slots: 1, connections: 64 }}
 teams:
   - {{ name: farms }}
 "
@@ -71,6 +72,7 @@
     /// An agent that has joined, with two slots for the service `quote`.
     pub fn joined() -> Self {
         let mut agent = Self::new();
+        agent.read(Stream::Membership, 1, vec![]);
         agent.read(Stream::Config, 1, vec![config(0, &inventory(2, SERVICE))]);
         agent.handle(Event::Appended);
         agent.read(Stream::Membership, 1, vec![]);
@@ -134,7 +136,9 @@
 
     /// Takes the tasks that the upstream is to run.
     pub fn take_runs(&mut self) -> Vec<TaskId> {
-        let runs = self.actions.extract_if(.., |a| matches!(a, Action::Run { .. }));
+        let runs = self
+            .actions
+            .extract_if(.., |a| matches!(a, Action::Run { .. }));
         runs.filter_map(|action| match action {
             Action::Run { task, .. } => Some(task),
             _ => None,
@@ -144,9 +148,10 @@
 
     /// Takes the frames sent on a link.
     pub fn take_frames(&mut self, to: LinkId) -> Vec<v1::AgentFrame> {
-        let sent = self
-            .actions
-            .extract_if(.., |a| matches!(a, Action::Send { link, .. } if *link == to));
+        let sent = self.actions.extract_if(
+            ..,
+            |a| matches!(a, Action::Send { link, .. } if *link == to),
+        );
         sent.filter_map(|action| match action {
             Action::Send { frame, .. } => Some(frame),
             _ => None,
@@ -161,7 +166,7 @@
             .extract_if(.., |a| matches!(a, Action::Append { .. }));
         appends
             .filter_map(|action| match action {
-                Action::Append { body } => serde_json::from_slice(&body).done_well(),
+                Action::Append { body } => serde_json::from_slice(&body).ok(),
                 _ => None,
             })
             .collect()
@@ -175,6 +180,8 @@
 }
 
 pub fn config(base: u64, document: &str) -> Vec<u8> {
+    let problems = hemlockhook_inventory::check(document).err();
+    assert!(problems.is_none(), "the test's inventory: {problems:?}");
     ConfigRecord {
         change_id: format!("change-{base}"),
         base,
--- a/hemlockhook-ownership/src/gate.rs
+++ b/hemlockhook-ownership/src/gate.rs
@@ -117,6 +117,14 @@
 
     /// Decides on a start, and records it if it is allowed.
     pub fn start(&mut self, _now: Instant, order: &StartOrder) -> Result<(), StartRefusal> {
+        self.check(order)?;
+        self.raise(order.shard, order.ballot);
+        self.record(order);
+        Ok(())
+    }
+
+    /// Decides on a start without recording it.
+    pub fn check(&self, order: &StartOrder) -> Result<(), StartRefusal> {
         let rules = self.cfg.rules;
         let floor = self.floor(order.shard);
         if rules.floor && base(order.ballot) < floor {
@@ -137,9 +145,6 @@
         if self.starts >= self.cfg.max_starts {
             return Err(StartRefusal::Full);
         }
-
-        self.raise(order.shard, order.ballot);
-        self.record(order);
         Ok(())
     }
 
--- a/hemlockhook/src/bin/hemlockhook-agent.rs
+++ b/hemlockhook/src/bin/hemlockhook-agent.rs
@@ -7,13 +7,21 @@
 use hemlockhook_agent::Settings;
 use hemlockhook_runtime::{log, settings};
 
+/// What the help says below the options.
+const ABOUT: &str = "The agent announces itself in the platform's log under the name that its \
+settings give, and takes work once the inventory in force names that upstream. On SIGTERM it takes \
+no more work, finishes what runs, delivers the results and exits with status 0.\n\n\
+The smallest settings file:\n\n  \
+name: desk-osijek-1\n  \
+data_center: osijek\n  \
+link_address: 127.0.0.1:7301\n  \
+admin_address: 127.0.0.1:7302\n  \
+upstream_address: 127.0.0.1:8301\n  \
+log_address: 127.0.0.1:7100";
+
 /// Runs the agent beside one upstream: it starts tasks there on the orders of the entries.
-///
-/// The agent announces itself in the platform's log under the name that its settings give, and takes
-/// work once the inventory in force names that upstream. On SIGTERM it takes no more work, finishes
-/// what runs, delivers the results and exits with status 0.
 #[derive(Bpaf, Clone, Debug)]
-#[bpaf(options, version)]
+#[bpaf(options, version, footer(ABOUT))]
 struct Args {
     /// Settings file in YAML
     #[bpaf(short, long, argument("FILE"))]
