--- a/hemlockhook-entry/src/engine/peers.rs
+++ b/hemlockhook-entry/src/engine/peers.rs
@@ -31,21 +31,13 @@
         addresses.dedup();
         for address in addresses {
             if address != self.me.address {
-                let status = Box::new(self.peer_status(now, 0));
+                let status = Box::new(self.peer_status(0));
                 self.actions.push(Action::Heartbeat { address, status });
             }
         }
     }
 
     pub(super) fn on_peer(&mut self, now: Instant, status: PeerStatus, waiter: Option<Waiter>) {
-        let known: Vec<_> = self
-            .members
-            .alive(now)
-            .map(|(incarnation, _)| incarnation)
-            .collect();
-        if !known.contains(&status.incarnation) && status.incarnation != self.me.incarnation {
-            self.note(EventKind::PeerUp, &status.name, "the entry answers");
-        }
         self.members.on_status(now, &status);
         self.take_members(now, &status);
         if let Some(config) = &status.config {
@@ -65,7 +57,7 @@
                 .set_peer_usage(status.incarnation, &name, running, queued);
         }
         if let Some(waiter) = waiter {
-            let mut ours = self.peer_status(now, status.config_version);
+            let mut ours = self.peer_status(status.config_version);
             if status.want_members {
                 ours.members = self.members.records().iter().map(write_member).collect();
             }
@@ -76,6 +68,27 @@
         }
     }
 
+    /// Notices which entries came up and which fell silent.
+    pub(super) fn watch_peers(&mut self, now: Instant) {
+        let mut alive: Vec<_> = self
+            .members
+            .alive(now)
+            .map(|(incarnation, peer)| (incarnation, peer.name.clone()))
+            .collect();
+        alive.sort();
+        if alive == self.alive {
+            return;
+        }
+        let before = std::mem::replace(&mut self.alive, alive.clone());
+        for (_, name) in alive.iter().filter(|peer| !before.contains(peer)) {
+            self.note(EventKind::PeerUp, name, "the entry answers");
+        }
+        for (peer, name) in before.iter().filter(|peer| !alive.contains(peer)) {
+            self.note(EventKind::PeerDown, name, "the entry does not answer");
+            self.abandon_calls(*peer);
+        }
+    }
+
     /// Learns of members from a peer while the log cannot be read.
     fn take_members(&mut self, now: Instant, status: &PeerStatus) {
         if self.members_read {
@@ -89,9 +102,9 @@
     }
 
     /// Returns our state; the configuration goes along to those whose version is lower.
-    fn peer_status(&self, now: Instant, their_version: u64) -> PeerStatus {
+    fn peer_status(&self, their_version: u64) -> PeerStatus {
         let version = self.config.version();
-        let owned = self.owner.owned(now).into_iter();
+        let owned = self.owner.owned().into_iter();
         let teams = self.dispatcher.snapshot().teams.into_iter();
         PeerStatus {
             incarnation: self.me.incarnation,
