--- a/hemlockhook-agent/src/engine/leave.rs
+++ b/hemlockhook-agent/src/engine/leave.rs
@@ -4,14 +4,21 @@
 use std::time::{Duration, Instant};
 
 use hemlockhook_ownership::Record;
-use hemlockhook_types::{ShardId, TaskEnd};
+use hemlockhook_proto::v1;
+use hemlockhook_types::{Incarnation, ShardId, TaskEnd};
 
-use super::{Action, Engine, TaskId};
+use super::{Action, Engine, LinkId, TaskId, frames};
 
 /// Time for entries to hand back their grants, and for owners that are not linked to come and
 /// fetch their results.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time for another agent to adopt what this one holds.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Wait before another entry is asked to find an agent that adopts.
+const HAND_OVER_RETRY: Duration = Duration::from_millis(700);
+
 /// Time for the record of the departure to be appended.
 const FAREWELL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -24,6 +31,8 @@
     /// Asked for by an operator; can be taken back.
     drained: bool,
     stopping: Stopping,
+    /// The agent that adopted what this one held.
+    custodian: Option<Incarnation>,
     /// Shards with results whose owner was not linked when they came.
     owed: BTreeSet<ShardId>,
 }
@@ -37,6 +46,8 @@
     Finishing { until: Instant },
     /// Entries may hand back grants and fetch results until then.
     Settling { until: Instant },
+    /// An agent that stays may adopt what this one holds until then.
+    HandingOver { until: Instant, asked: Instant },
     /// The record of the departure is appended from `due` on, and given up at `until`.
     Farewell {
         due: Instant,
@@ -60,6 +71,7 @@
         match self.stopping {
             Stopping::No | Stopping::Done { .. } => None,
             Stopping::Finishing { until } | Stopping::Settling { until } => Some(until),
+            Stopping::HandingOver { until, asked } => Some(until.min(asked + HAND_OVER_RETRY)),
             Stopping::Farewell {
                 until,
                 in_flight: true,
@@ -150,11 +162,28 @@
                 self.abandon_tasks(now);
                 step
             }
-            Stopping::Settling { until } if is_settled || now >= until => Stopping::Farewell {
-                due: now,
-                until: now + FAREWELL_TIMEOUT,
-                in_flight: false,
-            },
+            Stopping::Settling { until } if is_settled || now >= until => {
+                self.hand_over(0);
+                Stopping::HandingOver {
+                    until: now + HAND_OVER_TIMEOUT,
+                    asked: now,
+                }
+            }
+            Stopping::HandingOver { until, .. }
+                if self.leaving.custodian.is_some() || self.links.is_empty() || now >= until =>
+            {
+                Stopping::Farewell {
+                    due: now,
+                    until: now + FAREWELL_TIMEOUT,
+                    in_flight: false,
+                }
+            }
+            Stopping::HandingOver { until, asked } if now >= asked + HAND_OVER_RETRY => {
+                let waited = HAND_OVER_TIMEOUT.saturating_sub(until - now);
+                let tries = waited.as_millis() / HAND_OVER_RETRY.as_millis();
+                self.hand_over(tries as usize);
+                Stopping::HandingOver { until, asked: now }
+            }
             Stopping::Farewell { until, .. } if now >= until => Stopping::Done { told: false },
             Stopping::Farewell {
                 due,
@@ -163,7 +192,7 @@
             } if now >= due && self.announcer.is_idle() => {
                 self.append(&Record::Left {
                     incarnation: self.cfg.incarnation,
-                    custodian: None,
+                    custodian: self.leaving.custodian,
                 });
                 Stopping::Farewell {
                     due,
@@ -180,6 +209,42 @@
         }
     }
 
+    /// Asks one of the linked entries, another one with each try, to find an agent that adopts what
+    /// this one holds.
+    fn hand_over(&mut self, tries: usize) {
+        let Some(custody) = self.gate.seal() else {
+            return;
+        };
+        let mut links: Vec<LinkId> = self.links.keys().copied().collect();
+        links.sort_unstable();
+        let link = links.get(tries % links.len().max(1)).copied();
+        if let Some(link) = link.and_then(|id| self.links.get_mut(&id)) {
+            link.hand_over(frames::wire_custody(custody));
+        }
+    }
+
+    /// Takes in that another agent adopted what this one held.
+    pub(super) fn on_custodian(&mut self, _now: Instant, custodian: Incarnation) {
+        let is_handing_over = matches!(self.leaving.stopping, Stopping::HandingOver { .. });
+        if is_handing_over && custodian != self.cfg.incarnation {
+            self.leaving.custodian = Some(custodian);
+        }
+    }
+
+    /// Adopts what a leaving agent held.
+    pub(super) fn on_custody(&mut self, now: Instant, link: LinkId, custody: v1::Custody) {
+        let custody = frames::custody(custody);
+        let Some(leaver) = custody.agents.first().copied() else {
+            return;
+        };
+        if leaver == self.cfg.incarnation || self.gate.adopt(now, &custody).is_err() {
+            return;
+        }
+        if let Some(link) = self.links.get_mut(&link) {
+            link.adopted(leaver);
+        }
+    }
+
     /// Ends tasks that outlived the time given to a graceful stop.
     fn abandon_tasks(&mut self, now: Instant) {
         let running: Vec<TaskId> = self.tasks.keys().collect();
--- a/hemlockhook-agent/src/engine/links.rs
+++ b/hemlockhook-agent/src/engine/links.rs
@@ -5,9 +5,9 @@
 
 use hemlockhook_proto::v1;
 use hemlockhook_schedule::{Demand, SlotAction};
-use hemlockhook_types::{Incarnation, SHARD_COUNT};
+use hemlockhook_types::{Incarnation, SHARD_COUNT, shard_of};
 
-use super::{Action, Engine, LinkId};
+use super::{Action, Engine, LinkId, frames};
 
 /// Bytes of results after which a further frame is begun.
 const FRAME_BYTES: usize = 512 * 1024;
@@ -55,6 +55,20 @@
         self.frame().refusals.push(refusal);
     }
 
+    pub(super) fn withdrawn(&mut self, withdrawn: v1::Withdrawn) {
+        self.frame().withdrawn.push(withdrawn);
+    }
+
+    pub(super) fn adopted(&mut self, agent: Incarnation) {
+        self.frame().adopted = Some(agent);
+    }
+
+    /// Hands over what this agent holds, in a frame of its own.
+    pub(super) fn hand_over(&mut self, custody: v1::Custody) {
+        self.frame().custody = Some(custody);
+        self.out_bytes = FRAME_BYTES;
+    }
+
     pub(super) fn report(&mut self, report: v1::FenceReport) {
         self.frame().reports.push(report);
     }
@@ -99,9 +113,18 @@
         for cancel in frame.cancels {
             self.on_cancel(now, entry, &cancel);
         }
+        for withdraw in frame.withdraws {
+            self.on_withdraw(now, id, entry, withdraw);
+        }
         for fence in frame.fences {
             self.on_fence(now, id, &fence);
         }
+        if let Some(custody) = frame.custody {
+            self.on_custody(now, id, custody);
+        }
+        if let Some(custodian) = frame.custodian {
+            self.on_custodian(now, custodian);
+        }
         if let Some(demand) = frame.demand {
             let demand = Demand {
                 queued: demand.queued,
@@ -233,6 +256,7 @@
             for mut frame in link.out.drain(..) {
                 frame.config_version = config_version;
                 self.counters.frames_sent += 1;
+                let frame = Box::new(frame);
                 self.actions.push(Action::Send { link: *id, frame });
             }
         }
@@ -257,10 +281,14 @@
 /// Checks what a correct entry never gets wrong.
 fn is_well_formed(frame: &v1::EntryFrame) -> bool {
     let is_shard = |shard: u32| shard < u32::from(SHARD_COUNT);
-    let starts = frame.starts.iter().all(super::frames::is_well_formed_start);
+    let starts = frame.starts.iter().all(frames::is_well_formed_start);
     let fences = frame
         .fences
         .iter()
         .all(|fence| fence.ballot.is_some() && fence.shards.iter().all(|shard| is_shard(*shard)));
-    starts && fences
+    let withdraws = frame.withdraws.iter().all(|withdraw| {
+        let job = withdraw.job.as_ref();
+        job.is_some_and(|job| u32::from(shard_of(&job.key)) == job.shard)
+    });
+    starts && fences && withdraws
 }
--- a/hemlockhook-agent/src/engine/mod.rs
+++ b/hemlockhook-agent/src/engine/mod.rs
@@ -73,7 +73,7 @@
         /// The link.
         link: LinkId,
         /// What was sent.
-        frame: v1::EntryFrame,
+        frame: Box<v1::EntryFrame>,
     },
     /// A link is lost.
     LinkDown {
@@ -132,7 +132,7 @@
         /// The link.
         link: LinkId,
         /// What to send.
-        frame: v1::AgentFrame,
+        frame: Box<v1::AgentFrame>,
     },
     /// Closes a link.
     Close {
@@ -209,7 +209,7 @@
     /// Takes in an event.
     pub fn handle(&mut self, now: Instant, event: Event) {
         match event {
-            Event::Frame { link, frame } => self.on_frame(now, link, frame),
+            Event::Frame { link, frame } => self.on_frame(now, link, *frame),
             Event::LinkDown { link } => self.on_link_down(now, link),
             Event::Ended { task, result } => self.on_ended(now, task, result),
             Event::Appended => self.on_appended(now),
--- a/hemlockhook-agent/src/engine/tasks.rs
+++ b/hemlockhook-agent/src/engine/tasks.rs
@@ -8,7 +8,9 @@
 use hemlockhook_ownership::{StartOrder, StartRefusal};
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::refusal::Reason;
-use hemlockhook_types::{Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of};
+use hemlockhook_types::{
+    Ballot, Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of,
+};
 
 use super::frames;
 use super::{Action, Call, Engine, LinkId, TaskId};
@@ -154,6 +156,25 @@
         self.on_ended(now, task, TaskResult { end, run_time });
     }
 
+    /// Marks a job as not run, so that its owner may refuse it.
+    pub(super) fn on_withdraw(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        entry: Incarnation,
+        withdraw: v1::Withdraw,
+    ) {
+        let ballot = Ballot {
+            counter: withdraw.ballot,
+            owner: entry,
+        };
+        let withdrawal = frames::withdrawal(withdraw.job.unwrap_or_default());
+        let outcome = self.gate.withdraw(now, ballot, &withdrawal);
+        if let Some(link) = self.links.get_mut(&link) {
+            link.withdrawn(frames::withdrawn(&withdrawal.key, outcome));
+        }
+    }
+
     pub(super) fn on_fence(&mut self, now: Instant, link: LinkId, fence: &v1::Fence) {
         let Some(ballot) = fence.ballot.map(Into::into) else {
             return;
--- a/hemlockhook-agent/src/link.rs
+++ b/hemlockhook-agent/src/link.rs
@@ -72,6 +72,7 @@
 
 async fn read_frames(link: LinkId, mut frames: Streaming<v1::EntryFrame>, inputs: &Sender<Input>) {
     while let Ok(Some(frame)) = frames.message().await {
+        let frame = Box::new(frame);
         let event = Event::Frame { link, frame };
         if inputs.send(Input::Event(event)).await.is_err() {
             return;
@@ -86,7 +87,7 @@
 
 /// The frames to an entry. Dropped when the link's connection is.
 pub(crate) struct OutStream {
-    frames: Pin<Box<Receiver<v1::AgentFrame>>>,
+    frames: Pin<Box<Receiver<Box<v1::AgentFrame>>>>,
     _alive: Sender<()>,
 }
 
@@ -94,6 +95,9 @@
     type Item = Result<v1::AgentFrame, Status>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.frames.as_mut().poll_next(cx).map(|next| next.map(Ok))
+        self.frames
+            .as_mut()
+            .poll_next(cx)
+            .map(|next| next.map(|frame| Ok(*frame)))
     }
 }
--- a/hemlockhook-agent/src/shell.rs
+++ b/hemlockhook-agent/src/shell.rs
@@ -32,7 +32,7 @@
     /// A link opened; frames for its entry go to `tx`.
     Opened {
         link: LinkId,
-        tx: Sender<v1::AgentFrame>,
+        tx: Sender<Box<v1::AgentFrame>>,
     },
     /// Somebody asks for the status.
     Status(Sender<Status>),
@@ -46,7 +46,7 @@
     pub(crate) log: Arc<dyn Log>,
     /// For the tasks that report back.
     pub(crate) inputs: Sender<Input>,
-    pub(crate) links: HashMap<LinkId, Sender<v1::AgentFrame>>,
+    pub(crate) links: HashMap<LinkId, Sender<Box<v1::AgentFrame>>>,
     /// Calls of the upstream; dropping one stops it.
     pub(crate) calls: HashMap<TaskId, Task<()>>,
     /// Requests to the log: one append, and one read a stream.
@@ -126,7 +126,7 @@
         }
     }
 
-    fn send(&mut self, engine: &mut Engine, link: LinkId, frame: v1::AgentFrame) {
+    fn send(&mut self, engine: &mut Engine, link: LinkId, frame: Box<v1::AgentFrame>) {
         let Some(tx) = self.links.get(&link) else {
             return;
         };
--- a/hemlockhook-agent/tests/leaving.rs
+++ b/hemlockhook-agent/tests/leaving.rs
@@ -44,11 +44,21 @@
     expect_that!(agent.take_appends(), is_empty());
 
     agent.frame(1, returned(1));
+    expect_that!(agent.take_appends(), is_empty());
+    let frames = agent.take_frames(1);
+    let custody = frames.iter().find_map(|frame| frame.custody.as_ref());
+    expect_that!(
+        custody.map(|c| c.agents.as_slice()),
+        some(eq([AGENT].as_slice()))
+    );
+    expect_that!(custody.map_or(0, |c| c.records.len()), eq(1));
+
+    agent.frame(1, custodian(78));
     expect_that!(
         agent.take_appends(),
-        elements_are![matches_pattern!(Record::Left {
-            incarnation: eq(&AGENT),
-            ..
+        elements_are![eq(&Record::Left {
+            incarnation: AGENT,
+            custodian: Some(78),
         })]
     );
     expect_false!(has_exit(&agent));
@@ -88,9 +98,74 @@
     agent.link(2, 6);
     agent.frame(2, fence(KEY, ballot(2, 6)));
     agent.frame(2, returned(2));
+    agent.frame(2, custodian(78));
     expect_that!(agent.take_appends(), len(eq(1)));
 }
 
+#[gtest]
+fn entries_are_asked_in_turn_for_a_custodian_and_its_lack_is_recorded() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.link(2, 6);
+    agent.frame(1, returned(1));
+    agent.frame(2, returned(1));
+    agent.handle(Event::Stop);
+    agent.frame(1, returned(2));
+    agent.frame(2, returned(2));
+    let mut asked = [0, 0];
+    for _ in 0..40 {
+        for link in [1, 2] {
+            let frames = agent.take_frames(link);
+            asked[link as usize - 1] += frames.iter().filter(|f| f.custody.is_some()).count();
+        }
+        agent.advance(Duration::from_millis(100));
+    }
+    expect_that!(asked, each(ge(2)));
+    expect_that!(
+        agent.take_appends(),
+        elements_are![eq(&Record::Left {
+            incarnation: AGENT,
+            custodian: None,
+        })]
+    );
+}
+
+#[gtest]
+fn records_of_a_leaving_agent_are_adopted_and_reported() {
+    let mut leaver = Agent::joined();
+    leaver.link(1, 5);
+    leaver.frame(1, starts(vec![start(KEY, 0)]));
+    let tasks = leaver.take_runs();
+    leaver.end(tasks[0], done_well());
+    leaver.frame(1, withdraw("farms/job-2"));
+    leaver.frame(1, returned(2));
+    leaver.handle(Event::Stop);
+    leaver.frame(1, returned(2));
+    let frames = leaver.take_frames(1);
+    let custody = frames.into_iter().find_map(|frame| frame.custody);
+
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    let mut frame = hemlockhook_proto::v1::EntryFrame {
+        custody,
+        ..Default::default()
+    };
+    // An agent does not adopt its own records.
+    agent.frame(1, frame.clone());
+    expect_that!(agent.take_frames(1), is_empty());
+    let custody = frame.custody.as_mut().expect("the leaver handed over");
+    custody.agents = vec![78];
+    agent.frame(1, frame);
+    expect_that!(agent.take_frames(1)[0].adopted, some(eq(78)));
+
+    agent.frame(1, fence(KEY, ballot(1, 5)));
+    let report = agent.take_frames(1)[0].reports[0].clone();
+    expect_that!(report.adopted, elements_are![eq(&78)]);
+    expect_that!(report.records, len(eq(1)));
+    agent.frame(1, starts(vec![start(KEY, 0), start("farms/job-2", 0)]));
+    expect_that!(agent.refusals(1), each(eq(&Reason::AlreadyStarted)));
+}
+
 #[gtest]
 fn a_drain_is_taken_back() {
     let mut agent = Agent::joined();
--- a/hemlockhook-agent/tests/starting.rs
+++ b/hemlockhook-agent/tests/starting.rs
@@ -98,7 +98,7 @@
     agent.frame(1, starts(vec![start(KEY, 0)]));
     let tasks = agent.take_runs();
     let now = agent.now;
-    let frame = fence(KEY, ballot(1, 5));
+    let frame = Box::new(fence(KEY, ballot(1, 5)));
     agent.engine.handle(now, Event::Frame { link: 1, frame });
     let result = hemlockhook_types::TaskResult {
         end: done_well(),
@@ -153,6 +153,31 @@
     expect_that!(agent.engine.status().running, eq(0));
 }
 
+#[gtest]
+fn a_withdrawn_job_never_starts_and_a_started_one_is_not_withdrawn() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.frame(1, withdraw(KEY));
+    let frames = agent.take_frames(1);
+    expect_that!(frames[0].withdrawn[0].refusal, none());
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    expect_that!(
+        agent.refusals(1),
+        elements_are![eq(&Reason::AlreadyStarted)]
+    );
+
+    agent.frame(1, starts(vec![start("farms/job-2", 0)]));
+    expect_that!(agent.take_runs(), len(eq(1)));
+    agent.frame(1, withdraw("farms/job-2"));
+    let frames = agent.take_frames(1);
+    let withdrawn = frames.iter().flat_map(|frame| &frame.withdrawn);
+    let refusals = withdrawn.map(|withdrawn| withdrawn.refusal());
+    expect_that!(
+        refusals.collect::<Vec<_>>(),
+        elements_are![eq(&Reason::AlreadyStarted)]
+    );
+}
+
 #[gtest]
 fn a_former_owner_cancels_nothing() {
     let mut agent = Agent::joined();
--- a/hemlockhook-agent/tests/support/mod.rs
+++ b/hemlockhook-agent/tests/support/mod.rs
@@ -123,6 +123,7 @@
     }
 
     pub fn frame(&mut self, link: LinkId, frame: v1::EntryFrame) {
+        let frame = Box::new(frame);
         self.handle(Event::Frame { link, frame });
     }
 
@@ -153,7 +154,7 @@
             |a| matches!(a, Action::Send { link, .. } if *link == to),
         );
         sent.filter_map(|action| match action {
-            Action::Send { frame, .. } => Some(frame),
+            Action::Send { frame, .. } => Some(*frame),
             _ => None,
         })
         .collect()
@@ -266,6 +267,29 @@
     }
 }
 
+pub fn custodian(agent: Incarnation) -> v1::EntryFrame {
+    v1::EntryFrame {
+        custodian: Some(agent),
+        ..v1::EntryFrame::default()
+    }
+}
+
+pub fn withdraw(key: &str) -> v1::EntryFrame {
+    v1::EntryFrame {
+        withdraws: vec![v1::Withdraw {
+            job: Some(v1::WithdrawnJob {
+                key: key.to_owned(),
+                fingerprint: 1,
+                shard: u32::from(shard_of(key)),
+                service: SERVICE.to_owned(),
+                reason: "deadline".to_owned(),
+            }),
+            ballot: TAKEOVER,
+        }],
+        ..v1::EntryFrame::default()
+    }
+}
+
 pub fn drain(leaving: bool) -> v1::EntryFrame {
     v1::EntryFrame {
         drain: Some(v1::Drain { leaving }),
