--- a/hemlockhook/src/demo/fleet.rs
+++ b/hemlockhook/src/demo/fleet.rs
@@ -259,7 +259,7 @@
             base,
             document,
             author: "demo".to_owned(),
-            version: None,
+            ..ConfigRecord::default()
         };
         self.log
             .append("config", record.to_bytes().into())
