Forward a submission that was sent back only after a pause; tell lost shards together

Cause: an entry forwarded a job again every 20 ms while its shard changed hands: 678 calls for 164 jobs in a demonstration. Change: 100 ms between two calls for the same job; shards move between living owners only when every agent is accounted for.

--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -16,6 +16,9 @@
 /// Time past the deadline in which a forwarded job's answer may still arrive.
 const RELAY_GRACE: Duration = Duration::from_secs(1);
 
+/// Time before a submission that an entry sent back is forwarded again.
+const RELAY_PAUSE: Duration = Duration::from_millis(100);
+
 /// A submission without an answer.
 #[derive(Debug)]
 pub struct Submitted {
@@ -23,6 +26,8 @@
     arrived: Instant,
     deadline: Instant,
     place: Place,
+    /// When it may be forwarded again.
+    relay_at: Instant,
     /// Callers' connections.
     callers: Vec<Waiter>,
     /// Forwarding entries; they submit elsewhere if the shard's owner changes.
@@ -91,6 +96,7 @@
             arrived: now,
             deadline,
             place,
+            relay_at: now,
             callers,
             entries,
         };
@@ -223,14 +229,15 @@
             self.submissions.remove(key);
             return;
         }
-        let Some((ballot, address)) = self.members.claimant(now, shard) else {
-            self.hold(key);
-            return;
+        let claimant = self.members.claimant(now, shard);
+        let Some((ballot, address)) = claimant.filter(|_| now >= submitted.relay_at) else {
+            return self.hold(key);
         };
 
         self.next_call += 1;
         let call = self.next_call;
         submitted.place = Place::Relayed(call, ballot.owner);
+        submitted.relay_at = now + RELAY_PAUSE;
         self.held.remove(key);
         self.counters.forwarded += 1;
         let submission = submitted.submission.clone();
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -50,6 +50,7 @@
 pub struct Engine {
     me: Identity,
     timing: Timing,
+    window: Duration,
     started: Instant,
     owner: Owner,
     dispatcher: Dispatcher,
@@ -77,6 +78,10 @@
     alive: Vec<(Incarnation, String)>,
     /// Since when the preferred owners have been the same, and which shards are preferred here.
     preference: (Instant, Vec<ShardId>),
+    /// Until when an agent that was lost may have started tasks that no other process knows of.
+    unaccounted_until: Option<Instant>,
+    /// Shards lost to other entries since the last event about it.
+    lost_shards: Vec<ShardId>,
     draining: bool,
     stamps: Arc<StampTable>,
     journal: Journal,
@@ -115,6 +120,8 @@
             last_heartbeat: None,
             alive: Vec::new(),
             preference: (now, Vec::new()),
+            unaccounted_until: None,
+            lost_shards: Vec::new(),
             draining: false,
             stamps: Arc::default(),
             journal: Journal::new(&me.name),
@@ -124,6 +131,7 @@
             started: now,
             me,
             timing,
+            window: Duration::from_secs(memory.window_s),
         }
     }
 
--- a/hemlockhook-entry/src/engine/takeover.rs
+++ b/hemlockhook-entry/src/engine/takeover.rs
@@ -67,7 +67,7 @@
             return;
         }
         let settled = now - self.preference.0;
-        let may_move = settled >= MOVE_SETTLE && self.log_up;
+        let may_move = settled >= MOVE_SETTLE && self.log_up && self.is_accounted(now);
         let wanted: Vec<_> = self
             .preference
             .1
@@ -85,6 +85,12 @@
         }
     }
 
+    /// Returns whether a takeover now would learn of every start inside the window.
+    fn is_accounted(&self, now: Instant) -> bool {
+        let all_up = self.links.values().all(|link| link.up);
+        all_up && self.unaccounted_until.is_none_or(|until| now >= until)
+    }
+
     fn preferred_shards(&self, now: Instant) -> Vec<ShardId> {
         let staying = !self.draining;
         (0..SHARD_COUNT)
@@ -106,7 +112,7 @@
         loop {
             let actions = self.owner.actions();
             if actions.is_empty() {
-                return;
+                return self.note_lost_shards(now);
             }
             for action in actions {
                 self.follow(now, action);
@@ -114,6 +120,23 @@
         }
     }
 
+    fn note_lost_shards(&mut self, now: Instant) {
+        if self.lost_shards.is_empty() {
+            return;
+        }
+        let shards: Vec<_> = self
+            .lost_shards
+            .drain(..)
+            .map(|shard| shard.to_string())
+            .collect();
+        self.note(
+            EventKind::SteppedDown,
+            &shards.join(" "),
+            "other entries own these shards",
+        );
+        self.refresh_stamps(now);
+    }
+
     fn follow(&mut self, now: Instant, action: OwnerAction) {
         match action {
             OwnerAction::Fence {
@@ -138,13 +161,8 @@
             }
             OwnerAction::Ready { shards, complete } => self.on_ready(now, &shards, complete),
             OwnerAction::StepDown { shard, unfinished } => {
-                self.note(
-                    EventKind::SteppedDown,
-                    &shard.to_string(),
-                    "another entry owns it",
-                );
+                self.lost_shards.push(shard);
                 unfinished.iter().for_each(|key| self.give_back(key));
-                self.refresh_stamps(now);
             }
             OwnerAction::Settled { key, answer } => {
                 for (agent, index) in self.owner.running(&key) {
--- a/hemlockhook/src/demo.rs
+++ b/hemlockhook/src/demo.rs
@@ -11,6 +11,7 @@
 use async_io::Timer;
 use bpaf::Bpaf;
 use hemlockhook_runtime::executor::Threads;
+use hemlockhook_runtime::log;
 
 use fleet::Fleet;
 use load::{Load, LoadSettings};
@@ -59,6 +60,7 @@
 
 /// Runs the demonstration. Returns whether everything that must always hold did.
 pub fn run(args: &DemoArgs) -> eyre::Result<bool> {
+    log::init("error")?;
     let threads = Threads::start("demo", TRAFFIC_THREADS);
     let summary = async_io::block_on(demonstrate(args, &threads))?;
     match args.output {
@@ -98,6 +100,9 @@
     progress("waiting for the last answers");
     let outcomes = running.await;
     let counters = fleet.counters().await;
+    if std::env::var_os("DEMO_DEBUG").is_some() {
+        eprintln!("{counters:#?}");
+    }
     let late_starts = fleet.starts_after_leaving(drained);
     let starts = fleet.starts();
     fleet.stop().await;
