--- a/hemlockhook-agent/src/upstream.rs
+++ b/hemlockhook-agent/src/upstream.rs
@@ -55,6 +55,8 @@
     Status { status: u16, text: String },
     #[error("upstream answered another task")]
     WrongTask,
+    #[error("upstream did not say which task it answered: the header {ATTEMPT_HEADER} is missing")]
+    Unnamed,
     #[error("the task's name is not fit for a header")]
     Header,
 }
@@ -105,17 +107,19 @@
         let timeout = call.timeout.unwrap_or(self.limits.timeout);
         let req = request(call, &attempt)?;
         let is_ours = |res: &Response<Bytes>| res.headers().get(ATTEMPT_HEADER) == Some(&attempt);
+        let is_named = |res: &Response<Bytes>| res.headers().contains_key(ATTEMPT_HEADER);
         let res = self
             .client
             .send_checked(req, self.limits.max_answer, timeout, is_ours)
             .await?;
         match res.status() {
-            _ if !is_ours(&res) => Err(CallError::WrongTask),
-            status if status.is_success() => Ok(res.into_body()),
-            status => Err(CallError::Status {
+            _ if is_named(&res) && !is_ours(&res) => Err(CallError::WrongTask),
+            status if !status.is_success() => Err(CallError::Status {
                 status: status.as_u16(),
                 text: error_text(&res),
             }),
+            _ if !is_named(&res) => Err(CallError::Unnamed),
+            _ => Ok(res.into_body()),
         }
     }
 
--- /dev/null
+++ b/hemlockhook-agent/tests/upstreams.rs
@@ -0,0 +1,242 @@
+//! Upstreams that are dead, slow or wrong: each is an outcome of its task and of no other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_executor::Task;
+use async_io::Timer;
+use async_net::TcpListener;
+use bytes::Bytes;
+use futures_lite::future;
+use googletest::prelude::*;
+use hemlockhook_agent::Call;
+use hemlockhook_agent::upstream::{Upstream, UpstreamLimits};
+use hemlockhook_runtime::executor::Threads;
+use hemlockhook_standin::{UpstreamFaults, UpstreamSettings, UpstreamStandin};
+use hemlockhook_types::{SystemClock, TaskEnd};
+
+const CONNECTIONS: usize = 4;
+const MAX_ANSWER: usize = 1024;
+
+struct Fixture {
+    threads: Threads,
+    standin: UpstreamStandin,
+    upstream: Upstream,
+    _stop: Sender<()>,
+    _serve: Task<()>,
+}
+
+impl Fixture {
+    fn new(faults: UpstreamFaults) -> Self {
+        let threads = Threads::start("upstreams", 2);
+        let clock = Arc::new(SystemClock);
+        let listener = async_io::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let cfg = UpstreamSettings {
+            faults,
+            ..UpstreamSettings::new("desk-1", addr)
+        };
+        let standin = UpstreamStandin::new(cfg, clock.clone());
+        let (stop, stopped) = async_channel::bounded(1);
+        let ex = threads.traffic();
+        let serve = standin.clone().serve(ex.clone(), listener, stopped);
+        Self {
+            upstream: client(&threads, addr),
+            standin,
+            _serve: ex.spawn(serve),
+            _stop: stop,
+            threads,
+        }
+    }
+
+    fn run(&self, call: Call) -> TaskEnd {
+        let upstream = self.upstream.clone();
+        let run = self
+            .threads
+            .traffic()
+            .spawn(async move { upstream.run(call).await });
+        async_io::block_on(run).end
+    }
+}
+
+fn client(threads: &Threads, addr: SocketAddr) -> Upstream {
+    let limits = UpstreamLimits {
+        connections: CONNECTIONS,
+        max_answer: MAX_ANSWER,
+        timeout: Duration::from_secs(60),
+    };
+    Upstream::new(threads.traffic(), addr, limits, Arc::new(SystemClock), 1)
+}
+
+fn call(index: u32, payload: &str) -> Call {
+    Call {
+        key: "farms/spring quote č".into(),
+        index,
+        service: "quote".into(),
+        payload: Bytes::copy_from_slice(payload.as_bytes()),
+        timeout: None,
+    }
+}
+
+fn echo(index: u32) -> Call {
+    call(index, &format!(r#"{{"run_ms":2,"echo":"answer {index}"}}"#))
+}
+
+fn answer(index: u32) -> TaskEnd {
+    TaskEnd::Ok(format!("\"answer {index}\"").into_bytes().into())
+}
+
+#[gtest]
+fn a_good_upstream_answers_the_task_that_it_was_given() {
+    let fixture = Fixture::new(UpstreamFaults::default());
+    expect_that!(fixture.run(echo(0)), eq(&answer(0)));
+    expect_that!(
+        fixture.standin.starts(),
+        unordered_elements_are![(eq("farms/spring quote č/0"), eq(&1))]
+    );
+}
+
+#[gtest]
+fn an_upstream_that_is_not_there_fails_the_task() {
+    let threads = Threads::start("upstreams", 1);
+    let listener = async_io::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    let upstream = client(&threads, addr);
+    let end = async_io::block_on(upstream.run(echo(0))).end;
+    expect_that!(
+        end,
+        matches_pattern!(TaskEnd::Failed(contains_substring("could not connect")))
+    );
+}
+
+#[gtest]
+fn an_upstream_that_hangs_runs_into_the_timeout() {
+    let fixture = Fixture::new(UpstreamFaults {
+        hang: 1.0,
+        ..UpstreamFaults::default()
+    });
+    let call = Call {
+        timeout: Some(Duration::from_millis(50)),
+        ..echo(0)
+    };
+    expect_that!(
+        fixture.run(call),
+        matches_pattern!(TaskEnd::Failed(contains_substring("no response within 50ms")))
+    );
+}
+
+#[gtest]
+fn broken_answers_fail_their_task_and_no_other() {
+    let all = |set: fn(&mut UpstreamFaults)| {
+        let mut faults = UpstreamFaults::default();
+        set(&mut faults);
+        faults
+    };
+    let cases = [
+        (all(|f| f.fail = 1.0), "upstream answered 500"),
+        (all(|f| f.half_answer = 1.0), "the exchange broke"),
+        (all(|f| f.close = 1.0), "the exchange broke"),
+        (all(|f| f.answer_other = 1.0), "another task"),
+    ];
+    for (faults, reason) in cases {
+        let fixture = Fixture::new(faults);
+        for index in 0..3 {
+            expect_that!(
+                fixture.run(echo(index)),
+                matches_pattern!(TaskEnd::Failed(contains_substring(reason)))
+            );
+        }
+        fixture.standin.set_faults(UpstreamFaults::default());
+        for index in 3..9 {
+            expect_that!(fixture.run(echo(index)), eq(&answer(index)));
+        }
+    }
+}
+
+#[gtest]
+fn an_answer_longer_than_the_limit_fails_the_task() {
+    let fixture = Fixture::new(UpstreamFaults::default());
+    let long = "x".repeat(MAX_ANSWER + 1);
+    let payload = format!(r#"{{"run_ms":1,"echo":"{long}"}}"#);
+    expect_that!(
+        fixture.run(call(0, &payload)),
+        matches_pattern!(TaskEnd::Failed(contains_substring("response")))
+    );
+    expect_that!(fixture.run(echo(1)), eq(&answer(1)));
+}
+
+/// Of a doubled answer the second half may meet the next request on its connection: that request
+/// fails, and is never given the other's answer.
+#[gtest]
+fn doubled_answers_never_reach_another_task() {
+    let fixture = Fixture::new(UpstreamFaults {
+        answer_twice: 0.5,
+        ..UpstreamFaults::default()
+    });
+    let ex = fixture.threads.traffic();
+    let runs = (0..200).map(|index| {
+        let upstream = fixture.upstream.clone();
+        ex.spawn(async move { (index, upstream.run(echo(index)).await.end) })
+    });
+    let runs: Vec<_> = runs.collect();
+    let mut answered = 0;
+    for run in runs {
+        match async_io::block_on(run) {
+            (index, TaskEnd::Ok(body)) => {
+                answered += 1;
+                expect_that!(TaskEnd::Ok(body), eq(&answer(index)));
+            }
+            (_, end) => expect_that!(end, matches_pattern!(TaskEnd::Failed(anything()))),
+        }
+    }
+    expect_that!(answered, gt(0));
+    let starts: Vec<_> = fixture.standin.starts().into_values().collect();
+    expect_that!(starts, each(eq(&1)));
+}
+
+#[gtest]
+fn connections_are_bounded() {
+    let fixture = Fixture::new(UpstreamFaults::default());
+    let ex = fixture.threads.traffic();
+    let runs = (0..40).map(|index| {
+        let upstream = fixture.upstream.clone();
+        ex.spawn(async move { upstream.run(echo(index)).await.end })
+    });
+    let runs: Vec<_> = runs.collect();
+    for run in runs {
+        expect_that!(async_io::block_on(run), matches_pattern!(TaskEnd::Ok(_)));
+    }
+    expect_that!(fixture.standin.status().peak_running, le(CONNECTIONS as u64));
+}
+
+#[gtest]
+fn dropping_a_call_stops_its_task() {
+    let fixture = Fixture::new(UpstreamFaults::default());
+    let long = call(0, r#"{"run_ms":600000}"#);
+    let upstream = fixture.upstream.clone();
+    let ex = fixture.threads.traffic();
+    let run = ex.spawn(async move { upstream.run(long).await });
+    wait_for(|| fixture.standin.status().running == 1);
+    drop(run);
+    wait_for(|| fixture.standin.status().running == 0);
+    expect_that!(fixture.run(echo(1)), eq(&answer(1)));
+}
+
+/// Waits for a condition, for at most a minute.
+fn wait_for<C>(condition: C)
+where
+    C: Fn() -> bool,
+{
+    for _ in 0..6000 {
+        if condition() {
+            return;
+        }
+        future::block_on(async {
+            Timer::after(Duration::from_millis(10)).await;
+        });
+    }
+    panic!("the condition did not come true");
+}
