--- a/hemlockhook-agent/tests/upstreams.rs
+++ b/hemlockhook-agent/tests/upstreams.rs
@@ -124,7 +124,9 @@
     };
     expect_that!(
         fixture.run(call),
-        matches_pattern!(TaskEnd::Failed(contains_substring("no response within 50ms")))
+        matches_pattern!(TaskEnd::Failed(contains_substring(
+            "no response within 50ms"
+        )))
     );
 }
 
@@ -209,7 +211,10 @@
     for run in runs {
         expect_that!(async_io::block_on(run), matches_pattern!(TaskEnd::Ok(_)));
     }
-    expect_that!(fixture.standin.status().peak_running, le(CONNECTIONS as u64));
+    expect_that!(
+        fixture.standin.status().peak_running,
+        le(CONNECTIONS as u64)
+    );
 }
 
 #[gtest]
