--- a/hemlockhook-agent/src/engine/links.rs
+++ b/hemlockhook-agent/src/engine/links.rs
@@ -249,8 +249,9 @@
 fn is_well_formed(frame: &v1::EntryFrame) -> bool {
     let is_shard = |shard: u32| shard < u32::from(SHARD_COUNT);
     let starts = frame.starts.iter().all(super::frames::is_well_formed_start);
-    let fences = frame.fences.iter().all(|fence| {
-        fence.ballot.is_some() && fence.shards.iter().all(|shard| is_shard(*shard))
-    });
+    let fences = frame
+        .fences
+        .iter()
+        .all(|fence| fence.ballot.is_some() && fence.shards.iter().all(|shard| is_shard(*shard)));
     starts && fences
 }
--- a/hemlockhook-agent/src/engine/tasks.rs
+++ b/hemlockhook-agent/src/engine/tasks.rs
@@ -8,9 +8,7 @@
 use hemlockhook_ownership::{StartOrder, StartRefusal};
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::refusal::Reason;
-use hemlockhook_types::{
-    Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of,
-};
+use hemlockhook_types::{Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of};
 
 use super::frames;
 use super::{Action, Call, Engine, LinkId, TaskId};
--- a/hemlockhook-agent/src/process.rs
+++ b/hemlockhook-agent/src/process.rs
@@ -150,8 +150,7 @@
     let control = threads.control();
     let traffic = threads.traffic();
     async_io::block_on(async {
-        let agent =
-            AgentProcess::start(settings, control, traffic, Arc::new(SystemClock)).await?;
+        let agent = AgentProcess::start(settings, control, traffic, Arc::new(SystemClock)).await?;
         signal::terminate().await;
         spdlog::info!("the agent leaves");
         agent.stop().await;
--- a/hemlockhook-agent/tests/joining.rs
+++ b/hemlockhook-agent/tests/joining.rs
@@ -154,7 +154,10 @@
     agent.frame(1, pushed(7, 3));
     expect_that!(agent.engine.status().config_version, eq(7));
     let frames = agent.take_frames(1);
-    expect_that!(frames[0].hello.as_ref().map(|hello| hello.slots), some(eq(3)));
+    expect_that!(
+        frames[0].hello.as_ref().map(|hello| hello.slots),
+        some(eq(3))
+    );
 
     agent.frame(1, pushed(6, 4));
     expect_that!(agent.engine.status().config_version, eq(7));
@@ -164,7 +167,10 @@
     agent.frame(2, pushed(6, 4));
     let frames = agent.take_frames(2);
     let told = frames.iter().filter_map(|frame| frame.config.as_ref());
-    expect_that!(told.map(|config| config.version).collect::<Vec<_>>(), elements_are![eq(&7)]);
+    expect_that!(
+        told.map(|config| config.version).collect::<Vec<_>>(),
+        elements_are![eq(&7)]
+    );
 }
 
 #[gtest]
--- a/hemlockhook-agent/tests/starting.rs
+++ b/hemlockhook-agent/tests/starting.rs
@@ -40,12 +40,18 @@
     agent.frame(1, starts(vec![start(KEY, 0), start(KEY, 0)]));
     let tasks = agent.take_runs();
     expect_that!(tasks, len(eq(1)));
-    expect_that!(agent.refusals(1), elements_are![eq(&Reason::AlreadyStarted)]);
+    expect_that!(
+        agent.refusals(1),
+        elements_are![eq(&Reason::AlreadyStarted)]
+    );
 
     agent.end(tasks[0], done_well());
     agent.frame(1, starts(vec![start(KEY, 0)]));
     expect_that!(agent.take_runs(), is_empty());
-    expect_that!(agent.refusals(1), elements_are![eq(&Reason::AlreadyStarted)]);
+    expect_that!(
+        agent.refusals(1),
+        elements_are![eq(&Reason::AlreadyStarted)]
+    );
 }
 
 #[gtest]
@@ -58,7 +64,10 @@
 
     // Were this refused for want of a grant, the entry would start it elsewhere.
     agent.frame(1, starts(vec![start(KEY, 0)]));
-    expect_that!(agent.refusals(1), elements_are![eq(&Reason::AlreadyStarted)]);
+    expect_that!(
+        agent.refusals(1),
+        elements_are![eq(&Reason::AlreadyStarted)]
+    );
 }
 
 #[gtest]
@@ -203,5 +212,8 @@
     agent.end(tasks[0], TaskEnd::Failed("no film".to_owned()));
     let frames = agent.take_frames(1);
     let result = frames[0].done[0].result.as_ref();
-    expect_that!(result.map(|result| result.reason.as_str()), some(eq("no film")));
+    expect_that!(
+        result.map(|result| result.reason.as_str()),
+        some(eq("no film"))
+    );
 }
--- a/hemlockhook-agent/tests/support/mod.rs
+++ b/hemlockhook-agent/tests/support/mod.rs
@@ -134,7 +134,9 @@
 
     /// Takes the tasks that the upstream is to run.
     pub fn take_runs(&mut self) -> Vec<TaskId> {
-        let runs = self.actions.extract_if(.., |a| matches!(a, Action::Run { .. }));
+        let runs = self
+            .actions
+            .extract_if(.., |a| matches!(a, Action::Run { .. }));
         runs.filter_map(|action| match action {
             Action::Run { task, .. } => Some(task),
             _ => None,
@@ -144,9 +146,10 @@
 
     /// Takes the frames sent on a link.
     pub fn take_frames(&mut self, to: LinkId) -> Vec<v1::AgentFrame> {
-        let sent = self
-            .actions
-            .extract_if(.., |a| matches!(a, Action::Send { link, .. } if *link == to));
+        let sent = self.actions.extract_if(
+            ..,
+            |a| matches!(a, Action::Send { link, .. } if *link == to),
+        );
         sent.filter_map(|action| match action {
             Action::Send { frame, .. } => Some(frame),
             _ => None,
--- a/hemlockhook-runtime/src/http/server.rs
+++ b/hemlockhook-runtime/src/http/server.rs
@@ -3,7 +3,8 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::future::Future;
-use std::pin::pin;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,12 +12,12 @@
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
 use bytes::Bytes;
-use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, FutureExt, future};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::server::conn::http1::{self, Connection};
+use hyper::service::{HttpService, service_fn};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::executor::Executor;
@@ -32,6 +33,10 @@
 const BUSY: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
+/// Answer to a client whose request head does not arrive in time.
+const REQUEST_TIMEOUT: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
 /// What a server takes from its clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerLimits {
@@ -156,7 +161,7 @@
 /// Tells a client that the server has no connection left for it.
 async fn refuse(mut stream: TcpStream) {
     // A fresh socket has room for the answer; a client that left needs none.
-    let _ = futures_lite::future::poll_once(stream.write_all(BUSY)).await;
+    let _ = future::poll_once(stream.write_all(BUSY)).await;
 }
 
 async fn serve_connection<IO, F, Fut, B, E>(
@@ -172,25 +177,47 @@
     B::Error: Into<BoxError>,
     E: Into<BoxError> + 'static,
 {
+    // Boxed, so that the connection can be taken apart after a time-out.
+    let handler = Arc::new(handler);
+    let service = service_fn(move |req| Box::pin(handler(req)));
     let conn = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_head)
-        .serve_connection(FuturesIo::new(io), service_fn(handler));
-    let mut conn = pin!(conn);
+        .serve_connection(FuturesIo::new(io), service);
+    finish_connection(conn, stop).await;
+}
 
+/// Drives a connection to its end, which comes soon once `stop` is closed.
+async fn finish_connection<IO, S, B>(mut conn: Connection<FuturesIo<IO>, S>, stop: Receiver<()>)
+where
+    IO: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    S: HttpService<Incoming, ResBody = B> + Unpin,
+    S::Future: Unpin,
+    S::Error: Into<BoxError>,
+    B: Body + 'static,
+    B::Error: Into<BoxError>,
+{
     let stopped = async {
         let _ = stop.recv().await;
-        true
+        None
     };
-    let ended = async {
-        // A connection that broke concerns only its client.
-        let _ = conn.as_mut().await;
-        false
+    let ended = async { Some(poll_fn(|cx| conn.poll_without_shutdown(cx)).await) };
+    let end = match stopped.or(ended).await {
+        Some(end) => end,
+        None => {
+            Pin::new(&mut conn).graceful_shutdown();
+            poll_fn(|cx| conn.poll_without_shutdown(cx)).await
+        }
     };
-    if stopped.or(ended).await {
-        conn.as_mut().graceful_shutdown();
-        let _ = conn.await;
+
+    // A connection that broke otherwise concerns only its client.
+    let timed_out = end.is_err_and(|err| err.is_timeout());
+    let parts = conn.into_parts();
+    let mut io = parts.io.into_inner();
+    if timed_out && !parts.read_buf.is_empty() {
+        let _ = future::poll_once(io.write_all(REQUEST_TIMEOUT)).await;
     }
+    let _ = future::poll_once(io.close()).await;
 }
