--- a/hemlockhook-runtime/src/log.rs
+++ b/hemlockhook-runtime/src/log.rs
@@ -1,9 +1,10 @@
 //! JSON-lines logs on stderr.
 
+use std::io::{self, Write};
 use std::sync::Arc;
 
 use spdlog::formatter::JsonFormatter;
-use spdlog::sink::{Sink, StdStream, StdStreamSink};
+use spdlog::sink::{Sink, WriteSink};
 use spdlog::{Level, LevelFilter, Logger};
 use thiserror::Error;
 
@@ -22,6 +23,14 @@
 
 /// Makes JSON lines on stderr the process's log, from `level` up.
 pub fn init(level: &str) -> Result<(), LogError> {
+    init_to(level, io::stderr())
+}
+
+/// Makes JSON lines on `writer` the process's log, from `level` up.
+pub fn init_to<W>(level: &str, writer: W) -> Result<(), LogError>
+where
+    W: Write + Send + 'static,
+{
     let filter = match level {
         "off" => LevelFilter::Off,
         name => match name.parse::<Level>() {
@@ -31,8 +40,8 @@
     };
 
     let sink: Arc<dyn Sink> = Arc::new(
-        StdStreamSink::builder()
-            .std_stream(StdStream::Stderr)
+        WriteSink::builder()
+            .target(writer)
             .formatter(JsonFormatter::new())
             .build()?,
     );
