Order by urgency, learn run times and speeds, tell agents little

Change: jobs are due at arrival plus a multiple of their ideal time; run times are learned by service and class with the declared time weighed by its past errors; upstream speeds are learned; a slow slot is held back when a faster one is expected to finish the task earlier; smaller tasks of a job take slow slots that they can afford; long work has a ceiling; a backlog is told along with a start, and otherwise only to the fastest agent that knows of none; agents prefer the entry whose result they send anyway.

Health: slow start, quarantine by comparison with peers, bounded probes and an asserted bound on exposure. Teams: fair shares that lend what is idle.

--- /dev/null
+++ b/hemlockhook-schedule/src/admission.rs
@@ -0,0 +1,88 @@
+//! Deciding whether a job is taken into the queue.
+
+use std::time::{Duration, Instant};
+
+use hemlockhook_types::Reason;
+
+use crate::dispatcher::{Dispatcher, QueuedTask};
+use crate::spec::{JobSpec, Policy, Rejection};
+
+/// Suggested pause after a rejection that may pass.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Dispatcher {
+    /// Rejects a job that can never run, is too much, or cannot be done by its deadline.
+    pub(crate) fn check(
+        &self,
+        now: Instant,
+        spec: &JobSpec,
+        queued: &[QueuedTask],
+    ) -> Result<(), Rejection> {
+        let Policy {
+            teams,
+            services,
+            max_queued,
+            ..
+        } = &self.policy;
+        let left = spec.deadline.saturating_duration_since(now);
+        let wait = self.expected_wait();
+        let longest = queued.last().map_or(0.0, |task| task.work_secs);
+        let run = Duration::from_secs_f64(longest / self.upstreams.fastest_speed(&spec.service));
+        match () {
+            () if !teams.is_empty() && !teams.iter().any(|(team, _)| *team == spec.team) => reject(
+                Reason::NoSuchTeam,
+                format!("the inventory has no team {}", spec.team),
+                None,
+            ),
+            () if !services.is_empty() && !services.contains(&spec.service) => {
+                let detail = format!("the inventory has no service {}", spec.service);
+                reject(Reason::NoSuchService, detail, None)
+            }
+            () if self.upstreams.fleet(&spec.service).is_none() => {
+                let detail = format!("no upstream runs the service {}", spec.service);
+                reject(Reason::NoUpstream, detail, Some(RETRY_AFTER))
+            }
+            () if left.is_zero() => {
+                reject(Reason::Deadline, "the deadline has passed".into(), None)
+            }
+            () if self.queue.tasks() + queued.len() > *max_queued => {
+                let detail = format!("{} tasks are queued", self.queue.tasks());
+                reject(Reason::Overloaded, detail, Some(wait.max(RETRY_AFTER)))
+            }
+            () if wait > left => {
+                let detail = format!("the queue alone takes {} ms", wait.as_millis());
+                reject(
+                    Reason::Deadline,
+                    detail,
+                    Some((wait - left).max(RETRY_AFTER)),
+                )
+            }
+            () if self.is_known(spec, queued) && run > left => {
+                let detail = format!("a task alone takes {} ms", run.as_millis());
+                reject(Reason::Deadline, detail, None)
+            }
+            () => Ok(()),
+        }
+    }
+
+    /// Returns whether the longest task's run time was learned and is not merely declared.
+    fn is_known(&self, spec: &JobSpec, queued: &[QueuedTask]) -> bool {
+        queued.last().is_some_and(|task| {
+            self.estimates.observations(&spec.service, &task.spec.class) >= 20.0
+        })
+    }
+
+    /// Returns the time that the queued work takes at the rate at which this entry is served.
+    fn expected_wait(&self) -> Duration {
+        let slots = (self.running_tasks() + self.upstreams.grants() as usize).max(1);
+        Duration::from_secs_f64((self.queued_work_secs / slots as f64).clamp(0.0, 1e6))
+    }
+}
+
+fn reject(reason: Reason, detail: String, retry_after: Option<Duration>) -> Result<(), Rejection> {
+    Err(Rejection {
+        reason,
+        detail,
+        retry_after,
+    })
+}
--- a/hemlockhook-schedule/src/dispatcher.rs
+++ b/hemlockhook-schedule/src/dispatcher.rs
@@ -1,108 +1,170 @@
 //! Queueing jobs at an entry and placing their tasks on grants.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::sync::Arc;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use hemlockhook_types::{Incarnation, Reason, ServiceName, TaskIndex, TeamName};
+use hemlockhook_types::{Incarnation, ServiceName, TaskIndex, TeamName};
 use slotmap::SlotMap;
 
+use crate::backlog::Backlogs;
+use crate::estimate::Estimates;
+use crate::fleet::flow_rate;
+use crate::queue::{LaneKey, Queue, Urgency};
+use crate::share::Shares;
 use crate::spec::{
-    Demand, Intervention, JobId, JobSpec, Placement, Policy, Rejection, Snapshot, TaskSpec,
-    TeamSnapshot, UpstreamHealth, UpstreamSnapshot, UpstreamSpec,
+    Demand, Intervention, InterventionKind, JobId, JobSpec, Placement, Policy, Rejection, Snapshot,
+    TaskSpec, TeamSnapshot, UpstreamSpec,
 };
+use crate::upstreams::Upstreams;
+
+/// A task is overdue once it runs this many times longer than expected.
+const OVERDUE_FACTOR: f64 = 3.0;
+
+/// Time by which a run may exceed its expectation before it counts as overdue at all.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(200);
 
 /// Queues the jobs of one entry and places their tasks on the grants that it holds.
 #[derive(Debug)]
 pub struct Dispatcher {
-    policy: Policy,
-    data_center: Arc<str>,
-    upstreams: BTreeMap<Incarnation, Upstream>,
-    jobs: SlotMap<JobId, JobState>,
-    queues: HashMap<ServiceName, BTreeSet<(u64, JobId)>>,
+    pub(crate) policy: Policy,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) jobs: SlotMap<JobId, JobState>,
+    pub(crate) queue: Queue,
+    pub(crate) shares: Shares,
+    pub(crate) estimates: Estimates,
+    pub(crate) queued_work_secs: f64,
+    pub(crate) running_long: u32,
+    epoch: Option<Instant>,
+    running: HashMap<(JobId, TaskIndex), Running>,
     deadlines: BTreeSet<(Instant, JobId)>,
-    running: HashMap<(JobId, TaskIndex), Incarnation>,
-    queued: usize,
-    next_order: u64,
+    overdue: BTreeSet<(Instant, JobId, TaskIndex)>,
+    interventions: Vec<Intervention>,
+    backlogs: Backlogs,
 }
 
+/// A job that was not yet answered.
 #[derive(Debug)]
-struct Upstream {
-    spec: UpstreamSpec,
-    grants: u32,
-    running: u32,
-    leaving: bool,
-    told: Demand,
+pub(crate) struct JobState {
+    pub lane: LaneKey,
+    pub urgency: Urgency,
+    /// When its last task is expected to end, in microseconds since the first event.
+    pub expected_end: u64,
+    /// Its queued tasks, by expected work, the smallest first.
+    pub queued: Vec<QueuedTask>,
+    deadline: Instant,
 }
 
+/// A task that waits for a slot.
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedTask {
+    pub work_secs: f64,
+    pub spec: TaskSpec,
+}
+
+/// A task that was placed and has not ended.
 #[derive(Debug)]
-struct JobState {
-    spec: JobSpec,
-    order: u64,
-    queued: Vec<TaskSpec>,
+struct Running {
+    agent: Incarnation,
+    lane: LaneKey,
+    task: QueuedTask,
+    placed_at: Instant,
+    check_at: Instant,
+    long: bool,
+    overdue: bool,
+    /// What it adds to its upstream's flow.
+    flow: u64,
+    /// Whether the link to its upstream was lost since.
+    detached: bool,
+}
+
+/// A task and where to place it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Choice {
+    pub agent: Incarnation,
+    pub job: JobId,
+    /// Position among the job's queued tasks.
+    pub position: usize,
 }
 
 impl Dispatcher {
     /// Creates the dispatcher of an entry in `data_center`.
     pub fn new(policy: Policy, data_center: &str) -> Self {
+        let mut shares = Shares::default();
+        shares.set_weights(&policy.teams);
         Self {
             policy,
-            data_center: data_center.into(),
-            upstreams: BTreeMap::new(),
+            upstreams: Upstreams::new(data_center),
             jobs: SlotMap::with_key(),
-            queues: HashMap::new(),
-            deadlines: BTreeSet::new(),
+            queue: Queue::default(),
+            shares,
+            estimates: Estimates::default(),
+            queued_work_secs: 0.0,
+            running_long: 0,
+            epoch: None,
             running: HashMap::new(),
-            queued: 0,
-            next_order: 0,
+            deadlines: BTreeSet::new(),
+            overdue: BTreeSet::new(),
+            interventions: Vec::new(),
+            backlogs: Backlogs::default(),
         }
     }
 
     /// Puts other rules in force. What is queued stays queued.
     pub fn set_policy(&mut self, _now: Instant, policy: Policy) {
+        self.shares.set_weights(&policy.teams);
         self.policy = policy;
     }
 
     /// Adds an upstream whose agent is linked; no grants are held for it yet.
-    pub fn upstream_up(&mut self, _now: Instant, agent: Incarnation, spec: UpstreamSpec) {
-        let upstream = Upstream {
-            spec,
-            grants: 0,
-            running: 0,
-            leaving: false,
-            told: Demand::default(),
-        };
-        self.upstreams.insert(agent, upstream);
+    pub fn upstream_up(&mut self, now: Instant, agent: Incarnation, spec: UpstreamSpec) {
+        self.upstreams.add(now, agent, spec);
     }
 
-    /// Removes an upstream whose link is lost, with the grants held for it.
+    /// Removes an upstream whose link is lost, with the grants held for it. Its running tasks end
+    /// through `ended`, or through `finish_job` of their jobs.
     pub fn upstream_down(&mut self, _now: Instant, agent: Incarnation) {
-        self.upstreams.remove(&agent);
+        self.upstreams.remove(agent);
+        self.running
+            .values_mut()
+            .filter(|r| r.agent == agent)
+            .for_each(|r| r.detached = true);
     }
 
     /// Sets whether an upstream is leaving: it is given nothing more.
-    pub fn upstream_leaving(&mut self, _now: Instant, agent: Incarnation, leaving: bool) {
-        if let Some(upstream) = self.upstreams.get_mut(&agent) {
-            upstream.leaving = leaving;
-        }
+    pub fn upstream_leaving(&mut self, now: Instant, agent: Incarnation, leaving: bool) {
+        self.upstreams
+            .change(now, agent, |upstream| upstream.leaving = leaving);
     }
 
     /// Takes a job into the queue.
     pub fn submit(&mut self, now: Instant, spec: JobSpec) -> Result<JobId, Rejection> {
-        self.check(now, &spec)?;
-        let order = self.next_order;
-        self.next_order += 1;
-        let queued: Vec<TaskSpec> = spec.tasks.iter().rev().cloned().collect();
-        let (service, deadline) = (spec.service.clone(), spec.deadline);
-        self.queued += queued.len();
-        let empty = queued.is_empty();
+        let mut queued: Vec<QueuedTask> =
+            spec.tasks.iter().map(|t| self.expect(&spec, t)).collect();
+        queued.sort_by(|a, b| a.work_secs.total_cmp(&b.work_secs));
+        let work_secs: f64 = queued.iter().map(|task| task.work_secs).sum();
+        self.check(now, &spec, &queued)?;
+        let longest = queued.last().map_or(0.0, |task| task.work_secs);
+        let long = longest >= self.policy.long_threshold.as_secs_f64();
+        let now_us = self.micros(now);
+        let lane = LaneKey {
+            service: spec.service,
+            long,
+            team: spec.team,
+        };
+        let ideal_us = (longest / self.upstreams.fastest_speed(&lane.service) * 1e6) as u64;
+        let urgency = now_us + ideal_us * u64::from(self.policy.ageing_percent) / 100;
+        let (tasks, deadline) = (queued.len(), spec.deadline);
         let job = self.jobs.insert(JobState {
-            spec,
-            order,
+            lane: lane.clone(),
+            urgency,
+            expected_end: now_us + ideal_us,
             queued,
+            deadline,
         });
-        if !empty {
-            self.queues.entry(service).or_default().insert((order, job));
+        if tasks > 0 {
+            self.queue.insert(&lane, urgency, job, tasks);
+            self.shares.count_queued(&lane.team, tasks as i64);
+            self.queued_work_secs += work_secs;
             self.deadlines.insert((deadline, job));
         }
         Ok(job)
@@ -114,90 +176,111 @@
     }
 
     /// Takes grants from an agent.
-    pub fn granted(&mut self, _now: Instant, agent: Incarnation, count: u32) {
-        if let Some(upstream) = self.upstreams.get_mut(&agent) {
+    pub fn granted(&mut self, now: Instant, agent: Incarnation, count: u32) {
+        self.upstreams.change(now, agent, |upstream| {
             upstream.grants += count;
-        }
+            upstream.told.queued = upstream.told.queued.saturating_sub(count);
+        });
     }
 
     /// Gives up grants that an agent asks back, and returns how many.
-    pub fn recalled(&mut self, _now: Instant, agent: Incarnation, count: u32) -> u32 {
-        let Some(upstream) = self.upstreams.get_mut(&agent) else {
-            return 0;
-        };
-        let count = count.min(upstream.grants);
-        upstream.grants -= count;
-        count
+    pub fn recalled(&mut self, now: Instant, agent: Incarnation, count: u32) -> u32 {
+        self.upstreams.take_grants(now, agent, count)
     }
 
     /// Places the next task, if a grant suits one. Call until it returns `None`.
-    pub fn next(&mut self, _now: Instant) -> Option<Placement> {
-        let (agent, job) = self.choose()?;
-        let upstream = self
-            .upstreams
-            .get_mut(&agent)
-            .expect("the upstream was just chosen");
-        upstream.grants -= 1;
-        upstream.running += 1;
+    pub fn next(&mut self, now: Instant) -> Option<Placement> {
+        self.check_running(now);
+        self.upstreams.tick(now);
+        let now_us = self.micros(now);
+        let Choice {
+            agent,
+            job,
+            position,
+        } = self.choose(now_us)?;
         let state = &mut self.jobs[job];
-        let task = state.queued.pop().expect("a job in the queue has a task");
-        self.queued -= 1;
-        self.running.insert((job, task.index), agent);
-        if state.queued.is_empty() {
-            self.drop_queued(job);
+        let task = state.queued.remove(position);
+        let (lane, urgency, last) = (state.lane.clone(), state.urgency, state.queued.is_empty());
+        let run_secs = task.work_secs / self.upstreams.speed(agent);
+        state.expected_end = state.expected_end.max(now_us + (run_secs * 1e6) as u64);
+        if last {
+            self.deadlines.remove(&(state.deadline, job));
         }
-        let long = task
-            .declared
-            .is_some_and(|declared| declared >= self.policy.long_threshold);
+        self.queue.remove(&lane, urgency, job, 1, last);
+        self.count_dequeued(&lane.team, 1, task.work_secs);
+        self.shares.count_running(&lane.team, 1);
+        let index = task.spec.index;
+        let long = self.place(now, agent, job, lane, task, run_secs);
         Some(Placement {
             agent,
             job,
-            index: task.index,
+            index,
             long,
         })
     }
 
     /// Takes the grants that are to be handed back now.
-    pub fn unused(&mut self, _now: Instant) -> Vec<(Incarnation, u32)> {
-        let leaving = self
-            .upstreams
-            .iter_mut()
-            .filter(|(_, u)| u.leaving && u.grants > 0);
-        leaving
-            .map(|(agent, u)| (*agent, std::mem::take(&mut u.grants)))
-            .collect()
+    pub fn unused(&mut self, now: Instant) -> Vec<(Incarnation, u32)> {
+        self.upstreams.take_useless_grants(now)
     }
 
-    /// Notes the end of a task that was placed.
+    /// Notes the end of a task that was placed. The failure of a task whose job is already answered
+    /// counts neither for nor against its upstream, since it may have been stopped.
     pub fn ended(
         &mut self,
-        _now: Instant,
+        now: Instant,
         agent: Incarnation,
         job: JobId,
         index: TaskIndex,
-        _run_time: Duration,
-        _ok: bool,
+        run_time: Duration,
+        ok: bool,
     ) {
-        self.forget_running(agent, job, index);
+        let Some(running) = self.forget_running(now, job, index) else {
+            return;
+        };
+        let run_secs = run_time.as_secs_f64();
+        let service = &running.lane.service;
+        match ok {
+            true => {
+                let QueuedTask { work_secs, spec } = &running.task;
+                let declared = spec.declared.map(|declared| declared.as_secs_f64());
+                let done_secs = run_secs * self.upstreams.speed(agent);
+                let trusted = self.estimates.observations(service, &spec.class) > 0.0;
+                self.estimates
+                    .observe(service, &spec.class, declared, done_secs);
+                self.upstreams.change(now, agent, |upstream| {
+                    upstream.succeeded(now);
+                    if trusted {
+                        upstream.observe_speed(*work_secs, run_secs);
+                    }
+                });
+            }
+            false if self.jobs.contains_key(job) => self.upstreams.failed(now, agent, service),
+            false => self
+                .upstreams
+                .change(now, agent, |upstream| upstream.forget_exposure()),
+        }
     }
 
     /// Puts a task that the agent refused to start back into the queue.
-    pub fn refused(&mut self, _now: Instant, agent: Incarnation, job: JobId, index: TaskIndex) {
-        self.forget_running(agent, job, index);
-        let Some(state) = self.jobs.get_mut(job) else {
+    pub fn refused(&mut self, now: Instant, agent: Incarnation, job: JobId, index: TaskIndex) {
+        let Some(running) = self.forget_running(now, job, index) else {
             return;
         };
-        let Some(task) = state.spec.tasks.iter().find(|task| task.index == index) else {
+        self.upstreams
+            .change(now, agent, |upstream| upstream.forget_exposure());
+        let Some(state) = self.jobs.get_mut(job) else {
             return;
         };
-        state.queued.push(task.clone());
-        self.queued += 1;
-        let service = state.spec.service.clone();
-        self.queues
-            .entry(service)
-            .or_default()
-            .insert((state.order, job));
-        self.deadlines.insert((state.spec.deadline, job));
+        let work_secs = running.task.work_secs;
+        let position = state
+            .queued
+            .partition_point(|task| task.work_secs < work_secs);
+        state.queued.insert(position, running.task);
+        self.queue.insert(&state.lane, state.urgency, job, 1);
+        self.shares.count_queued(&state.lane.team, 1);
+        self.queued_work_secs += work_secs;
+        self.deadlines.insert((state.deadline, job));
     }
 
     /// Forgets a job that was answered. Tasks that still run end through `ended`.
@@ -215,177 +298,229 @@
             .collect()
     }
 
-    /// Returns the backlogs that changed enough to be told.
-    pub fn demands(&mut self, _now: Instant) -> Vec<(Incarnation, Demand)> {
-        let mut changed = Vec::new();
-        for (agent, upstream) in &mut self.upstreams {
-            let mut demand = Demand::default();
-            let queues = upstream
-                .spec
-                .services
-                .iter()
-                .filter_map(|s| self.queues.get(s));
-            for (order, job) in queues.flatten() {
-                demand.queued += self.jobs[*job].queued.len() as u32;
-                demand.head_urgency = demand.head_urgency.min(*order);
-            }
-            if demand != upstream.told {
-                upstream.told = demand;
-                changed.push((*agent, demand));
-            }
-        }
-        changed
+    /// Returns the backlogs that changed enough to be told, and those that cost no message since a
+    /// start goes to the same agent.
+    pub fn demands(&mut self, now: Instant) -> Vec<(Incarnation, Demand)> {
+        let now_us = self.micros(now);
+        self.backlogs
+            .demands(now, now_us, &self.queue, &mut self.upstreams)
     }
 
     /// Returns when something is due, if no event comes first.
     pub fn next_wakeup(&self) -> Option<Instant> {
-        self.deadlines.first().map(|(at, _)| *at)
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        let overdue = self.overdue.first().map(|(at, _, _)| *at);
+        [deadline, overdue, self.upstreams.next_wakeup()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Returns running tasks that the platform should throttle or checkpoint.
-    pub fn interventions(&mut self, _now: Instant) -> Vec<Intervention> {
-        Vec::new()
+    pub fn interventions(&mut self, now: Instant) -> Vec<Intervention> {
+        self.check_running(now);
+        std::mem::take(&mut self.interventions)
     }
 
     /// Takes a peer entry's report of a team's work, for the fair shares.
     pub fn set_peer_usage(
         &mut self,
-        _peer: Incarnation,
-        _team: &TeamName,
-        _running: u32,
-        _queued: u32,
+        peer: Incarnation,
+        team: &TeamName,
+        running: u32,
+        queued: u32,
     ) {
+        self.shares.set_peer(peer, team, running, queued);
+    }
+
+    /// Forgets what a peer entry that is gone had reported.
+    pub fn forget_peer(&mut self, peer: Incarnation) {
+        self.shares.forget_peer(peer);
     }
 
     /// Returns the state for status reports.
     pub fn snapshot(&self) -> Snapshot {
-        let mut teams: BTreeMap<TeamName, (u32, u32)> = BTreeMap::new();
-        let mut services: BTreeMap<ServiceName, u32> = BTreeMap::new();
-        for state in self.jobs.values() {
-            let queued = state.queued.len() as u32;
-            teams.entry(state.spec.team.clone()).or_default().0 += queued;
-            *services.entry(state.spec.service.clone()).or_default() += queued;
-        }
-        for (job, _) in self.running.keys() {
-            if let Some(state) = self.jobs.get(*job) {
-                teams.entry(state.spec.team.clone()).or_default().1 += 1;
+        let mut services: Vec<(ServiceName, u32)> = Vec::new();
+        for (key, lane) in self.queue.lanes() {
+            match services.last_mut() {
+                Some((service, queued)) if *service == key.service => {
+                    *queued += lane.tasks() as u32
+                }
+                _ => services.push((key.service.clone(), lane.tasks() as u32)),
             }
         }
-        let teams = teams.into_iter();
+        let own = self.shares.own();
+        let teams = own.map(|(team, running, queued)| TeamSnapshot {
+            team: team.clone(),
+            queued,
+            running,
+        });
+        let mut teams: Vec<TeamSnapshot> = teams.collect();
+        teams.sort_by(|a, b| a.team.cmp(&b.team));
         Snapshot {
-            services: services.into_iter().collect(),
-            teams: teams
-                .map(|(team, (queued, running))| TeamSnapshot {
-                    team,
-                    queued,
-                    running,
-                })
-                .collect(),
-            upstreams: self
-                .upstreams
-                .iter()
-                .map(|(agent, u)| u.snapshot(*agent))
-                .collect(),
+            services,
+            teams,
+            upstreams: self.upstreams.snapshots(),
         }
     }
 
-    fn check(&self, now: Instant, spec: &JobSpec) -> Result<(), Rejection> {
-        let reject = |reason, detail: String| {
-            Err(Rejection {
-                reason,
-                detail,
-                retry_after: None,
-            })
-        };
-        let Policy {
-            teams,
-            services,
-            max_queued,
-            ..
-        } = &self.policy;
-        match () {
-            () if !teams.is_empty() && !teams.iter().any(|(team, _)| *team == spec.team) => reject(
-                Reason::NoSuchTeam,
-                format!("the inventory has no team {}", spec.team),
-            ),
-            () if !services.is_empty() && !services.contains(&spec.service) => reject(
-                Reason::NoSuchService,
-                format!("the inventory has no service {}", spec.service),
-            ),
-            () if !self
-                .upstreams
-                .values()
-                .any(|u| u.spec.services.contains(&spec.service)) =>
-            {
-                reject(
-                    Reason::NoUpstream,
-                    format!("no upstream runs the service {}", spec.service),
-                )
-            }
-            () if spec.deadline <= now => {
-                reject(Reason::Deadline, "the deadline has passed".into())
-            }
-            () if self.queued + spec.tasks.len() > *max_queued => reject(
-                Reason::Overloaded,
-                format!("{} tasks are queued", self.queued),
-            ),
-            () => Ok(()),
+    fn micros(&mut self, now: Instant) -> u64 {
+        let epoch = *self.epoch.get_or_insert(now);
+        now.saturating_duration_since(epoch).as_micros() as u64
+    }
+
+    fn expect(&self, spec: &JobSpec, task: &TaskSpec) -> QueuedTask {
+        let declared = task.declared.map(|declared| declared.as_secs_f64());
+        let work_secs = self.estimates.expect(&spec.service, &task.class, declared);
+        QueuedTask {
+            work_secs,
+            spec: task.clone(),
         }
     }
 
-    fn choose(&self) -> Option<(Incarnation, JobId)> {
-        let heads = self
-            .queues
-            .iter()
-            .filter_map(|(s, queue)| queue.first().map(|(o, j)| (o, s, j)));
-        let mut heads: Vec<_> = heads.collect();
-        heads.sort_unstable();
-        heads.into_iter().find_map(|(_, service, job)| {
-            let free = self.upstreams.iter().filter(|(_, u)| u.can_run(service));
-            let best =
-                free.max_by_key(|(_, u)| (u.grants, u.spec.data_center == self.data_center))?;
-            Some((*best.0, *job))
-        })
+    fn place(
+        &mut self,
+        now: Instant,
+        agent: Incarnation,
+        job: JobId,
+        lane: LaneKey,
+        task: QueuedTask,
+        run_secs: f64,
+    ) -> bool {
+        let long = lane.long;
+        let flow = if long { 0 } else { flow_rate(run_secs) };
+        self.running_long += u32::from(long);
+        self.upstreams.change(now, agent, |upstream| {
+            upstream.place();
+            upstream.flow += flow;
+        });
+        self.backlogs.placed(agent);
+        let expected = Duration::from_secs_f64(run_secs);
+        let patience = expected
+            .mul_f64(OVERDUE_FACTOR)
+            .max(expected + OVERDUE_MARGIN);
+        let check_at = now + patience;
+        let index = task.spec.index;
+        self.overdue.insert((check_at, job, index));
+        let running = Running {
+            agent,
+            lane,
+            task,
+            placed_at: now,
+            check_at,
+            long,
+            overdue: false,
+            flow,
+            detached: false,
+        };
+        let before = self.running.insert((job, index), running);
+        assert!(before.is_none(), "a task was placed while it ran");
+        long
+    }
+
+    fn count_dequeued(&mut self, team: &TeamName, tasks: usize, work_secs: f64) {
+        self.shares.count_queued(team, -(tasks as i64));
+        self.queued_work_secs = match self.queue.tasks() {
+            0 => 0.0,
+            _ => self.queued_work_secs - work_secs,
+        };
     }
 
     fn drop_queued(&mut self, job: JobId) {
-        let Some(state) = self.jobs.get_mut(job) else {
+        let Some(state) = self
+            .jobs
+            .get_mut(job)
+            .filter(|state| !state.queued.is_empty())
+        else {
             return;
         };
-        self.queued -= state.queued.len();
-        state.queued.clear();
-        self.deadlines.remove(&(state.spec.deadline, job));
-        if let Some(queue) = self.queues.get_mut(&state.spec.service) {
-            queue.remove(&(state.order, job));
-        }
+        let dropped = std::mem::take(&mut state.queued);
+        let work_secs = dropped.iter().map(|task| task.work_secs).sum();
+        let (lane, urgency) = (state.lane.clone(), state.urgency);
+        self.deadlines.remove(&(state.deadline, job));
+        self.queue.remove(&lane, urgency, job, dropped.len(), true);
+        self.count_dequeued(&lane.team, dropped.len(), work_secs);
     }
 
-    fn forget_running(&mut self, agent: Incarnation, job: JobId, index: TaskIndex) {
-        let known = self.running.remove(&(job, index)).is_some();
-        match self.upstreams.get_mut(&agent) {
-            Some(upstream) if known => upstream.running = upstream.running.saturating_sub(1),
-            _ => {}
+    fn forget_running(&mut self, now: Instant, job: JobId, index: TaskIndex) -> Option<Running> {
+        let running = self.running.remove(&(job, index))?;
+        self.overdue.remove(&(running.check_at, job, index));
+        self.shares.count_running(&running.lane.team, -1);
+        self.running_long -= u32::from(running.long);
+        if !running.detached {
+            self.upstreams.change(now, running.agent, |upstream| {
+                upstream.running -= 1;
+                upstream.overdue -= u32::from(running.overdue);
+                upstream.flow -= running.flow;
+            });
         }
+        Some(running)
     }
-}
 
-impl Upstream {
-    fn can_run(&self, service: &ServiceName) -> bool {
-        self.grants > 0 && !self.leaving && self.spec.services.contains(service)
+    /// Looks at tasks that run longer than expected: first they count no longer as about to end, then
+    /// as long work.
+    fn check_running(&mut self, now: Instant) {
+        while let Some((at, job, index)) =
+            self.overdue.first().copied().filter(|(at, ..)| *at <= now)
+        {
+            self.overdue.remove(&(at, job, index));
+            let running = self
+                .running
+                .get_mut(&(job, index))
+                .expect("a checked task runs");
+            if !running.overdue && !running.detached {
+                running.overdue = true;
+                let flow = std::mem::take(&mut running.flow);
+                self.upstreams.change(now, running.agent, |upstream| {
+                    upstream.flow -= flow;
+                    upstream.overdue += 1;
+                    upstream.suspect_straggler();
+                });
+            }
+            let long_at = running.placed_at + self.policy.long_threshold;
+            match running.long {
+                false if now < long_at => {
+                    running.check_at = long_at;
+                    self.overdue.insert((long_at, job, index));
+                }
+                false => {
+                    running.long = true;
+                    self.running_long += 1;
+                    let agent = running.agent;
+                    self.intervene(agent, job, index);
+                }
+                true => {}
+            }
+        }
     }
 
-    fn snapshot(&self, agent: Incarnation) -> UpstreamSnapshot {
-        UpstreamSnapshot {
-            agent,
-            name: self.spec.name.clone(),
-            health: if self.leaving {
-                UpstreamHealth::Leaving
-            } else {
-                UpstreamHealth::Healthy
-            },
-            speed: 1.0,
-            grants: self.grants,
-            running: self.running,
+    /// Asks the platform to act on work that was taken for short, if short work waits for its slot.
+    fn intervene(&mut self, agent: Incarnation, job: JobId, index: TaskIndex) {
+        let kind = match self.running_long > self.long_ceiling() {
+            true => InterventionKind::Checkpoint,
+            false => InterventionKind::Throttle,
+        };
+        if self.queue.has_short() {
+            self.interventions.push(Intervention {
+                agent,
+                job,
+                index,
+                kind,
+            });
         }
     }
+
+    /// Returns the long tasks that this entry may run at once.
+    pub(crate) fn long_ceiling(&self) -> u32 {
+        let percent = match self.queue.has_short() {
+            true => self.policy.long_ceiling_percent,
+            false => 2 * self.policy.long_ceiling_percent,
+        };
+        let slots = self.running.len() as u32 + self.upstreams.grants();
+        (slots * percent / 100).max(1)
+    }
+
+    pub(crate) fn running_tasks(&self) -> usize {
+        self.running.len()
+    }
 }
--- a/hemlockhook-schedule/src/lib.rs
+++ b/hemlockhook-schedule/src/lib.rs
@@ -4,9 +4,18 @@
 //! that it holds. An agent owns a [`SlotTable`], which shares its upstream's slots among the entries
 //! as grants. Neither does I/O: events and the time go in, actions come out.
 
+mod admission;
+mod backlog;
 pub mod dispatcher;
+mod estimate;
+mod fleet;
+mod placement;
+mod queue;
+mod share;
 pub mod slots;
 pub mod spec;
+mod upstream;
+mod upstreams;
 
 pub use dispatcher::Dispatcher;
 pub use slots::{SlotAction, SlotTable};
--- a/hemlockhook-schedule/src/slots.rs
+++ b/hemlockhook-schedule/src/slots.rs
@@ -10,6 +10,10 @@
 /// A recall that was neither answered nor overtaken by starts is repeated after this time.
 const RECALL_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// A slot goes to another entry than the one that it was last used by, at the cost of a message, if
+/// that one's backlog is due earlier by this much.
+const SWITCH_MARGIN_MS: u64 = 300;
+
 /// What an agent has to tell an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotAction {
@@ -29,6 +33,15 @@
     },
 }
 
+impl SlotAction {
+    /// Returns the entry that is to be told.
+    pub fn entry(&self) -> Incarnation {
+        match self {
+            Self::Grant { entry, .. } | Self::Recall { entry, .. } => *entry,
+        }
+    }
+}
+
 /// The slots of one upstream: each is idle, granted to an entry, or running a task.
 #[derive(Debug)]
 pub struct SlotTable {
@@ -36,6 +49,7 @@
     running: u32,
     running_long: u32,
     leaving: bool,
+    epoch: Option<Instant>,
     entries: BTreeMap<Incarnation, EntryState>,
     actions: Vec<SlotAction>,
 }
@@ -48,7 +62,10 @@
     /// Grants among them that were asked back.
     recalling: u32,
     recalled_at: Option<Instant>,
+    /// Backlog that was told and not granted since.
     demand: Demand,
+    /// When the first of the backlog is due, in milliseconds since the table's first event.
+    head_due_ms: u64,
 }
 
 impl SlotTable {
@@ -59,6 +76,7 @@
             running: 0,
             running_long: 0,
             leaving: false,
+            epoch: None,
             entries: BTreeMap::new(),
             actions: Vec::new(),
         }
@@ -79,13 +97,16 @@
     /// Removes an entry whose link is lost, and takes back its grants.
     pub fn entry_down(&mut self, now: Instant, entry: Incarnation) {
         self.entries.remove(&entry);
+        self.actions.retain(|action| action.entry() != entry);
         self.share(now, None);
     }
 
     /// Takes an entry's report of its backlog.
     pub fn demand(&mut self, now: Instant, entry: Incarnation, demand: Demand) {
+        let due_ms = self.millis(now).saturating_add(demand.head_urgency);
         if let Some(state) = self.entries.get_mut(&entry) {
             state.demand = demand;
+            state.head_due_ms = due_ms;
         }
         self.share(now, None);
     }
@@ -106,7 +127,6 @@
         };
         state.held -= 1;
         state.recalling = state.recalling.min(state.held);
-        state.demand.queued = state.demand.queued.saturating_sub(1);
         self.running += 1;
         self.running_long += u32::from(long);
         true
@@ -177,7 +197,8 @@
             return;
         }
         while self.idle() > 0 {
-            let Some(entry) = self.neediest(preferred).or_else(|| self.poorest()) else {
+            let known = preferred.filter(|entry| self.entries.contains_key(entry));
+            let Some(entry) = self.neediest(known).or(known).or_else(|| self.poorest()) else {
                 break;
             };
             self.grant(entry);
@@ -185,14 +206,23 @@
         self.recall(now);
     }
 
+    /// Returns the entry with the most urgent backlog. The preferred one is only passed over for an
+    /// entry whose backlog is due much earlier, since a grant to another costs a message of its own.
     fn neediest(&self, preferred: Option<Incarnation>) -> Option<Incarnation> {
         let wanting = self
             .entries
             .iter()
-            .filter(|(_, s)| s.demand.queued > s.held);
-        wanting
-            .min_by_key(|(entry, s)| (s.demand.head_urgency, Some(**entry) != preferred))
-            .map(|(entry, _)| *entry)
+            .filter(|(_, state)| state.demand.queued > 0);
+        let due = |(entry, state): &(&Incarnation, &EntryState)| match Some(**entry) == preferred {
+            true => (state.head_due_ms, false),
+            false => (state.head_due_ms.saturating_add(SWITCH_MARGIN_MS), true),
+        };
+        wanting.min_by_key(due).map(|(entry, _)| *entry)
+    }
+
+    fn millis(&mut self, now: Instant) -> u64 {
+        let epoch = *self.epoch.get_or_insert(now);
+        now.saturating_duration_since(epoch).as_millis() as u64
     }
 
     fn poorest(&self) -> Option<Incarnation> {
@@ -208,6 +238,7 @@
             .get_mut(&entry)
             .expect("the entry was just found");
         state.held += 1;
+        state.demand.queued = state.demand.queued.saturating_sub(1);
         let last = self.actions.iter_mut().find_map(|action| match action {
             SlotAction::Grant { entry: to, count } if *to == entry => Some(count),
             _ => None,
@@ -228,7 +259,7 @@
                 state.recalled_at = None;
             }
         }
-        let wanted: u32 = self.entries.values().map(EntryState::lacking).sum();
+        let wanted: u32 = self.entries.values().map(|state| state.demand.queued).sum();
         let coming: u32 = self.entries.values().map(|state| state.recalling).sum();
         let mut missing = wanted.saturating_sub(coming);
         for (entry, state) in &mut self.entries {
@@ -249,9 +280,3 @@
         }
     }
 }
-
-impl EntryState {
-    fn lacking(&self) -> u32 {
-        self.demand.queued.saturating_sub(self.held)
-    }
-}
--- /dev/null
+++ b/hemlockhook-schedule/src/upstream.rs
@@ -0,0 +1,239 @@
+//! What an entry knows of one upstream: its grants, its learned speed and its health.
+
+use std::time::{Duration, Instant};
+
+use hemlockhook_types::Incarnation;
+
+use crate::spec::{Demand, UpstreamHealth, UpstreamSnapshot, UpstreamSpec};
+
+/// Tasks that may run at once on an upstream that is new.
+const SLOW_START_LIMIT: u32 = 2;
+
+/// Failures in a row after which an upstream is quarantined, unless its peers fail as well.
+pub const QUARANTINE_FAILURES: u32 = 3;
+
+/// Pause before the first probe of a quarantined upstream. It doubles with each probe that fails.
+const FIRST_PROBE: Duration = Duration::from_secs(1);
+
+/// Longest pause between probes.
+const MAX_PROBE: Duration = Duration::from_secs(60);
+
+/// Probes that have to succeed before a quarantined upstream is given a slow start.
+const PROBES_NEEDED: u32 = 2;
+
+/// Weight of the newest observation of speed once many were made.
+const SPEED_GAIN: f64 = 0.02;
+
+/// Observations of speed that the assumption of mean speed counts as.
+const SPEED_PRIOR: f64 = 4.0;
+
+/// Furthest that one observation moves the logarithm of the speed's target.
+const MAX_SPEED_STEP: f64 = 1.5;
+
+/// Number of speed ranges that upstreams are told apart by.
+pub const BUCKETS: usize = 32;
+
+const BUCKETS_PER_OCTAVE: f64 = 8.0;
+
+/// One upstream, as one entry sees it.
+#[derive(Debug)]
+pub struct Upstream {
+    /// As announced.
+    pub spec: UpstreamSpec,
+    /// Grants held.
+    pub grants: u32,
+    /// Tasks of this entry that run there.
+    pub running: u32,
+    /// Tasks among them that run longer than expected.
+    pub overdue: u32,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// The backlog that its agent was told and has not granted since.
+    pub told: Demand,
+    /// Rate at which its running short tasks of this entry are expected to end, in ends for each
+    /// million seconds. A whole number, so that what is added can be taken away exactly.
+    pub flow: u64,
+    log_speed: f64,
+    observations: f64,
+    limit: u32,
+    failures: u32,
+    placed_since_ok: u32,
+    quarantine: Option<Quarantine>,
+}
+
+#[derive(Debug)]
+struct Quarantine {
+    next_probe: Instant,
+    pause: Duration,
+    probes: u32,
+    succeeded: u32,
+}
+
+impl Upstream {
+    /// Creates what is known of an upstream that was just linked.
+    pub fn new(spec: UpstreamSpec) -> Self {
+        Self {
+            spec,
+            grants: 0,
+            running: 0,
+            overdue: 0,
+            leaving: false,
+            told: Demand::default(),
+            flow: 0,
+            log_speed: 0.0,
+            observations: 0.0,
+            limit: SLOW_START_LIMIT,
+            failures: 0,
+            placed_since_ok: 0,
+            quarantine: None,
+        }
+    }
+
+    /// Returns its speed; 1 is the mean of its peers.
+    pub fn speed(&self) -> f64 {
+        self.log_speed.exp()
+    }
+
+    /// Returns the speed range that it belongs to; a higher one is faster.
+    pub fn bucket(&self) -> usize {
+        let octaves = self.log_speed / std::f64::consts::LN_2;
+        let middle = (BUCKETS / 2) as f64;
+        (middle + octaves * BUCKETS_PER_OCTAVE)
+            .round()
+            .clamp(0.0, (BUCKETS - 1) as f64) as usize
+    }
+
+    /// Returns whether a task may be placed there now.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        match &self.quarantine {
+            _ if self.leaving || self.grants == 0 => false,
+            Some(quarantine) => self.running == 0 && quarantine.next_probe <= now,
+            None => self.running < self.limit,
+        }
+    }
+
+    /// Returns whether more grants from it would be of use.
+    pub fn wants_grants(&self) -> bool {
+        !self.leaving && self.quarantine.is_none() && self.running + self.grants < self.limit
+    }
+
+    /// Returns when a quarantined upstream may be probed.
+    pub fn next_probe(&self) -> Option<Instant> {
+        self.quarantine
+            .as_ref()
+            .filter(|_| self.grants > 0)
+            .map(|q| q.next_probe)
+    }
+
+    /// Notes a task that was placed there under a grant.
+    pub fn place(&mut self) {
+        assert!(self.grants > 0, "a task was placed without a grant");
+        self.grants -= 1;
+        self.running += 1;
+        self.placed_since_ok += 1;
+        if let Some(quarantine) = &mut self.quarantine {
+            quarantine.probes += 1;
+        }
+    }
+
+    /// Leaves a placement out of account that says nothing of the upstream.
+    pub fn forget_exposure(&mut self) {
+        self.placed_since_ok = self.placed_since_ok.saturating_sub(1);
+    }
+
+    /// Returns whether its last task failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Notes that a task there succeeded.
+    pub fn succeeded(&mut self, now: Instant) {
+        self.failures = 0;
+        self.placed_since_ok = 0;
+        match &mut self.quarantine {
+            Some(quarantine) if quarantine.succeeded + 1 < PROBES_NEEDED => {
+                quarantine.succeeded += 1;
+                quarantine.next_probe = now;
+            }
+            Some(_) => {
+                self.quarantine = None;
+                self.limit = SLOW_START_LIMIT;
+            }
+            None => self.limit = (self.limit + 1).min(self.spec.slots),
+        }
+    }
+
+    /// Notes that a task there failed, and whether its peers' tasks fail as well.
+    pub fn failed(&mut self, now: Instant, peers_fail: bool) {
+        self.failures += 1;
+        match &mut self.quarantine {
+            Some(quarantine) => {
+                quarantine.pause = (quarantine.pause * 2).min(MAX_PROBE);
+                quarantine.next_probe = now + quarantine.pause;
+                quarantine.succeeded = 0;
+            }
+            None if peers_fail => self.placed_since_ok = 0,
+            None if self.failures >= QUARANTINE_FAILURES => {
+                self.quarantine = Some(Quarantine {
+                    next_probe: now + FIRST_PROBE,
+                    pause: FIRST_PROBE,
+                    probes: 0,
+                    succeeded: 0,
+                });
+            }
+            None => self.limit = (self.limit / 2).max(SLOW_START_LIMIT),
+        }
+    }
+
+    /// Returns the most tasks that can have been placed since the last success, while peers succeed:
+    /// those that failed until the quarantine, those that ran by then, and the probes.
+    pub fn exposure_bound(&self) -> u32 {
+        let probes = self
+            .quarantine
+            .as_ref()
+            .map_or(0, |quarantine| quarantine.probes);
+        QUARANTINE_FAILURES + self.spec.slots + probes
+    }
+
+    /// Returns the tasks placed since the last success.
+    pub fn exposure(&self) -> u32 {
+        self.placed_since_ok
+    }
+
+    /// Learns from a task that was expected to hold `work_secs` and ran for `run_secs`.
+    pub fn observe_speed(&mut self, work_secs: f64, run_secs: f64) {
+        let off = (work_secs / run_secs.max(1e-4)).ln() - self.log_speed;
+        self.observations += 1.0;
+        let gain = (1.0 / (self.observations + SPEED_PRIOR)).max(SPEED_GAIN);
+        self.log_speed += gain * off.clamp(-MAX_SPEED_STEP, MAX_SPEED_STEP);
+    }
+
+    /// Halves the speed of an upstream on which most tasks run longer than expected.
+    pub fn suspect_straggler(&mut self) {
+        if self.overdue >= 2 && 2 * self.overdue > self.running {
+            self.log_speed -= std::f64::consts::LN_2;
+        }
+    }
+
+    /// Returns its health.
+    pub fn health(&self) -> UpstreamHealth {
+        match () {
+            () if self.leaving => UpstreamHealth::Leaving,
+            () if self.quarantine.is_some() => UpstreamHealth::Quarantined,
+            () if self.limit < self.spec.slots => UpstreamHealth::SlowStart,
+            () => UpstreamHealth::Healthy,
+        }
+    }
+
+    /// Returns its state for status reports.
+    pub fn snapshot(&self, agent: Incarnation) -> UpstreamSnapshot {
+        UpstreamSnapshot {
+            agent,
+            name: self.spec.name.clone(),
+            health: self.health(),
+            speed: self.speed(),
+            grants: self.grants,
+            running: self.running,
+        }
+    }
+}
