--- a/hemlockhook-inventory/src/admin.rs
+++ b/hemlockhook-inventory/src/admin.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | `GET /v1/status` | [`EntryStatus`] |
 //! | `GET /v1/agents` | a list of [`AgentStatus`] |
+//! | `GET /v1/config` | [`ConfigInForce`], with version 0 if there is none |
 //! | `GET /v1/jobs/{key}`, the key percent-encoded | [`JobStatus`], or 404 |
 //! | `POST /v1/drain` with a [`DrainRequest`] | [`DrainReply`], or 404 for an unknown upstream |
 //! | `GET /v1/burn` | [`BurnCounts`](crate::burn::BurnCounts) |
@@ -41,6 +42,15 @@
     pub backlog: Vec<BacklogStatus>,
 }
 
+/// The configuration in force at a process.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigInForce {
+    /// Its version; 0: none yet.
+    pub version: u64,
+    /// The YAML document.
+    pub document: String,
+}
+
 /// The platform's log as a process sees it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/hemlockhook-inventory/src/burn.rs
+++ b/hemlockhook-inventory/src/burn/mod.rs
@@ -1,8 +1,16 @@
 //! What entries count for the report on service-level burn, and the report itself.
 
+pub mod page;
+pub mod report;
+
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
+pub use page::{describe, page};
+pub use report::{BurnReport, BurnRow, BurnWindow, WINDOWS_MINUTES};
+
 /// Length of the intervals that counts are kept in, in seconds.
 pub const INTERVAL_SECONDS: u64 = 60;
 
@@ -79,5 +87,5 @@
     /// Jobs answered complete within the objective's time.
     pub good: u64,
     /// Jobs that count against the objective, by cause; absent: none.
-    pub bad: std::collections::BTreeMap<Cause, u64>,
+    pub bad: BTreeMap<Cause, u64>,
 }
--- /dev/null
+++ b/hemlockhook-inventory/src/import.rs
@@ -0,0 +1,265 @@
+//! Makes a document from the asset register's CSV export, one upstream instance a line.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
+
+use crate::check::nearest::nearest;
+use crate::check::tree::Place;
+use crate::check::{Problem, check};
+use crate::model::{DataCenter, Inventory, Objective, Rules, Service, Team, Upstream, Worker};
+
+/// The columns of the export.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter, EnumString)]
+#[strum(serialize_all = "snake_case")]
+enum Column {
+    Name,
+    Worker,
+    Rack,
+    DataCenter,
+    Region,
+    Processors,
+    MemoryGb,
+    Accelerators,
+    Services,
+    Slots,
+    Connections,
+}
+
+/// Makes a document. Services, teams and rules get values that are to be edited.
+///
+/// # Errors
+///
+/// Returns the problems of the export, or else those of the document that it makes.
+pub fn import(deployment: &str, csv: &str) -> Result<String, Vec<Problem>> {
+    let mut import = Import::default();
+    import.read(csv);
+    if !import.problems.is_empty() {
+        return Err(import.problems);
+    }
+
+    let inventory = import.inventory(deployment);
+    let yaml = serde_saphyr::to_string(&inventory)
+        .map_err(|e| vec![Problem::new(Place::default(), "", e.to_string())])?;
+    let document = format!(
+        "# Made from the asset register. Edit the services, the teams and the rules.\n{yaml}"
+    );
+    match check(&document) {
+        Ok(_) => Ok(document),
+        Err(problems) => Err(problems),
+    }
+}
+
+/// What has been read of an export.
+#[derive(Default)]
+struct Import {
+    data_centers: BTreeMap<String, String>,
+    workers: BTreeMap<String, Worker>,
+    services: BTreeSet<String>,
+    upstreams: Vec<Upstream>,
+    problems: Vec<Problem>,
+}
+
+/// A line of the export.
+struct Row<'a> {
+    line: u64,
+    columns: &'a [Option<Column>],
+    cells: Vec<String>,
+}
+
+impl Import {
+    fn read(&mut self, csv: &str) {
+        let mut lines = csv.lines().enumerate();
+        let header = lines.next().map_or("", |(_, line)| line);
+        let columns = self.columns(header);
+        if !self.problems.is_empty() {
+            return;
+        }
+        for (i, line) in lines.filter(|(_, line)| !line.trim().is_empty()) {
+            let row = Row {
+                line: i as u64 + 1,
+                columns: &columns,
+                cells: cells(line),
+            };
+            self.row(&row);
+        }
+    }
+
+    fn columns(&mut self, header: &str) -> Vec<Option<Column>> {
+        let names = cells(header);
+        let columns: Vec<Option<Column>> = names
+            .iter()
+            .map(|name| name.to_lowercase().replace(' ', "_").parse().ok())
+            .collect();
+        let known: Vec<String> = Column::iter().map(|column| column.to_string()).collect();
+
+        for (i, (name, column)) in names.iter().zip(&columns).enumerate() {
+            if column.is_none() {
+                let suggestion = nearest(name, known.iter().map(String::as_str));
+                let problem = Problem::new(cell_place(1, i), name, "unknown column");
+                self.problems.push(problem.suggest(suggestion));
+            }
+        }
+        let is_missing =
+            |column: &Column| *column != Column::Accelerators && !columns.contains(&Some(*column));
+        for column in Column::iter().filter(is_missing) {
+            let message = format!("the column `{column}` is missing");
+            self.problems
+                .push(Problem::new(cell_place(1, 0), "", message));
+        }
+        columns
+    }
+
+    fn row(&mut self, row: &Row<'_>) {
+        if row.cells.len() != row.columns.len() {
+            let message = format!(
+                "{} cells for {} columns",
+                row.cells.len(),
+                row.columns.len()
+            );
+            self.problems
+                .push(Problem::new(cell_place(row.line, 0), "", message));
+            return;
+        }
+        let worker = Worker {
+            name: row.text(Column::Worker).into(),
+            rack: row.text(Column::Rack).into(),
+            data_center: row.text(Column::DataCenter).into(),
+            processors: self.number(row, Column::Processors),
+            memory_gb: self.number(row, Column::MemoryGb),
+            accelerators: self.number(row, Column::Accelerators),
+        };
+        let services: Vec<Arc<str>> = row
+            .text(Column::Services)
+            .split_whitespace()
+            .map(Arc::from)
+            .collect();
+        self.services.extend(services.iter().map(|s| s.to_string()));
+        let upstream = Upstream {
+            name: row.text(Column::Name).into(),
+            worker: worker.name.clone(),
+            services,
+            slots: self.number(row, Column::Slots),
+            connections: self.number(row, Column::Connections),
+        };
+        self.upstreams.push(upstream);
+        self.region(row);
+        self.worker(row, worker);
+    }
+
+    /// Takes the region of the row's data center, which must be the same on every line.
+    fn region(&mut self, row: &Row<'_>) {
+        let data_center = row.text(Column::DataCenter);
+        let region = row.text(Column::Region);
+        let known = self
+            .data_centers
+            .entry(data_center)
+            .or_insert_with(|| region.clone());
+        if *known != region {
+            let message = format!("another line says that the region is `{known}`");
+            self.problems.push(row.problem(Column::Region, message));
+        }
+    }
+
+    /// Takes a worker, which must be the same on every line that names it.
+    fn worker(&mut self, row: &Row<'_>, worker: Worker) {
+        let known = self
+            .workers
+            .entry(worker.name.to_string())
+            .or_insert_with(|| worker.clone());
+        if *known != worker {
+            let message = "another line describes this worker differently";
+            self.problems.push(row.problem(Column::Worker, message));
+        }
+    }
+
+    fn number(&mut self, row: &Row<'_>, column: Column) -> u32 {
+        let text = row.text(column);
+        match text.parse() {
+            Ok(number) => number,
+            Err(_) if text.is_empty() && column == Column::Accelerators => 0,
+            Err(_) => {
+                let message = format!("`{text}` is not a whole number");
+                self.problems.push(row.problem(column, message));
+                0
+            }
+        }
+    }
+
+    fn inventory(self, deployment: &str) -> Inventory {
+        let data_centers = self.data_centers.into_iter();
+        Inventory {
+            deployment: deployment.into(),
+            data_centers: data_centers
+                .map(|(name, region)| DataCenter {
+                    name: name.into(),
+                    region: region.into(),
+                })
+                .collect(),
+            workers: self.workers.into_values().collect(),
+            services: self.services.iter().map(|name| service(name)).collect(),
+            upstreams: self.upstreams,
+            teams: vec![Team {
+                name: "everyone".into(),
+                share: 1,
+                cap: None,
+            }],
+            rules: Rules::default(),
+        }
+    }
+}
+
+impl Row<'_> {
+    /// Returns the cell of a column, or an empty text if the export has no such column.
+    fn text(&self, column: Column) -> String {
+        let index = self.columns.iter().position(|c| *c == Some(column));
+        index.map_or_else(String::new, |i| self.cells[i].clone())
+    }
+
+    fn problem<M>(&self, column: Column, message: M) -> Problem
+    where
+        M: Into<String>,
+    {
+        let index = self.columns.iter().position(|c| *c == Some(column));
+        let place = cell_place(self.line, index.unwrap_or(0));
+        Problem::new(place, &column.to_string(), message)
+    }
+}
+
+/// Returns the place of a cell; its column is counted in cells, as spreadsheets do.
+fn cell_place(line: u64, index: usize) -> Place {
+    Place {
+        line,
+        column: index as u64 + 1,
+    }
+}
+
+/// Splits a line at its commas, but for those within double quotes.
+fn cells(line: &str) -> Vec<String> {
+    let mut cells = vec![String::new()];
+    let mut quoted = false;
+    for c in line.chars() {
+        match (c, cells.last_mut()) {
+            ('"', _) => quoted = !quoted,
+            (',', _) if !quoted => cells.push(String::new()),
+            (c, Some(cell)) => cell.push(c),
+            (_, None) => {}
+        }
+    }
+    cells.iter().map(|cell| cell.trim().to_owned()).collect()
+}
+
+/// Returns a service with values that are to be edited.
+fn service(name: &str) -> Service {
+    Service {
+        name: name.into(),
+        deadline: Duration::from_secs(30),
+        max_task_time: Duration::from_secs(20),
+        objective: Objective {
+            percent: 99.5,
+            within: Duration::from_secs(2),
+        },
+    }
+}
--- a/hemlockhook-inventory/src/lib.rs
+++ b/hemlockhook-inventory/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod admin;
 pub mod burn;
 pub mod check;
+pub mod diff;
+pub mod import;
 pub mod model;
 pub mod publish;
 pub mod units;
--- /dev/null
+++ b/hemlockhook/src/command/job.rs
@@ -0,0 +1,78 @@
+//! `hemlockhook job`.
+
+use hemlockhook_inventory::admin::JobStatus;
+
+use crate::cli::{Entries, JobCommand};
+use crate::client::{Answered, Client, no_answer};
+use crate::output::{Exit, Format, Table, dash, failure, print_json, time, time_or_dash};
+
+/// Runs `hemlockhook job`.
+pub fn run(cmd: JobCommand, format: Format) -> eyre::Result<Exit> {
+    match cmd {
+        JobCommand::Show { entries, key } => show(&entries, &key, format),
+    }
+}
+
+fn show(entries: &Entries, key: &str, format: Format) -> eyre::Result<Exit> {
+    let addresses = entries.addresses()?;
+    let path = format!("/v1/jobs/{}", key.replace('/', "%2F"));
+    let answers: Vec<Answered<JobStatus>> = Client::start().get_each(&addresses, &path);
+    let found = answers
+        .iter()
+        .filter_map(|answered| answered.answer.as_ref().ok())
+        .max_by_key(|status| status.tasks.len());
+
+    let Some(status) = found else {
+        let why = no_answer(&answers);
+        let exit = match why.lines().all(|line| line.contains("404")) {
+            true => Exit::Negative,
+            false => Exit::Unreachable,
+        };
+        return Err(failure(
+            exit,
+            format!("no entry knows the job {key}\n{why}"),
+        ));
+    };
+    match format {
+        Format::Json => print_json(status)?,
+        Format::Text => print(status),
+    }
+    Ok(Exit::Ok)
+}
+
+fn print(status: &JobStatus) {
+    let answer = match (status.answer, status.reason) {
+        (Some(answer), Some(reason)) => format!("{answer} ({reason})"),
+        (Some(answer), None) => answer.to_string(),
+        (None, _) => "none yet".to_owned(),
+    };
+    println!("job      {}", status.key);
+    println!("service  {}", status.service);
+    println!("entry    {} (shard {})", status.entry, status.shard);
+    println!("age      {}", time_or_dash(status.age_ms));
+    println!("deadline {}", deadline(status.deadline_in_ms));
+    println!("answer   {answer}");
+    if let Some(detail) = &status.detail {
+        println!("why      {detail}");
+    }
+
+    let mut table = Table::new(&["task", "state", "for", "upstream", "why"]);
+    for task in &status.tasks {
+        table.row([
+            task.index.to_string(),
+            task.state.to_string(),
+            time_or_dash(task.for_ms),
+            task.upstream.clone().unwrap_or_else(dash),
+            task.detail.clone().unwrap_or_else(dash),
+        ]);
+    }
+    table.print("tasks");
+}
+
+fn deadline(in_ms: Option<i64>) -> String {
+    match in_ms {
+        None => dash(),
+        Some(ms) if ms < 0 => format!("passed {} ago", time(ms.unsigned_abs())),
+        Some(ms) => format!("in {}", time(ms.unsigned_abs())),
+    }
+}
--- /dev/null
+++ b/hemlockhook/src/command/report.rs
@@ -0,0 +1,136 @@
+//! `hemlockhook report`.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use hemlockhook_inventory::admin::EntryStatus;
+use hemlockhook_inventory::burn::{BurnCounts, BurnReport, BurnRow, BurnWindow, describe, page};
+use hemlockhook_inventory::check;
+
+use crate::cli::{Entries, ReportCommand, Source};
+use crate::client::{Answered, Client, no_answer};
+use crate::command::config::in_force;
+use crate::output::{Exit, Format, Table, dash, failure, print_json, usage};
+
+/// Runs `hemlockhook report`.
+pub fn run(cmd: ReportCommand, format: Format) -> eyre::Result<Exit> {
+    match cmd {
+        ReportCommand::Burn { entries, log, html } => burn(&entries, log, html.as_deref(), format),
+    }
+}
+
+fn burn(
+    entries: &Entries,
+    log: SocketAddr,
+    html: Option<&Path>,
+    format: Format,
+) -> eyre::Result<Exit> {
+    let client = Client::start();
+    let entries = entries.addresses()?;
+    let source = Source {
+        log,
+        entries: entries.clone(),
+    };
+    let config = in_force(&client, &source)?;
+    let inventory = check(&config.document).map_err(|problems| {
+        let why = format!(
+            "this release can't use version {}: {} problems",
+            config.version,
+            problems.len()
+        );
+        failure(Exit::Negative, why)
+    })?;
+
+    let answers: Vec<Answered<BurnCounts>> = client.get_all(&entries, "/v1/burn")?;
+    let missing = missing(&client, &entries, &answers);
+    let counts: Vec<BurnCounts> = answers.into_iter().filter_map(|a| a.answer.ok()).collect();
+    let report = BurnReport::new(&inventory, &counts, missing);
+    if let Some(file) = html {
+        fs::write(file, page(&report)).map_err(|e| usage(format!("{}: {e}", file.display())))?;
+    }
+    match format {
+        Format::Json => print_json(&report)?,
+        Format::Text => print(&report),
+    }
+    Ok(Exit::Ok)
+}
+
+/// Says which entries' counts could not be had: those that did not answer, and those that others
+/// know but that were not asked.
+fn missing(
+    client: &Client,
+    entries: &[SocketAddr],
+    answers: &[Answered<BurnCounts>],
+) -> Vec<String> {
+    let counted: Vec<&str> = answers
+        .iter()
+        .filter_map(|answered| Some(answered.answer.as_ref().ok()?.entry.as_str()))
+        .collect();
+    let statuses: Vec<Answered<EntryStatus>> = client.get_each(entries, "/v1/status");
+    let mut missing: Vec<String> = statuses
+        .iter()
+        .flat_map(|answered| answered.answer.iter().flat_map(|status| &status.peers))
+        .filter(|peer| !counted.contains(&peer.name.as_str()))
+        .map(|peer| match peer.reachable {
+            true => format!("entry {} was not asked: its counts are missing", peer.name),
+            false => format!("entry {} is gone: its counts are lost", peer.name),
+        })
+        .collect();
+    missing.sort();
+    missing.dedup();
+    missing.extend(no_answer(answers).lines().map(str::to_owned));
+    missing
+}
+
+fn print(report: &BurnReport) {
+    let mut table = Table::new(&[
+        "service",
+        "team",
+        "objective",
+        "window",
+        "jobs",
+        "bad",
+        "burn rate",
+        "budget spent",
+        "biggest causes",
+    ]);
+    for row in &report.rows {
+        for (i, window) in row.windows.iter().enumerate() {
+            table.row(cells(row, window, i == 0));
+        }
+    }
+    table.print(&format!("service-level burn of {}", report.deployment));
+    for gap in &report.gaps {
+        println!("not counted: {gap}");
+    }
+}
+
+fn cells(row: &BurnRow, window: &BurnWindow, is_first: bool) -> Vec<String> {
+    let once = |text: String| if is_first { text } else { String::new() };
+    let objective = match (row.objective_percent, row.objective_ms) {
+        (Some(percent), Some(ms)) => format!("{percent}% in {ms} ms"),
+        _ => dash(),
+    };
+    let causes: Vec<String> = window
+        .causes
+        .iter()
+        .take(2)
+        .map(|(cause, count)| format!("{} {count}", describe(*cause)))
+        .collect();
+    vec![
+        once(row.service.clone()),
+        once(row.team.clone()),
+        once(objective),
+        format!("{} min", window.minutes),
+        (window.good + window.bad).to_string(),
+        window.bad.to_string(),
+        window
+            .burn_rate
+            .map_or_else(dash, |rate| format!("{rate:.2}")),
+        window
+            .budget_spent_percent
+            .map_or_else(dash, |percent| format!("{percent:.1}%")),
+        causes.join(", "),
+    ]
+}
