--- a/hemlockhook-agent/src/engine/tasks.rs
+++ b/hemlockhook-agent/src/engine/tasks.rs
@@ -9,7 +9,7 @@
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::refusal::Reason;
 use hemlockhook_types::{
-    Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of,
+    Ballot, Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of,
 };
 
 use super::frames;
@@ -115,7 +115,7 @@
         let done = v1::TaskDone {
             key: running.key.to_string(),
             index: running.index,
-            result: Some(frames::wire_result(&result)),
+            result: Some(result.clone().into()),
         };
         self.gate.finish(now, &running.key, running.index, result);
         match self.link_of(owner) {
@@ -156,8 +156,27 @@
         self.on_ended(now, task, TaskResult { end, run_time });
     }
 
+    /// Marks a job as not run, so that its owner may refuse it.
+    pub(super) fn on_withdraw(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        entry: Incarnation,
+        withdraw: v1::Withdraw,
+    ) {
+        let ballot = Ballot {
+            counter: withdraw.ballot,
+            owner: entry,
+        };
+        let withdrawal = frames::withdrawal(withdraw.job.unwrap_or_default());
+        let outcome = self.gate.withdraw(now, ballot, &withdrawal);
+        if let Some(link) = self.links.get_mut(&link) {
+            link.withdrawn(frames::withdrawn(&withdrawal.key, outcome));
+        }
+    }
+
     pub(super) fn on_fence(&mut self, now: Instant, link: LinkId, fence: &v1::Fence) {
-        let Some(ballot) = fence.ballot.map(frames::ballot) else {
+        let Some(ballot) = fence.ballot.map(Into::into) else {
             return;
         };
         let shards: Vec<ShardId> = fence.shards.iter().map(|shard| *shard as ShardId).collect();
--- a/hemlockhook/src/cli.rs
+++ b/hemlockhook/src/cli.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser, long};
 use hemlockhook_inventory::units::parse_duration;
 
 use crate::demo::{DemoArgs, demo_args};
@@ -23,16 +23,6 @@
     2 wrong usage; 3 not reachable, nothing changed; 4 not settled."
     )
 )]
-pub struct Options {
-    /// Print `text` for people or `json` for scripts
-    #[bpaf(long, argument("FORMAT"), fallback(Format::Text), display_fallback)]
-    pub output: Format,
-    #[bpaf(external)]
-    pub command: Command,
-}
-
-/// What to do.
-#[derive(Clone, Debug, Bpaf)]
 pub enum Command {
     /// Check, import or describe inventories
     #[bpaf(command)]
@@ -44,7 +34,7 @@
 
     /// Show entries, agents, shards, backlog and the log
     #[bpaf(command, footer("Example: hemlockhook status --entry 127.0.0.1:7003"))]
-    Status(#[bpaf(external(entries))] Entries),
+    Status(#[bpaf(external(status_args))] StatusArgs),
 
     /// Let an upstream finish what it runs and give it nothing new
     #[bpaf(
@@ -98,6 +88,15 @@
     pub entries: Vec<SocketAddr>,
 }
 
+/// Arguments of `hemlockhook status` and `hemlockhook config status`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct StatusArgs {
+    #[bpaf(external(entries))]
+    pub entries: Entries,
+    #[bpaf(external(format))]
+    pub output: Format,
+}
+
 /// `hemlockhook inventory`.
 #[derive(Clone, Debug, Bpaf)]
 pub enum InventoryCommand {
@@ -107,6 +106,8 @@
         footer("Example: hemlockhook inventory check inventories/tunelpokrov.yaml")
     )]
     Check {
+        #[bpaf(external(format))]
+        output: Format,
         /// The document
         #[bpaf(positional("FILE"))]
         file: PathBuf,
@@ -163,6 +164,8 @@
         footer("Example: hemlockhook config show --log 127.0.0.1:7100 > rules.yaml")
     )]
     Show {
+        #[bpaf(external(format))]
+        output: Format,
         #[bpaf(external(source))]
         source: Source,
         /// Print this version, if the log still holds it
@@ -175,7 +178,12 @@
         command,
         footer("Example: hemlockhook config history --log 127.0.0.1:7100")
     )]
-    History(#[bpaf(external(source))] Source),
+    History {
+        #[bpaf(external(format))]
+        output: Format,
+        #[bpaf(external(source))]
+        source: Source,
+    },
 
     /// Show how a document differs from the one in force
     #[bpaf(
@@ -183,6 +191,8 @@
         footer("Example: hemlockhook config diff rules.yaml --log 127.0.0.1:7100")
     )]
     Diff {
+        #[bpaf(external(format))]
+        output: Format,
         #[bpaf(external(source))]
         source: Source,
         /// The document
@@ -195,7 +205,7 @@
         command,
         footer("Example: hemlockhook config status --entry 127.0.0.1:7003")
     )]
-    Status(#[bpaf(external(entries))] Entries),
+    Status(#[bpaf(external(status_args))] StatusArgs),
 }
 
 /// Where configurations are read from.
@@ -212,6 +222,8 @@
 /// Arguments of `hemlockhook config publish`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct PublishArgs {
+    #[bpaf(external(format))]
+    pub output: Format,
     #[bpaf(external(source))]
     pub source: Source,
     /// Version that the document was edited from
@@ -234,6 +246,8 @@
 /// Arguments of `hemlockhook drain` and `undrain`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct DrainArgs {
+    #[bpaf(external(format))]
+    pub output: Format,
     #[bpaf(external(entries))]
     pub entries: Entries,
     /// Name of the upstream
@@ -250,6 +264,8 @@
         footer("Example: hemlockhook job show sales-desk/order-4711 --entry 127.0.0.1:7003")
     )]
     Show {
+        #[bpaf(external(format))]
+        output: Format,
         #[bpaf(external(entries))]
         entries: Entries,
         /// The job's key with its team: TEAM/KEY
@@ -261,6 +277,8 @@
 /// Arguments of `hemlockhook submit`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct SubmitArgs {
+    #[bpaf(external(format))]
+    pub output: Format,
     /// Callers' address of an entry
     #[bpaf(argument("IP:PORT"))]
     pub to: SocketAddr,
@@ -301,6 +319,8 @@
         )
     )]
     Burn {
+        #[bpaf(external(format))]
+        output: Format,
         #[bpaf(external(entries))]
         entries: Entries,
         /// Address of the platform's log, which holds the objectives
@@ -315,6 +335,8 @@
 /// Arguments of `hemlockhook events`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct EventsArgs {
+    #[bpaf(external(format))]
+    pub output: Format,
     #[bpaf(external(entries))]
     pub entries: Entries,
     /// Leave out events up to this number of each entry
@@ -322,6 +344,14 @@
     pub since: u64,
 }
 
+fn format() -> impl Parser<Format> {
+    long("output")
+        .help("Print `text` for people or `json` for scripts")
+        .argument("FORMAT")
+        .fallback(Format::Text)
+        .display_fallback()
+}
+
 fn duration(text: String) -> Result<Duration, &'static str> {
     parse_duration(&text).ok_or("expected a duration such as 500ms or 10s")
 }
--- a/hemlockhook/src/command/config.rs
+++ b/hemlockhook/src/command/config.rs
@@ -27,13 +27,21 @@
 const READ_MAX: usize = 1_000;
 
 /// Runs `hemlockhook config`.
-pub fn run(cmd: ConfigCommand, format: Format) -> eyre::Result<Exit> {
+pub fn run(cmd: ConfigCommand) -> eyre::Result<Exit> {
     match cmd {
-        ConfigCommand::Publish(args) => publish::run(&args, format),
-        ConfigCommand::Show { source, version } => show(&source, version, format),
-        ConfigCommand::History(source) => history(&source, format),
-        ConfigCommand::Diff { source, file } => diff(&source, &file, format),
-        ConfigCommand::Status(entries) => status(&entries, format),
+        ConfigCommand::Publish(args) => publish::run(&args),
+        ConfigCommand::Show {
+            output,
+            source,
+            version,
+        } => show(&source, version, output),
+        ConfigCommand::History { output, source } => history(&source, output),
+        ConfigCommand::Diff {
+            output,
+            source,
+            file,
+        } => diff(&source, &file, output),
+        ConfigCommand::Status(args) => status(&args.entries, args.output),
     }
 }
 
--- a/hemlockhook/src/command/drain.rs
+++ b/hemlockhook/src/command/drain.rs
@@ -9,7 +9,7 @@
 
 /// Asks entries to let an upstream leave or come back. One entry that reaches its agent is enough:
 /// the agent tells the others.
-pub fn run(args: &DrainArgs, leaving: bool, format: Format) -> eyre::Result<Exit> {
+pub fn run(args: &DrainArgs, leaving: bool) -> eyre::Result<Exit> {
     let client = Client::start();
     let request = DrainRequest {
         upstream: args.upstream.clone(),
@@ -30,7 +30,7 @@
     else {
         return Err(failure(Exit::Unreachable, no_answer(&answers)));
     };
-    match (format, leaving) {
+    match (args.output, leaving) {
         (Format::Json, _) => print_json(&json!(reply))?,
         (Format::Text, true) => println!("{} is leaving: it gets nothing new", reply.upstream),
         (Format::Text, false) => println!("{} takes work again", reply.upstream),
--- a/hemlockhook/src/command/events.rs
+++ b/hemlockhook/src/command/events.rs
@@ -9,7 +9,7 @@
 use crate::output::{Exit, Format, Table, print_json};
 
 /// Prints what entries noted, in the order of their clocks.
-pub fn run(args: &EventsArgs, format: Format) -> eyre::Result<Exit> {
+pub fn run(args: &EventsArgs) -> eyre::Result<Exit> {
     let path = format!("/v1/events?since={}", args.since);
     let answers = Client::start().get_all::<Vec<Event>>(&args.entries.addresses()?, &path)?;
     let mut events: Vec<&Event> = answers
@@ -18,7 +18,7 @@
         .collect();
     events.sort_by_key(|event| (event.at_ms, &event.entry, event.sequence));
 
-    if format == Format::Json {
+    if args.output == Format::Json {
         print_json(&events)?;
         return Ok(Exit::Ok);
     }
--- a/hemlockhook/src/command/inventory.rs
+++ b/hemlockhook/src/command/inventory.rs
@@ -12,9 +12,9 @@
 use crate::output::{Exit, Format, print_json, usage};
 
 /// Runs `hemlockhook inventory`.
-pub fn run(cmd: InventoryCommand, format: Format) -> eyre::Result<Exit> {
+pub fn run(cmd: InventoryCommand) -> eyre::Result<Exit> {
     match cmd {
-        InventoryCommand::Check { file } => check_file(&file, format),
+        InventoryCommand::Check { output, file } => check_file(&file, output),
         InventoryCommand::Import { deployment, file } => import_file(&deployment, &file),
         InventoryCommand::Schema => print_json(&schema()).map(|()| Exit::Ok),
     }
--- a/hemlockhook/src/command/job.rs
+++ b/hemlockhook/src/command/job.rs
@@ -7,9 +7,13 @@
 use crate::output::{Exit, Format, Table, dash, failure, print_json, time, time_or_dash};
 
 /// Runs `hemlockhook job`.
-pub fn run(cmd: JobCommand, format: Format) -> eyre::Result<Exit> {
+pub fn run(cmd: JobCommand) -> eyre::Result<Exit> {
     match cmd {
-        JobCommand::Show { entries, key } => show(&entries, &key, format),
+        JobCommand::Show {
+            output,
+            entries,
+            key,
+        } => show(&entries, &key, output),
     }
 }
 
--- a/hemlockhook/src/command/publish.rs
+++ b/hemlockhook/src/command/publish.rs
@@ -21,7 +21,7 @@
 const RETRY: Duration = Duration::from_millis(250);
 
 /// Runs `hemlockhook config publish`.
-pub fn run(args: &PublishArgs, format: Format) -> eyre::Result<Exit> {
+pub fn run(args: &PublishArgs) -> eyre::Result<Exit> {
     let text = read(&args.file)?;
     let (line, document) = split_version(&text);
     if let Err(problems) = check(document) {
@@ -51,7 +51,7 @@
         PublishOutcome::Refused { .. } => unified(document, publisher.reader().document()),
         _ => String::new(),
     };
-    match format {
+    match args.output {
         Format::Json => print_json(&json!({
             "change_id": record.change_id, "base": record.base, "result": outcome, "diff": diff,
         }))?,
--- a/hemlockhook/src/command/report.rs
+++ b/hemlockhook/src/command/report.rs
@@ -14,9 +14,14 @@
 use crate::output::{Exit, Format, Table, dash, failure, print_json, usage};
 
 /// Runs `hemlockhook report`.
-pub fn run(cmd: ReportCommand, format: Format) -> eyre::Result<Exit> {
+pub fn run(cmd: ReportCommand) -> eyre::Result<Exit> {
     match cmd {
-        ReportCommand::Burn { entries, log, html } => burn(&entries, log, html.as_deref(), format),
+        ReportCommand::Burn {
+            output,
+            entries,
+            log,
+            html,
+        } => burn(&entries, log, html.as_deref(), output),
     }
 }
 
--- a/hemlockhook/src/command/status.rs
+++ b/hemlockhook/src/command/status.rs
@@ -8,20 +8,21 @@
 use hemlockhook_types::SHARD_COUNT;
 use serde_json::json;
 
-use crate::cli::Entries;
+use crate::cli::StatusArgs;
 use crate::client::{Answered, Client, no_answer};
 use crate::output::{Exit, Format, Table, dash, print_json, time, time_or_dash};
 
 /// Prints what entries report, merged.
-pub fn run(entries: &Entries, format: Format) -> eyre::Result<Exit> {
-    let answers = Client::start().get_all::<EntryStatus>(&entries.addresses()?, "/v1/status")?;
+pub fn run(args: &StatusArgs) -> eyre::Result<Exit> {
+    let answers =
+        Client::start().get_all::<EntryStatus>(&args.entries.addresses()?, "/v1/status")?;
     let statuses: Vec<&EntryStatus> = answers
         .iter()
         .filter_map(|answered| answered.answer.as_ref().ok())
         .collect();
     let all_answer = statuses.len() == answers.len();
 
-    match format {
+    match args.output {
         Format::Json => {
             let unreachable: Vec<String> = no_answer(&answers).lines().map(str::to_owned).collect();
             print_json(&json!({ "entries": statuses, "unreachable": unreachable }))?;
--- a/hemlockhook/src/command/submit.rs
+++ b/hemlockhook/src/command/submit.rs
@@ -20,8 +20,8 @@
 const GRACE: Duration = Duration::from_secs(5);
 
 /// Submits a job and prints its answer.
-pub fn run(args: SubmitArgs, format: Format) -> eyre::Result<Exit> {
-    let body = body(&args)?;
+pub fn run(args: &SubmitArgs) -> eyre::Result<Exit> {
+    let body = body(args)?;
     let client = Client::start();
     let key = args
         .key
@@ -31,7 +31,7 @@
         Some(stamps) => Some(stamps.clone()),
         // A key that was made before may only be sent with the stamps held then, or with none.
         None if args.key.is_some() => None,
-        None => Some(fresh_stamps(&client, &args)?),
+        None => Some(fresh_stamps(&client, args)?),
     };
 
     let mut req = Request::post("/v1/jobs").header(IDEMPOTENCY_KEY, &key);
@@ -42,9 +42,9 @@
         .body(Full::new(Bytes::from(body.to_string())))
         .map_err(|e| usage(e.to_string()))?;
     match client.send(args.to, req, args.deadline + GRACE) {
-        Ok(res) => print_answer(&args, &key, &res, format),
+        Ok(res) => print_answer(args, &key, &res),
         Err(why) => {
-            let again = again(&args, &key, stamps.as_deref());
+            let again = again(args, &key, stamps.as_deref());
             Err(failure(
                 Exit::Unsettled,
                 format!("no answer, and tasks may have run: {why}\nto ask again: {again}"),
@@ -89,15 +89,10 @@
     })
 }
 
-fn print_answer(
-    args: &SubmitArgs,
-    key: &str,
-    res: &Response<Bytes>,
-    format: Format,
-) -> eyre::Result<Exit> {
+fn print_answer(args: &SubmitArgs, key: &str, res: &Response<Bytes>) -> eyre::Result<Exit> {
     let answer: Value = serde_json::from_slice(res.body()).unwrap_or(Value::Null);
     let kind = answer["answer"].as_str().unwrap_or("none");
-    match (format, kind) {
+    match (args.output, kind) {
         (Format::Json, _) => print_json(&answer)?,
         (Format::Text, "complete") => {
             println!("complete: {}/{key}", args.team);
--- a/hemlockhook/src/main.rs
+++ b/hemlockhook/src/main.rs
@@ -11,15 +11,15 @@
 
 use bpaf::Args;
 
-use crate::cli::{Command, Options};
+use crate::cli::Command;
 use crate::output::Exit;
 
 /// Columns that help and usage errors are wrapped at.
 const HELP_WIDTH: usize = 100;
 
 fn main() -> ExitCode {
-    let options = match cli::options().run_inner(Args::current_args()) {
-        Ok(options) => options,
+    let command = match cli::command().run_inner(Args::current_args()) {
+        Ok(command) => command,
         Err(failure) => {
             failure.print_message(HELP_WIDTH);
             return match failure.exit_code() {
@@ -28,7 +28,7 @@
             };
         }
     };
-    match run(options) {
+    match run(command) {
         Ok(exit) => exit.into(),
         Err(report) => {
             eprintln!("hemlockhook: {report:#}");
@@ -37,19 +37,18 @@
     }
 }
 
-fn run(options: Options) -> eyre::Result<Exit> {
-    let format = options.output;
-    match options.command {
-        Command::Inventory(cmd) => command::inventory::run(cmd, format),
-        Command::Config(cmd) => command::config::run(cmd, format),
-        Command::Status(args) => command::status::run(&args, format),
-        Command::Drain(args) => command::drain::run(&args, true, format),
-        Command::Undrain(args) => command::drain::run(&args, false, format),
-        Command::Job(cmd) => command::job::run(cmd, format),
-        Command::Submit(args) => command::submit::run(args, format),
-        Command::Report(cmd) => command::report::run(cmd, format),
-        Command::Events(args) => command::events::run(&args, format),
-        Command::Demo(args) => demo::run(args).map(|()| Exit::Ok),
+fn run(command: Command) -> eyre::Result<Exit> {
+    match command {
+        Command::Inventory(cmd) => command::inventory::run(cmd),
+        Command::Config(cmd) => command::config::run(cmd),
+        Command::Status(args) => command::status::run(&args),
+        Command::Drain(args) => command::drain::run(&args, true),
+        Command::Undrain(args) => command::drain::run(&args, false),
+        Command::Job(cmd) => command::job::run(cmd),
+        Command::Submit(args) => command::submit::run(&args),
+        Command::Report(cmd) => command::report::run(cmd),
+        Command::Events(args) => command::events::run(&args),
+        Command::Demo(args) => demo::run(&args).map(Exit::from),
     }
 }
 
--- a/hemlockhook/src/output.rs
+++ b/hemlockhook/src/output.rs
@@ -41,6 +41,13 @@
     message: String,
 }
 
+impl From<bool> for Exit {
+    /// Turns whether an answer is good into the exit code that says so.
+    fn from(is_good: bool) -> Self {
+        if is_good { Self::Ok } else { Self::Negative }
+    }
+}
+
 impl From<Exit> for ExitCode {
     fn from(exit: Exit) -> Self {
         Self::from(exit as u8)
