--- a/hemlockhook/src/cli.rs
+++ b/hemlockhook/src/cli.rs
@@ -8,21 +8,12 @@
 use hemlockhook_inventory::units::parse_duration;
 
 use crate::demo::{DemoArgs, demo_args};
+use crate::help;
 use crate::output::Format;
 
 /// Checks and publishes the inventory and the rules, and shows what hemlockhook does.
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(
-    options,
-    version,
-    footer(
-        "\
-    Entries are given by --entry or HEMLOCKHOOK_ENTRIES, a list of the admin addresses separated by commas; \
-    the log by --log or HEMLOCKHOOK_LOG.\n\
-    Exit codes: 0 good; 1 not good (problems, refused, not complete, differing); \
-    2 wrong usage; 3 not reachable, nothing changed; 4 not settled."
-    )
-)]
+#[bpaf(options, version, footer(help::COMMAND))]
 pub enum Command {
     /// Check, import or describe inventories
     #[bpaf(command)]
@@ -33,21 +24,15 @@
     Config(#[bpaf(external(config_command))] ConfigCommand),
 
     /// Show entries, agents, shards, backlog and the log
-    #[bpaf(command, footer("Example: hemlockhook status --entry 127.0.0.1:7003"))]
+    #[bpaf(command, footer(help::STATUS))]
     Status(#[bpaf(external(status_args))] StatusArgs),
 
     /// Let an upstream finish what it runs and give it nothing new
-    #[bpaf(
-        command,
-        footer("Example: hemlockhook drain orders-os-1 --entry 127.0.0.1:7003")
-    )]
+    #[bpaf(command, footer(help::DRAIN))]
     Drain(#[bpaf(external(drain_args))] DrainArgs),
 
     /// Let an upstream take work again
-    #[bpaf(
-        command,
-        footer("Example: hemlockhook undrain orders-os-1 --entry 127.0.0.1:7003")
-    )]
+    #[bpaf(command, footer(help::DRAIN))]
     Undrain(#[bpaf(external(drain_args))] DrainArgs),
 
     /// Show where a job stands
@@ -55,13 +40,7 @@
     Job(#[bpaf(external(job_command))] JobCommand),
 
     /// Submit a job and wait for its answer
-    #[bpaf(
-        command,
-        footer(
-            "\
-        Example: hemlockhook submit --to 127.0.0.1:7001 --team sales-desk --service quote '{\"sku\":\"film-200\"}'"
-        )
-    )]
+    #[bpaf(command, footer(help::SUBMIT))]
     Submit(#[bpaf(external(submit_args))] SubmitArgs),
 
     /// Report on service levels
@@ -69,10 +48,7 @@
     Report(#[bpaf(external(report_command))] ReportCommand),
 
     /// Show what entries noted: links, takeovers, quarantine, configurations
-    #[bpaf(
-        command,
-        footer("Example: hemlockhook events --entry 127.0.0.1:7003 --since 40")
-    )]
+    #[bpaf(command, footer(help::EVENTS))]
     Events(#[bpaf(external(events_args))] EventsArgs),
 
     /// Run every process between callers and upstreams in this one, over loopback
@@ -82,6 +58,7 @@
 
 /// Entries to ask.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct Entries {
     /// Admin address of an entry; may be repeated
     #[bpaf(long("entry"), argument("IP:PORT"), many)]
@@ -90,6 +67,7 @@
 
 /// Arguments of `hemlockhook status` and `hemlockhook config status`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct StatusArgs {
     #[bpaf(external(entries))]
     pub entries: Entries,
@@ -99,12 +77,10 @@
 
 /// `hemlockhook inventory`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub enum InventoryCommand {
     /// Check a document and list every problem with its line and column
-    #[bpaf(
-        command,
-        footer("Example: hemlockhook inventory check inventories/tunelpokrov.yaml")
-    )]
+    #[bpaf(command, footer(help::CHECK))]
     Check {
         #[bpaf(external(format))]
         output: Format,
@@ -114,16 +90,7 @@
     },
 
     /// Make a document from the asset register's CSV export
-    #[bpaf(
-        command,
-        footer(
-            "\
-        The first line names the columns: name, worker, rack, data_center, region, processors, memory_gb, \
-        accelerators, services (separated by spaces), slots, connections. \
-        Services, teams and rules get values to be edited.\n\
-        Example: hemlockhook inventory import assets.csv --deployment tunelpokrov > tunelpokrov.yaml"
-        )
-    )]
+    #[bpaf(command, footer(help::IMPORT))]
     Import {
         /// Name of the deployment
         #[bpaf(argument("NAME"))]
@@ -134,35 +101,20 @@
     },
 
     /// Print the JSON Schema of the document, for editors
-    #[bpaf(
-        command,
-        footer("Example: hemlockhook inventory schema > inventory.schema.json")
-    )]
+    #[bpaf(command, footer(help::SCHEMA))]
     Schema,
 }
 
 /// `hemlockhook config`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub enum ConfigCommand {
     /// Publish a document
-    #[bpaf(
-        command,
-        footer(
-            "\
-        The version that the document was edited from is taken from the first line that `config show` writes, \
-        or from --base; 0 stands for none yet. \
-        If another version is in force by then, the document is refused and the difference is shown.\n\
-        Example: hemlockhook config show --log 127.0.0.1:7100 > rules.yaml; edit it; \
-        hemlockhook config publish rules.yaml --log 127.0.0.1:7100"
-        )
-    )]
+    #[bpaf(command, footer(help::PUBLISH))]
     Publish(#[bpaf(external(publish_args))] PublishArgs),
 
     /// Print the document in force, with its version on the first line
-    #[bpaf(
-        command,
-        footer("Example: hemlockhook config show --log 127.0.0.1:7100 > rules.yaml")
-    )]
+    #[bpaf(command, footer(help::SHOW))]
     Show {
         #[bpaf(external(format))]
         output: Format,
@@ -174,10 +126,7 @@
     },
 
     /// List the changes that the log holds and what became of each
-    #[bpaf(
-        command,
-        footer("Example: hemlockhook config history --log 127.0.0.1:7100")
-    )]
+    #[bpaf(command, footer(help::HISTORY))]
     History {
         #[bpaf(external(format))]
         output: Format,
@@ -186,10 +135,7 @@
     },
 
     /// Show how a document differs from the one in force
-    #[bpaf(
-        command,
-        footer("Example: hemlockhook config diff rules.yaml --log 127.0.0.1:7100")
-    )]
+    #[bpaf(command, footer(help::DIFF))]
     Diff {
         #[bpaf(external(format))]
         output: Format,
@@ -201,15 +147,13 @@
     },
 
     /// Show which version is in force at which process
-    #[bpaf(
-        command,
-        footer("Example: hemlockhook config status --entry 127.0.0.1:7003")
-    )]
+    #[bpaf(command, footer(help::CONFIG_STATUS))]
     Status(#[bpaf(external(status_args))] StatusArgs),
 }
 
 /// Where configurations are read from.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct Source {
     /// Address of the platform's log
     #[bpaf(env("HEMLOCKHOOK_LOG"), argument("IP:PORT"))]
@@ -221,6 +165,7 @@
 
 /// Arguments of `hemlockhook config publish`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct PublishArgs {
     #[bpaf(external(format))]
     pub output: Format,
@@ -245,6 +190,7 @@
 
 /// Arguments of `hemlockhook drain` and `undrain`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct DrainArgs {
     #[bpaf(external(format))]
     pub output: Format,
@@ -257,12 +203,10 @@
 
 /// `hemlockhook job`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub enum JobCommand {
     /// Show where each task of a job is, and why
-    #[bpaf(
-        command,
-        footer("Example: hemlockhook job show sales-desk/order-4711 --entry 127.0.0.1:7003")
-    )]
+    #[bpaf(command, footer(help::JOB))]
     Show {
         #[bpaf(external(format))]
         output: Format,
@@ -276,6 +220,7 @@
 
 /// Arguments of `hemlockhook submit`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct SubmitArgs {
     #[bpaf(external(format))]
     pub output: Format,
@@ -310,14 +255,10 @@
 
 /// `hemlockhook report`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub enum ReportCommand {
     /// Report how fast error budgets are spent, by service and team, and why
-    #[bpaf(
-        command,
-        footer(
-            "Example: hemlockhook report burn --entry 127.0.0.1:7003 --log 127.0.0.1:7100 --html burn.html"
-        )
-    )]
+    #[bpaf(command, footer(help::BURN))]
     Burn {
         #[bpaf(external(format))]
         output: Format,
@@ -334,6 +275,7 @@
 
 /// Arguments of `hemlockhook events`.
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct EventsArgs {
     #[bpaf(external(format))]
     pub output: Format,
--- a/hemlockhook/src/command/config.rs
+++ b/hemlockhook/src/command/config.rs
@@ -15,7 +15,7 @@
 use crate::client::{Answered, Client};
 use crate::command::inventory::read;
 use crate::command::publish;
-use crate::output::{Exit, Format, Table, dash, failure, print_json, usage};
+use crate::output::{Exit, Format, Table, dash, failure, line, print_json, text, usage};
 
 /// The stream of configurations.
 pub const CONFIG: &str = "config";
@@ -117,7 +117,7 @@
     };
     match format {
         Format::Json => print_json(&shown)?,
-        Format::Text => print!("{VERSION_LINE}{}\n{}", shown.version, shown.document),
+        Format::Text => text!("{VERSION_LINE}{}\n{}", shown.version, shown.document),
     }
     Ok(Exit::Ok)
 }
@@ -223,8 +223,8 @@
     let diff = unified(&shown.document, document);
     match format {
         Format::Json => print_json(&json!({ "version": shown.version, "diff": diff }))?,
-        Format::Text if diff.is_empty() => println!("the same as version {}", shown.version),
-        Format::Text => print!("version {} -> {}\n{diff}", shown.version, file.display()),
+        Format::Text if diff.is_empty() => line!("the same as version {}", shown.version),
+        Format::Text => text!("version {} -> {}\n{diff}", shown.version, file.display()),
     }
     Ok(match diff.is_empty() {
         true => Exit::Ok,
--- a/hemlockhook/src/command/drain.rs
+++ b/hemlockhook/src/command/drain.rs
@@ -5,7 +5,7 @@
 
 use crate::cli::DrainArgs;
 use crate::client::{Answered, Client, no_answer};
-use crate::output::{Exit, Format, failure, print_json};
+use crate::output::{Exit, Format, failure, line, print_json};
 
 /// Asks entries to let an upstream leave or come back. One entry that reaches its agent is enough:
 /// the agent tells the others.
@@ -32,8 +32,8 @@
     };
     match (args.output, leaving) {
         (Format::Json, _) => print_json(&json!(reply))?,
-        (Format::Text, true) => println!("{} is leaving: it gets nothing new", reply.upstream),
-        (Format::Text, false) => println!("{} takes work again", reply.upstream),
+        (Format::Text, true) => line!("{} is leaving: it gets nothing new", reply.upstream),
+        (Format::Text, false) => line!("{} takes work again", reply.upstream),
     }
     Ok(Exit::Ok)
 }
--- a/hemlockhook/src/command/inventory.rs
+++ b/hemlockhook/src/command/inventory.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use crate::cli::InventoryCommand;
-use crate::output::{Exit, Format, print_json, usage};
+use crate::output::{Exit, Format, line, print_json, text, usage};
 
 /// Runs `hemlockhook inventory`.
 pub fn run(cmd: InventoryCommand) -> eyre::Result<Exit> {
@@ -40,7 +40,7 @@
             let problems = result.as_ref().err().cloned().unwrap_or_default();
             print_json(&json!({ "file": file, "problems": problems }))?;
         }
-        (Ok(inventory), Format::Text) => println!("{}: {}", file.display(), summary(inventory)),
+        (Ok(inventory), Format::Text) => line!("{}: {}", file.display(), summary(inventory)),
         (Err(problems), Format::Text) => print_problems(file, problems),
     }
     Ok(match result {
@@ -52,7 +52,7 @@
 fn import_file(deployment: &str, file: &Path) -> eyre::Result<Exit> {
     match import(deployment, &read(file)?) {
         Ok(document) => {
-            print!("{document}");
+            text!("{document}");
             Ok(Exit::Ok)
         }
         Err(problems) => {
--- a/hemlockhook/src/command/job.rs
+++ b/hemlockhook/src/command/job.rs
@@ -4,7 +4,7 @@
 
 use crate::cli::{Entries, JobCommand};
 use crate::client::{Answered, Client, no_answer};
-use crate::output::{Exit, Format, Table, dash, failure, print_json, time, time_or_dash};
+use crate::output::{Exit, Format, Table, dash, failure, line, print_json, time, time_or_dash};
 
 /// Runs `hemlockhook job`.
 pub fn run(cmd: JobCommand) -> eyre::Result<Exit> {
@@ -50,14 +50,14 @@
         (Some(answer), None) => answer.to_string(),
         (None, _) => "none yet".to_owned(),
     };
-    println!("job      {}", status.key);
-    println!("service  {}", status.service);
-    println!("entry    {} (shard {})", status.entry, status.shard);
-    println!("age      {}", time_or_dash(status.age_ms));
-    println!("deadline {}", deadline(status.deadline_in_ms));
-    println!("answer   {answer}");
+    line!("job      {}", status.key);
+    line!("service  {}", status.service);
+    line!("entry    {} (shard {})", status.entry, status.shard);
+    line!("age      {}", time_or_dash(status.age_ms));
+    line!("deadline {}", deadline(status.deadline_in_ms));
+    line!("answer   {answer}");
     if let Some(detail) = &status.detail {
-        println!("why      {detail}");
+        line!("why      {detail}");
     }
 
     let mut table = Table::new(&["task", "state", "for", "upstream", "why"]);
--- a/hemlockhook/src/command/publish.rs
+++ b/hemlockhook/src/command/publish.rs
@@ -15,7 +15,7 @@
 use crate::client::Client;
 use crate::command::config::{CONFIG, base_of, peers, read_log, split_version};
 use crate::command::inventory::{print_problems, read};
-use crate::output::{Exit, Format, print_json};
+use crate::output::{Exit, Format, line, print_json};
 
 /// Time between two tries to reach the log.
 const RETRY: Duration = Duration::from_millis(250);
@@ -104,20 +104,20 @@
 
 fn print_outcome(args: &PublishArgs, record: &ConfigRecord, outcome: &PublishOutcome, diff: &str) {
     match outcome {
-        PublishOutcome::Accepted { version } => println!("accepted as version {version}"),
+        PublishOutcome::Accepted { version } => line!("accepted as version {version}"),
         PublishOutcome::Refused { in_force } => {
-            println!(
+            line!(
                 "refused: edited from version {}, and version {in_force} is in force",
                 record.base
             );
-            println!("from this document to version {in_force}:\n{diff}");
+            line!("from this document to version {in_force}:\n{diff}");
         }
         PublishOutcome::NotPublished { why } => {
-            println!("not published, and nothing was changed: {why}");
+            line!("not published, and nothing was changed: {why}");
         }
         PublishOutcome::Unsettled { why } => {
-            println!("not settled, and it may still come in force: {why}");
-            println!(
+            line!("not settled, and it may still come in force: {why}");
+            line!(
                 "to settle it: hemlockhook config publish {} --base {} --change-id {} --log {}",
                 args.file.display(),
                 record.base,
--- a/hemlockhook/src/command/report.rs
+++ b/hemlockhook/src/command/report.rs
@@ -11,7 +11,7 @@
 use crate::cli::{Entries, ReportCommand, Source};
 use crate::client::{Answered, Client, no_answer};
 use crate::command::config::in_force;
-use crate::output::{Exit, Format, Table, dash, failure, print_json, usage};
+use crate::output::{Exit, Format, Table, dash, failure, line, print_json, usage};
 
 /// Runs `hemlockhook report`.
 pub fn run(cmd: ReportCommand) -> eyre::Result<Exit> {
@@ -107,7 +107,7 @@
     }
     table.print(&format!("service-level burn of {}", report.deployment));
     for gap in &report.gaps {
-        println!("not counted: {gap}");
+        line!("not counted: {gap}");
     }
 }
 
--- a/hemlockhook/src/command/status.rs
+++ b/hemlockhook/src/command/status.rs
@@ -10,7 +10,7 @@
 
 use crate::cli::StatusArgs;
 use crate::client::{Answered, Client, no_answer};
-use crate::output::{Exit, Format, Table, dash, print_json, time, time_or_dash};
+use crate::output::{Exit, Format, Table, dash, line, print_json, time, time_or_dash};
 
 /// Prints what entries report, merged.
 pub fn run(args: &StatusArgs) -> eyre::Result<Exit> {
@@ -103,13 +103,13 @@
         .iter()
         .map(|(state, n)| format!("{n} {state}"))
         .collect();
-    println!(
+    line!(
         "shards\n  {}; {missing} owned by no entry that answered",
         counts.join(", ")
     );
 
     for (shard, owners) in owners.iter().filter(|(_, owners)| owners.len() > 1) {
-        println!("  shard {shard} is claimed by {}", owners.join(" and "));
+        line!("  shard {shard} is claimed by {}", owners.join(" and "));
     }
     for status in statuses {
         for shard in status
@@ -121,9 +121,11 @@
                 true => String::new(),
                 false => format!(", awaiting {}", shard.awaiting.join(", ")),
             };
-            println!(
+            line!(
                 "  shard {} at {}: {}{awaiting}",
-                shard.shard, status.name, shard.state
+                shard.shard,
+                status.name,
+                shard.state
             );
         }
     }
--- a/hemlockhook/src/command/submit.rs
+++ b/hemlockhook/src/command/submit.rs
@@ -10,7 +10,7 @@
 
 use crate::cli::SubmitArgs;
 use crate::client::{Client, REQUEST_TIMEOUT};
-use crate::output::{Exit, Format, failure, print_json, usage};
+use crate::output::{Exit, Format, failure, line, print_json, usage};
 
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
@@ -95,13 +95,13 @@
     match (args.output, kind) {
         (Format::Json, _) => print_json(&answer)?,
         (Format::Text, "complete") => {
-            println!("complete: {}/{key}", args.team);
+            line!("complete: {}/{key}", args.team);
             let results = answer["results"].as_array().into_iter().flatten();
-            results.for_each(|result| println!("{result}"));
+            results.for_each(|result| line!("{result}"));
         }
         (Format::Text, _) => {
             let detail = answer["detail"].as_str().unwrap_or_default();
-            println!("{kind}: {}/{key}: {}: {detail}", args.team, res.status());
+            line!("{kind}: {}/{key}: {}: {detail}", args.team, res.status());
         }
     }
     Ok(match kind {
--- a/hemlockhook/src/main.rs
+++ b/hemlockhook/src/main.rs
@@ -4,29 +4,24 @@
 mod client;
 mod command;
 mod demo;
+mod help;
 mod output;
 
 use std::env;
 use std::process::ExitCode;
 
-use bpaf::Args;
+use bpaf::{Args, ParseFailure};
 
 use crate::cli::Command;
-use crate::output::Exit;
+use crate::output::{Exit, text};
 
-/// Columns that help and usage errors are wrapped at.
-const HELP_WIDTH: usize = 100;
+/// Columns that usage errors are wrapped at.
+const ERROR_WIDTH: usize = 100;
 
 fn main() -> ExitCode {
     let command = match cli::command().run_inner(Args::current_args()) {
         Ok(command) => command,
-        Err(failure) => {
-            failure.print_message(HELP_WIDTH);
-            return match failure.exit_code() {
-                0 => Exit::Ok.into(),
-                _ => Exit::Usage.into(),
-            };
-        }
+        Err(failure) => return explain(failure).into(),
     };
     match run(command) {
         Ok(exit) => exit.into(),
@@ -37,6 +32,19 @@
     }
 }
 
+/// Prints help, in full, or what is wrong with the arguments.
+fn explain(failure: ParseFailure) -> Exit {
+    match failure {
+        ParseFailure::Stdout(help, _) => text!("{}", help.monochrome(true)),
+        ParseFailure::Completion(script) => text!("{script}"),
+        ParseFailure::Stderr(_) => {
+            failure.print_message(ERROR_WIDTH);
+            return Exit::Usage;
+        }
+    }
+    Exit::Ok
+}
+
 fn run(command: Command) -> eyre::Result<Exit> {
     match command {
         Command::Inventory(cmd) => command::inventory::run(cmd),
--- a/hemlockhook/src/output.rs
+++ b/hemlockhook/src/output.rs
@@ -1,12 +1,25 @@
 //! What the command prints, and how it exits.
 
-use std::fmt::Display;
+use std::fmt::{Arguments, Display};
+use std::io::{self, Write};
 use std::process::ExitCode;
 use std::str::FromStr;
 
 use serde::Serialize;
 use thiserror::Error;
 
+/// Prints formatted text to the standard output.
+macro_rules! text {
+    ($($arg:tt)*) => { $crate::output::write_text(format_args!($($arg)*)) };
+}
+
+/// Prints a formatted line to the standard output.
+macro_rules! line {
+    ($($arg:tt)*) => { $crate::output::write_text(format_args!("{}\n", format_args!($($arg)*))) };
+}
+
+pub(crate) use {line, text};
+
 /// How results are printed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Format {
@@ -99,12 +112,17 @@
         .map_or(Exit::Usage, |failure| failure.exit)
 }
 
+/// Writes to the standard output. A reader that closed its end early, such as `head`, is no error.
+pub fn write_text(text: Arguments<'_>) {
+    let _ = io::stdout().write_fmt(text);
+}
+
 /// Prints a value as JSON.
 pub fn print_json<T>(value: &T) -> eyre::Result<()>
 where
     T: Serialize,
 {
-    println!("{}", serde_json::to_string_pretty(value)?);
+    line!("{}", serde_json::to_string_pretty(value)?);
     Ok(())
 }
 
@@ -136,15 +154,15 @@
 
     /// Prints the table under a title, or says that there is nothing.
     pub fn print(&self, title: &str) {
-        println!("{title}");
+        line!("{title}");
         if self.rows.is_empty() {
-            println!("  none");
+            line!("  none");
             return;
         }
         let headings = self.headings.iter().map(|h| (*h).to_owned()).collect();
         let lines = std::iter::once(&headings).chain(&self.rows);
         for line in lines {
-            println!("  {}", self.align(line));
+            line!("  {}", self.align(line));
         }
     }
 
