--- a/hemlockhook-entry/src/admin.rs
+++ b/hemlockhook-entry/src/admin.rs
@@ -47,6 +47,9 @@
             (Method::GET, ["v1", "agents"]) => {
                 self.report(|engine, now| engine.status(now).agents).await
             }
+            (Method::GET, ["v1", "config"]) => {
+                self.report(|engine, _| engine.config_in_force()).await
+            }
             (Method::GET, ["v1", "burn"]) => {
                 self.report(|engine, now| engine.burn_counts(now)).await
             }
--- a/hemlockhook-entry/src/engine/report.rs
+++ b/hemlockhook-entry/src/engine/report.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use hemlockhook_inventory::admin::{
-    AgentStatus, BacklogStatus, EntryStatus, Event, EventKind, JobStatus, LogStatus, PeerStatus,
-    ShardState, ShardStatus, UpstreamState,
+    AgentStatus, BacklogStatus, ConfigInForce, EntryStatus, Event, EventKind, JobStatus, LogStatus,
+    PeerStatus, ShardState, ShardStatus, UpstreamState,
 };
 use hemlockhook_inventory::burn::{BurnCounts, Cause};
 use hemlockhook_ownership::LookUp;
@@ -19,6 +19,14 @@
         self.journal.since(since)
     }
 
+    /// Returns the configuration in force.
+    pub fn config_in_force(&self) -> ConfigInForce {
+        ConfigInForce {
+            version: self.config.version(),
+            document: self.config.document().to_owned(),
+        }
+    }
+
     /// Returns the counts for the burn report.
     pub fn burn_counts(&self, now: Instant) -> BurnCounts {
         self.burn.counts(self.wall_ms(now))
--- a/hemlockhook/src/help.rs
+++ b/hemlockhook/src/help.rs
@@ -1,111 +1,111 @@
-//! What `--help` says beneath the arguments. Lines that begin with spaces are kept as they are.
+//! What `--help` says beneath the arguments. A line that begins with a space stays a line.
 
 /// `hemlockhook --help`.
 pub const COMMAND: &str = "\
 Entries are named by --entry, or by HEMLOCKHOOK_ENTRIES as a list of their admin addresses with commas; \
 the log is named by --log or HEMLOCKHOOK_LOG.
-    
-    Exit codes:
-        0  done, and the answer is good
-        1  done, and it is not: problems, a refusal, a job not complete, processes that differ
-        2  the arguments, or a file that they name, can't be used
-        3  the log or the entries can't be reached, and nothing was changed
-        4  whether something was changed could not be settled
-    
-    Shell completions:
-        source <(hemlockhook --bpaf-complete-style-bash)
-        hemlockhook --bpaf-complete-style-zsh > ~/.zsh/_hemlockhook
-        hemlockhook --bpaf-complete-style-fish > ~/.config/fish/completions/hemlockhook.fish";
+ 
+ Exit codes:
+   0  done, and the answer is good
+   1  done, and it is not: problems, a refusal, a job not complete, processes that differ
+   2  the arguments, or a file that they name, can't be used
+   3  the log or the entries can't be reached, and nothing was changed
+   4  whether something was changed could not be settled
+ 
+ Shell completions:
+   source <(hemlockhook --bpaf-complete-style-bash)
+   hemlockhook --bpaf-complete-style-zsh > ~/.zsh/_hemlockhook
+   hemlockhook --bpaf-complete-style-fish > ~/.config/fish/completions/hemlockhook.fish";
 
 /// `hemlockhook status --help`.
 pub const STATUS: &str = "\
 What several entries report is merged.
-    Example:
-        hemlockhook status --entry 127.0.0.1:7003 --entry 127.0.0.1:7013";
+ Example: two entries
+   hemlockhook status --entry 127.0.0.1:7003 --entry 127.0.0.1:7013";
 
 /// `hemlockhook drain --help` and `hemlockhook undrain --help`.
 pub const DRAIN: &str = "\
 One entry that reaches the upstream is enough; what runs there is finished.
-    Example: take an upstream out of service, and back in
-        hemlockhook drain orders-os-1 --entry 127.0.0.1:7003
-        hemlockhook undrain orders-os-1 --entry 127.0.0.1:7003";
+ Example: take an upstream out of service, and back in
+   hemlockhook drain orders-os-1 --entry 127.0.0.1:7003
+   hemlockhook undrain orders-os-1 --entry 127.0.0.1:7003";
 
 /// `hemlockhook submit --help`.
 pub const SUBMIT: &str = "\
 The job is answered as a whole, or not at all.
-    Example: two tasks of one job
-        hemlockhook submit --to 127.0.0.1:7001 --team sales-desk --service quote '{\"run_ms\":50}' '{\"run_ms\":80}'";
+ Example: a job of one task
+   hemlockhook submit --to 127.0.0.1:7001 --team sales-desk --service quote '{\"run_ms\":50}'";
 
 /// `hemlockhook events --help`.
 pub const EVENTS: &str = "\
 Each entry numbers its events from 1 and keeps the latest.
-    Example:
-        hemlockhook events --entry 127.0.0.1:7003 --since 40";
+ Example: what came after event 40
+   hemlockhook events --entry 127.0.0.1:7003 --since 40";
 
 /// `hemlockhook inventory check --help`.
 pub const CHECK: &str = "\
 Every problem is listed, with its line and column and what was probably meant.
-    Example:
-        hemlockhook inventory check inventories/tunelpokrov.yaml";
+ Example: check a document
+   hemlockhook inventory check inventories/tunelpokrov.yaml";
 
 /// `hemlockhook inventory import --help`.
 pub const IMPORT: &str = "\
 Each line of the export describes an upstream instance. The first line names the columns: name, worker, \
 rack, data_center, region, processors, memory_gb, accelerators (may be left out), services (with spaces \
 between), slots, connections. Services, teams and rules get values that are to be edited.
-    
-    Example:
-        hemlockhook inventory import assets.csv --deployment tunelpokrov > rules.yaml";
+ 
+ Example: make a document
+   hemlockhook inventory import assets.csv --deployment tunelpokrov > rules.yaml";
 
 /// `hemlockhook inventory schema --help`.
 pub const SCHEMA: &str = "\
 Editors use it to complete and check the document.
-    Example:
-        hemlockhook inventory schema > inventory.schema.json";
+ Example: write it to a file
+   hemlockhook inventory schema > inventory.schema.json";
 
 /// `hemlockhook config publish --help`.
 pub const PUBLISH: &str = "\
 The version that the document was edited from is read from its first line, which `config show` writes, or \
 given by --base; 0 stands for none yet. If another version is in force by then, the document is refused and \
 the difference is shown.
-    
-    Examples: publish the first document; change it
-        hemlockhook config publish inventories/tunelpokrov.yaml --base 0 --log 127.0.0.1:7100
-        hemlockhook config show --log 127.0.0.1:7100 > rules.yaml
-        hemlockhook config publish rules.yaml --log 127.0.0.1:7100";
+ 
+ Examples: publish the first document; change it
+   hemlockhook config publish inventories/tunelpokrov.yaml --base 0 --log 127.0.0.1:7100
+   hemlockhook config show --log 127.0.0.1:7100 > rules.yaml
+   hemlockhook config publish rules.yaml --log 127.0.0.1:7100";
 
 /// `hemlockhook config show --help`.
 pub const SHOW: &str = "\
 The first line tells the version, which `config publish` reads back.
-    Example:
-        hemlockhook config show --log 127.0.0.1:7100 > rules.yaml";
+ Example: save it to edit it
+   hemlockhook config show --log 127.0.0.1:7100 > rules.yaml";
 
 /// `hemlockhook config history --help`.
 pub const HISTORY: &str = "\
 Refused changes and repeats are listed as well.
-    Example:
-        hemlockhook config history --log 127.0.0.1:7100";
+ Example: list the changes
+   hemlockhook config history --log 127.0.0.1:7100";
 
 /// `hemlockhook config diff --help`.
 pub const DIFF: &str = "\
 The exit code is 0 if nothing differs.
-    Example:
-        hemlockhook config diff rules.yaml --log 127.0.0.1:7100";
+ Example: compare before publishing
+   hemlockhook config diff rules.yaml --log 127.0.0.1:7100";
 
 /// `hemlockhook config status --help`.
 pub const CONFIG_STATUS: &str = "\
 The exit code is 0 if one version is in force everywhere.
-    Example:
-        hemlockhook config status --entry 127.0.0.1:7003 --entry 127.0.0.1:7013";
+ Example: two entries and their agents
+   hemlockhook config status --entry 127.0.0.1:7003 --entry 127.0.0.1:7013";
 
 /// `hemlockhook job show --help`.
 pub const JOB: &str = "\
 The key is prefixed by its team.
-    Example:
-        hemlockhook job show sales-desk/order-4711 --entry 127.0.0.1:7003";
+ Example: one job
+   hemlockhook job show sales-desk/order-4711 --entry 127.0.0.1:7003";
 
 /// `hemlockhook report burn --help`.
 pub const BURN: &str = "\
 Counts of several entries are merged, and it is told what they do not cover.
-    Example:
-        hemlockhook report burn --entry 127.0.0.1:7003 --log 127.0.0.1:7100 --html burn.html";
+ Example: a table and a page
+   hemlockhook report burn --entry 127.0.0.1:7003 --log 127.0.0.1:7100 --html burn.html";
