--- a/hemlockhook-agent/src/engine/tasks.rs
+++ b/hemlockhook-agent/src/engine/tasks.rs
@@ -35,7 +35,7 @@
     ) {
         let order = frames::order(entry, &start);
         let granted = self.slots.start(now, entry, start.long);
-        let refusal = match self.gate.check(&order) {
+        let refusal = match self.gate.check(now, &order) {
             Err(why) => Some(frames::refusal(&order, why)),
             Ok(()) if !granted => Some(frames::refusal_for(&order, Reason::NoGrant, None)),
             Ok(()) if !self.serves(&order) => {
--- a/hemlockhook-ownership/src/gate.rs
+++ b/hemlockhook-ownership/src/gate.rs
@@ -131,14 +131,14 @@
 
     /// Decides on a start, and records it if it is allowed.
     pub fn start(&mut self, now: Instant, order: &StartOrder) -> Result<(), StartRefusal> {
-        self.check(order)?;
+        self.check(now, order)?;
         self.raise(order.shard, order.ballot);
-        self.record(now, order);
+        self.record(order);
         Ok(())
     }
 
     /// Decides on a start without recording it.
-    pub fn check(&self, order: &StartOrder) -> Result<(), StartRefusal> {
+    pub fn check(&self, now: Instant, order: &StartOrder) -> Result<(), StartRefusal> {
         let rules = self.cfg.rules;
         let floor = self.floor(order.shard);
         if rules.floor && base(order.ballot) < floor {
