Keep what is known of an upstream that is announced again

Cause: an agent repeats its hello when a configuration changes its upstream; the dispatcher then forgot the upstream's running tasks and panicked when they ended (a rate is taken away once). Change: a known upstream keeps its grants and rates; a test announces one again while it works.

--- a/hemlockhook-schedule/src/upstreams.rs
+++ b/hemlockhook-schedule/src/upstreams.rs
@@ -53,10 +53,12 @@
         }
     }
 
-    /// Adds an upstream.
+    /// Adds an upstream. One that is known keeps its grants and what was learned of it.
     pub fn add(&mut self, now: Instant, agent: Incarnation, spec: UpstreamSpec) {
-        self.remove(agent);
-        let upstream = Upstream::new(spec);
+        let mut upstream = self
+            .take(agent)
+            .unwrap_or_else(|| Upstream::new(spec.clone()));
+        upstream.spec = spec;
         let indexed = self.indexed(now, agent, &upstream);
         self.index.insert(&upstream.spec.services, &indexed);
         self.all.insert(agent, (upstream, indexed));
@@ -64,9 +66,13 @@
 
     /// Removes an upstream, with the grants held for it.
     pub fn remove(&mut self, agent: Incarnation) {
-        if let Some((upstream, indexed)) = self.all.remove(&agent) {
-            self.index.remove(&upstream.spec.services, &indexed);
-        }
+        self.take(agent);
+    }
+
+    fn take(&mut self, agent: Incarnation) -> Option<Upstream> {
+        let (upstream, indexed) = self.all.remove(&agent)?;
+        self.index.remove(&upstream.spec.services, &indexed);
+        Some(upstream)
     }
 
     /// Changes an upstream and brings the index up to date.
@@ -74,10 +80,9 @@
     where
         F: FnOnce(&mut Upstream),
     {
-        let Some((mut upstream, indexed)) = self.all.remove(&agent) else {
+        let Some(mut upstream) = self.take(agent) else {
             return;
         };
-        self.index.remove(&upstream.spec.services, &indexed);
         change(&mut upstream);
         let indexed = self.indexed(now, agent, &upstream);
         self.index.insert(&upstream.spec.services, &indexed);
--- /dev/null
+++ b/hemlockhook-schedule/tests/announcements.rs
@@ -0,0 +1,63 @@
+//! Tests of upstreams that are announced again while they work.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use hemlockhook_schedule::{Dispatcher, JobSpec, Policy, TaskSpec, UpstreamSpec};
+
+const AGENT: u64 = 7;
+
+fn upstream(slots: u32) -> UpstreamSpec {
+    UpstreamSpec {
+        name: "desk".into(),
+        services: vec!["quote".into()],
+        worker: "worker".into(),
+        rack: "rack".into(),
+        data_center: "osijek".into(),
+        slots,
+    }
+}
+
+fn job(deadline: Instant) -> JobSpec {
+    let task = |index| TaskSpec {
+        index,
+        class: "".into(),
+        declared: Some(Duration::from_millis(100)),
+    };
+    JobSpec {
+        team: "sales".into(),
+        service: "quote".into(),
+        deadline,
+        tasks: (0..2).map(task).collect(),
+    }
+}
+
+#[gtest]
+fn an_upstream_announced_again_keeps_its_grants_and_its_running_tasks() {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new(Policy::default(), "osijek");
+    dispatcher.upstream_up(now, AGENT, upstream(4));
+    dispatcher.granted(now, AGENT, 2);
+    let job = dispatcher
+        .submit(now, job(now + Duration::from_secs(60)))
+        .unwrap();
+    let first = dispatcher.next(now).unwrap();
+
+    dispatcher.upstream_up(now, AGENT, upstream(8));
+    let second = dispatcher.next(now);
+    expect_that!(second, some(anything()));
+
+    let later = now + Duration::from_millis(100);
+    dispatcher.ended(
+        later,
+        AGENT,
+        job,
+        first.index,
+        Duration::from_millis(100),
+        true,
+    );
+    let upstreams = dispatcher.snapshot().upstreams;
+    expect_that!(upstreams.len(), eq(1));
+    expect_that!(upstreams[0].running, eq(1));
+    expect_that!(upstreams[0].grants, eq(0));
+}
