Read sockets only when they are ready, and set timers only when one is due

Every poll of a connection tried a read, and every time-out was a new timer, which wakes the reactor by a system call. Streams now remember that they were read empty, a server's connection keeps one timer, and a client looks for expired requests every 50 ms while it has any.

--- a/hemlockhook-runtime/src/grpc.rs
+++ b/hemlockhook-runtime/src/grpc.rs
@@ -18,13 +18,17 @@
 use hyper::client::conn::http2::SendRequest;
 use hyper::service::service_fn;
 use hyper::{client, server};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tonic::body::Body;
 use tower_service::Service;
 
 use crate::executor::{Executor, HyperExecutor};
 use crate::http::accept;
-use crate::tasks::TaskSet;
+use crate::io::{HyperIo, Stream};
+use crate::tasks::{TaskSet, closed};
+use crate::timer::ConnTimer;
+
+/// Bytes read at once from a connection.
+const READ_BUFFER: usize = 64 * 1024;
 
 /// Bytes that a peer may have in flight on one stream.
 const STREAM_WINDOW: u32 = 4 * 1024 * 1024;
@@ -80,7 +84,7 @@
 {
     let service = service_fn(move |req| service.clone().call(req));
     let conn = server::conn::http2::Builder::new(HyperExecutor(ex))
-        .timer(SmolTimer::new())
+        .timer(ConnTimer::default())
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_frame_size(MAX_FRAME)
@@ -88,11 +92,11 @@
         .max_concurrent_streams(MAX_STREAMS)
         .keep_alive_interval(KEEP_ALIVE)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(HyperIo::new(Stream::new(stream), READ_BUFFER), service);
     let mut conn = pin!(conn);
 
     let stopped = async {
-        let _ = stop.recv().await;
+        closed(&stop).await;
         true
     };
     let ended = async {
@@ -100,7 +104,7 @@
         let _ = conn.as_mut().await;
         false
     };
-    if stopped.or(ended).await {
+    if ended.or(stopped).await {
         conn.as_mut().graceful_shutdown();
         let _ = conn.await;
     }
@@ -138,14 +142,14 @@
     let stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
     let (sender, driver) = client::conn::http2::Builder::new(HyperExecutor(ex.clone()))
-        .timer(SmolTimer::new())
+        .timer(ConnTimer::default())
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_frame_size(MAX_FRAME)
         .max_send_buf_size(SEND_BUFFER)
         .keep_alive_interval(KEEP_ALIVE)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .handshake(FuturesIo::new(stream))
+        .handshake(HyperIo::new(Stream::new(stream), READ_BUFFER))
         .await
         .map_err(io::Error::other)?;
     ex.spawn(async move {
--- a/hemlockhook-runtime/src/http/body.rs
+++ b/hemlockhook-runtime/src/http/body.rs
@@ -1,10 +1,11 @@
 //! Reading of bodies within limits.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use async_io::Timer;
 use bytes::{Bytes, BytesMut};
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -37,11 +38,16 @@
 
 /// Reads a whole body of at most `max` bytes within `timeout`.
 pub async fn read_body(body: Incoming, max: usize, timeout: Duration) -> Result<Bytes, BodyError> {
+    // Most bodies come with their heads, and need no timer.
+    let mut body = pin!(collect(body, max));
+    if let Some(res) = future::poll_once(body.as_mut()).await {
+        return res;
+    }
     let expire = async {
         Timer::after(timeout).await;
         Err(BodyError::Timeout(timeout))
     };
-    collect(body, max).or(expire).await
+    body.or(expire).await
 }
 
 /// Reads a whole body of at most `max` bytes.
--- a/hemlockhook-runtime/src/http/client.rs
+++ b/hemlockhook-runtime/src/http/client.rs
@@ -3,22 +3,29 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use async_io::Timer;
+use async_io::{Async, Timer};
 use async_net::TcpStream;
 use bytes::Bytes;
 use futures_lite::{FutureExt, future};
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
 use super::body::{BodyError, collect};
 use crate::executor::Executor;
+use crate::io::{HyperIo, Stream};
+use crate::timer::Deadlines;
+
+/// Time between searches for what has expired.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Bytes read at once from a connection.
+const READ_BUFFER: usize = 4096;
 
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -60,22 +67,15 @@
             assert!(sent.is_ok(), "the channel has room for every permit");
         }
 
+        let (busy, is_busy) = async_channel::bounded(1);
         let pool = Arc::new(Pool {
             idle: Mutex::default(),
             free,
             permits,
+            deadlines: Deadlines::default(),
+            busy,
         });
-        let weak = Arc::downgrade(&pool);
-        ex.spawn(async move {
-            loop {
-                Timer::after(IDLE_TIMEOUT).await;
-                match weak.upgrade() {
-                    Some(pool) => pool.close_idle(Instant::now()),
-                    None => return,
-                }
-            }
-        })
-        .detach();
+        ex.spawn(expire(Arc::downgrade(&pool), is_busy)).detach();
 
         let host = HeaderValue::from_str(&addr.to_string()).expect("an address is a valid header");
         Self { addr, host, pool }
@@ -83,7 +83,7 @@
 
     /// Sends a request and reads its whole response, of at most `max_body` bytes.
     ///
-    /// `timeout` covers the wait for a connection as well.
+    /// `timeout` covers the wait for a connection as well; it may come late by 50 ms.
     pub async fn send(
         &self,
         req: Request<Full<Bytes>>,
@@ -106,11 +106,17 @@
     where
         C: Fn(&Response<Bytes>) -> bool,
     {
-        let expire = async {
-            Timer::after(timeout).await;
-            Err(HttpError::Timeout(timeout))
+        let deadline = Instant::now() + timeout;
+        let on_wait = || {
+            // A full channel says that the pool is busy already.
+            let _ = self.pool.busy.try_send(());
         };
-        self.exchange(req, max_body, is_ours).or(expire).await
+        let exchange = self.exchange(req, max_body, is_ours);
+        let deadlines = &self.pool.deadlines;
+        match deadlines.until(deadline, exchange, on_wait).await {
+            Some(res) => res,
+            None => Err(HttpError::Timeout(timeout)),
+        }
     }
 
     async fn exchange<C>(
@@ -146,6 +152,10 @@
     idle: Mutex<Vec<Conn>>,
     free: Sender<()>,
     permits: Receiver<()>,
+    /// When the requests that wait are given up.
+    deadlines: Deadlines,
+    /// Told that the pool has something to expire.
+    busy: Sender<()>,
 }
 
 impl Pool {
@@ -157,6 +167,10 @@
         Permit { pool: self.clone() }
     }
 
+    fn is_unused(&self) -> bool {
+        self.deadlines.is_empty() && self.lock().is_empty()
+    }
+
     /// Returns an idle connection that its peer has not closed.
     async fn idle_connection(&self) -> Option<Conn> {
         loop {
@@ -177,6 +191,24 @@
     }
 }
 
+/// Gives up requests and idle connections whose time has passed, until the pool is dropped.
+async fn expire(pool: Weak<Pool>, is_busy: Receiver<()>) {
+    while is_busy.recv().await.is_ok() {
+        loop {
+            Timer::after(EXPIRE_INTERVAL).await;
+            let Some(pool) = pool.upgrade() else {
+                return;
+            };
+            let now = Instant::now();
+            pool.deadlines.wake_expired(now);
+            pool.close_idle(now);
+            if pool.is_unused() {
+                break;
+            }
+        }
+    }
+}
+
 /// The right to use one connection.
 struct Permit {
     pool: Arc<Pool>,
@@ -205,7 +237,8 @@
 #[derive(Debug)]
 struct Conn {
     sender: SendRequest<Full<Bytes>>,
-    driver: Pin<Box<Connection<FuturesIo<TcpStream>, Full<Bytes>>>>,
+    driver: Pin<Box<Connection<HyperIo<Stream>, Full<Bytes>>>>,
+    socket: Arc<Async<std::net::TcpStream>>,
     used: Instant,
 }
 
@@ -213,17 +246,23 @@
     async fn open(addr: SocketAddr) -> Result<Self, HttpError> {
         let stream = TcpStream::connect(addr).await.map_err(HttpError::Connect)?;
         stream.set_nodelay(true).map_err(HttpError::Connect)?;
-        let (sender, driver) = http1::handshake(FuturesIo::new(stream)).await?;
+        let stream = Stream::new(stream);
+        let socket = stream.socket();
+        let (sender, driver) = http1::handshake(HyperIo::new(stream, READ_BUFFER)).await?;
         Ok(Self {
             sender,
             driver: Box::pin(driver),
+            socket,
             used: Instant::now(),
         })
     }
 
-    /// Sees whether the peer has closed the connection since it was last used.
+    /// Sees whether the peer has closed the connection, or sent what nobody asked for, since it was
+    /// last used.
     async fn is_usable(&mut self) -> bool {
-        let ended = future::poll_once(self.driver.as_mut()).await.is_some();
+        let peeked = self.socket.get_ref().peek(&mut [0]);
+        let is_silent = peeked.is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock);
+        let ended = !is_silent || future::poll_once(self.driver.as_mut()).await.is_some();
         !ended && self.sender.is_ready()
     }
 
--- a/hemlockhook-runtime/src/http/mod.rs
+++ b/hemlockhook-runtime/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod server;
 
+pub use crate::io::Stream;
 pub use body::{BodyError, read_body};
 pub use client::{HttpClient, HttpError};
 pub(crate) use server::accept;
--- a/hemlockhook-runtime/src/http/server.rs
+++ b/hemlockhook-runtime/src/http/server.rs
@@ -18,10 +18,11 @@
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1::{self, Connection};
 use hyper::service::{HttpService, service_fn};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::executor::Executor;
-use crate::tasks::TaskSet;
+use crate::io::{HyperIo, Stream};
+use crate::tasks::{TaskSet, closed};
+use crate::timer::ConnTimer;
 
 /// An error of any type, as hyper takes it.
 type BoxError = Box<dyn Error + Send + Sync>;
@@ -29,6 +30,9 @@
 /// Pause after an accept that failed for want of file descriptors or memory.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
+/// Bytes read at once from a connection.
+const READ_BUFFER: usize = 4096;
+
 /// Answer to a connection above the cap.
 const BUSY: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -116,7 +120,7 @@
     stop: Receiver<()>,
     connect: C,
 ) where
-    C: Fn(TcpStream) -> (IO, F),
+    C: Fn(Stream) -> (IO, F),
     IO: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     F: Fn(Request<Incoming>) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Result<Response<B>, E>> + Send + 'static,
@@ -130,7 +134,7 @@
             refuse(stream).await;
             continue;
         }
-        let (io, handler) = connect(stream);
+        let (io, handler) = connect(Stream::new(stream));
         let conn = serve_connection(io, limits, stop.clone(), handler);
         connections.spawn(conn);
     }
@@ -141,7 +145,7 @@
 /// Returns the next connection with `TCP_NODELAY` set, or `None` once `stop` is closed.
 pub(crate) async fn accept(listener: &TcpListener, stop: &Receiver<()>) -> Option<TcpStream> {
     let stopped = async {
-        let _ = stop.recv().await;
+        closed(stop).await;
         None
     };
     let accepted = async {
@@ -181,16 +185,16 @@
     let handler = Arc::new(handler);
     let service = service_fn(move |req| Box::pin(handler(req)));
     let conn = http1::Builder::new()
-        .timer(SmolTimer::new())
+        .timer(ConnTimer::default())
         .header_read_timeout(limits.header_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_head)
-        .serve_connection(FuturesIo::new(io), service);
+        .serve_connection(HyperIo::new(io, READ_BUFFER), service);
     finish_connection(conn, stop).await;
 }
 
 /// Drives a connection to its end, which comes soon once `stop` is closed.
-async fn finish_connection<IO, S, B>(mut conn: Connection<FuturesIo<IO>, S>, stop: Receiver<()>)
+async fn finish_connection<IO, S, B>(mut conn: Connection<HyperIo<IO>, S>, stop: Receiver<()>)
 where
     IO: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     S: HttpService<Incoming, ResBody = B> + Unpin,
@@ -200,11 +204,11 @@
     B::Error: Into<BoxError>,
 {
     let stopped = async {
-        let _ = stop.recv().await;
+        closed(&stop).await;
         None
     };
     let ended = async { Some(poll_fn(|cx| conn.poll_without_shutdown(cx)).await) };
-    let end = match stopped.or(ended).await {
+    let end = match ended.or(stopped).await {
         Some(end) => end,
         None => {
             Pin::new(&mut conn).graceful_shutdown();
--- /dev/null
+++ b/hemlockhook-runtime/src/io.rs
@@ -0,0 +1,176 @@
+//! TCP streams that read only when there is something to read.
+
+use std::io::{self, IoSlice, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use async_io::Async;
+use futures_lite::{AsyncRead, AsyncWrite};
+use hyper::rt::ReadBufCursor;
+
+/// A TCP stream that remembers that it was read empty, so that polls for another reason cost no
+/// system call.
+#[derive(Debug)]
+pub struct Stream {
+    io: Arc<Async<TcpStream>>,
+    /// Nothing is left to read until the reactor says so.
+    drained: bool,
+}
+
+impl Stream {
+    pub(crate) fn new(stream: async_net::TcpStream) -> Self {
+        Self {
+            io: stream.into(),
+            drained: false,
+        }
+    }
+
+    /// Returns the socket itself.
+    pub(crate) fn socket(&self) -> Arc<Async<TcpStream>> {
+        self.io.clone()
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            if self.drained {
+                ready!(self.io.poll_readable(cx))?;
+                self.drained = false;
+            }
+            match self.io.get_ref().read(buf) {
+                Ok(len) => {
+                    self.drained = len > 0 && len < buf.len();
+                    return Poll::Ready(Ok(len));
+                }
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => self.drained = true,
+                Err(err) if err.kind() == io::ErrorKind::Interrupted => {}
+                Err(err) => return Poll::Ready(Err(err)),
+            }
+        }
+    }
+}
+
+impl Stream {
+    fn poll_write_with<F>(&self, cx: &mut Context<'_>, mut write: F) -> Poll<io::Result<usize>>
+    where
+        F: FnMut(&TcpStream) -> io::Result<usize>,
+    {
+        loop {
+            match write(self.io.get_ref()) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
+                    ready!(self.io.poll_writable(cx))?;
+                }
+                Err(err) if err.kind() == io::ErrorKind::Interrupted => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |mut socket| socket.write(buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |mut socket| socket.write_vectored(bufs))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.io.get_ref().shutdown(Shutdown::Write) {
+            Err(err) if err.kind() != io::ErrorKind::NotConnected => Poll::Ready(Err(err)),
+            _ => Poll::Ready(Ok(())),
+        }
+    }
+}
+
+/// Lets hyper read and write a stream, through a buffer that is cleared once for the connection
+/// rather than for every read.
+#[derive(Debug)]
+pub(crate) struct HyperIo<IO> {
+    io: IO,
+    buf: Box<[u8]>,
+}
+
+impl<IO> HyperIo<IO> {
+    /// Wraps a stream that is read in pieces of at most `buf_len` bytes.
+    pub(crate) fn new(io: IO, buf_len: usize) -> Self {
+        Self {
+            io,
+            buf: vec![0; buf_len].into_boxed_slice(),
+        }
+    }
+
+    pub(crate) fn into_inner(self) -> IO {
+        self.io
+    }
+}
+
+impl<IO> hyper::rt::Read for HyperIo<IO>
+where
+    IO: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut cursor: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let Self { io, buf } = &mut *self;
+        let max = buf.len().min(cursor.remaining());
+        let len = ready!(Pin::new(io).poll_read(cx, &mut buf[..max]))?;
+        cursor.put_slice(&buf[..len]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<IO> hyper::rt::Write for HyperIo<IO>
+where
+    IO: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_close(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+}
--- a/hemlockhook-runtime/src/lib.rs
+++ b/hemlockhook-runtime/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod executor;
 pub mod grpc;
 pub mod http;
+mod io;
 pub mod log;
 pub mod metrics;
 pub mod settings;
 pub mod signal;
 mod tasks;
+mod timer;
--- a/hemlockhook-runtime/src/tasks.rs
+++ b/hemlockhook-runtime/src/tasks.rs
@@ -1,7 +1,9 @@
-//! A set of tasks that are cancelled together.
+//! Sets of tasks that are cancelled together, and the signal to stop.
 
-use std::future::Future;
+use std::future::{Future, poll_fn};
+use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::task::Poll;
 
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
@@ -96,3 +98,22 @@
         }
     }
 }
+
+/// Waits until a channel is closed.
+///
+/// It must be polled by one task: later polls cost no more than a look at the channel.
+pub(crate) async fn closed(stop: &Receiver<()>) {
+    let mut recv = pin!(stop.recv());
+    let mut is_registered = false;
+    poll_fn(|cx| {
+        if stop.is_closed() {
+            return Poll::Ready(());
+        }
+        if !is_registered {
+            is_registered = true;
+            return recv.as_mut().poll(cx).map(drop);
+        }
+        Poll::Pending
+    })
+    .await;
+}
