--- a/hemlockhook-agent/tests/support/mod.rs
+++ b/hemlockhook-agent/tests/support/mod.rs
@@ -30,6 +30,7 @@
   - {{ name: stock, deadline: 10s, max_task_time: 5s, objective: {{ percent: 99.0, within: 1s }} }}
 upstreams:
   - {{ name: desk-1, worker: os-1, services: [{services}], slots: {slots}, connections: 64 }}
+  - {{ name: desk-2, worker: os-1, services: [quote, stock], slots: 1, connections: 64 }}
 teams:
   - {{ name: farms }}
 "
@@ -71,6 +72,7 @@
     /// An agent that has joined, with two slots for the service `quote`.
     pub fn joined() -> Self {
         let mut agent = Self::new();
+        agent.read(Stream::Membership, 1, vec![]);
         agent.read(Stream::Config, 1, vec![config(0, &inventory(2, SERVICE))]);
         agent.handle(Event::Appended);
         agent.read(Stream::Membership, 1, vec![]);
@@ -121,6 +123,7 @@
     }
 
     pub fn frame(&mut self, link: LinkId, frame: v1::EntryFrame) {
+        let frame = Box::new(frame);
         self.handle(Event::Frame { link, frame });
     }
 
@@ -151,7 +154,7 @@
             |a| matches!(a, Action::Send { link, .. } if *link == to),
         );
         sent.filter_map(|action| match action {
-            Action::Send { frame, .. } => Some(frame),
+            Action::Send { frame, .. } => Some(*frame),
             _ => None,
         })
         .collect()
@@ -164,7 +167,7 @@
             .extract_if(.., |a| matches!(a, Action::Append { .. }));
         appends
             .filter_map(|action| match action {
-                Action::Append { body } => serde_json::from_slice(&body).done_well(),
+                Action::Append { body } => serde_json::from_slice(&body).ok(),
                 _ => None,
             })
             .collect()
@@ -178,6 +181,8 @@
 }
 
 pub fn config(base: u64, document: &str) -> Vec<u8> {
+    let problems = hemlockhook_inventory::check(document).err();
+    assert!(problems.is_none(), "the test's inventory: {problems:?}");
     ConfigRecord {
         change_id: format!("change-{base}"),
         base,
@@ -262,6 +267,29 @@
     }
 }
 
+pub fn custodian(agent: Incarnation) -> v1::EntryFrame {
+    v1::EntryFrame {
+        custodian: Some(agent),
+        ..v1::EntryFrame::default()
+    }
+}
+
+pub fn withdraw(key: &str) -> v1::EntryFrame {
+    v1::EntryFrame {
+        withdraws: vec![v1::Withdraw {
+            job: Some(v1::WithdrawnJob {
+                key: key.to_owned(),
+                fingerprint: 1,
+                shard: u32::from(shard_of(key)),
+                service: SERVICE.to_owned(),
+                reason: "deadline".to_owned(),
+            }),
+            ballot: TAKEOVER,
+        }],
+        ..v1::EntryFrame::default()
+    }
+}
+
 pub fn drain(leaving: bool) -> v1::EntryFrame {
     v1::EntryFrame {
         drain: Some(v1::Drain { leaving }),
--- a/hemlockhook-inventory/src/lib.rs
+++ b/hemlockhook-inventory/src/lib.rs
@@ -5,11 +5,14 @@
 pub mod admin;
 pub mod burn;
 pub mod check;
+pub mod diff;
+pub mod import;
 pub mod model;
 pub mod publish;
 pub mod units;
 
 pub use check::{MAX_DOCUMENT_BYTES, Problem, check};
 pub use model::{DataCenter, Inventory, Objective, Rules, Service, Team, Upstream, Worker};
-pub use publish::reader::{ConfigReader, Verdict};
-pub use publish::record::ConfigRecord;
+pub use publish::{
+    ConfigReader, ConfigRecord, PublishAction, PublishOutcome, Publisher, Repeater, Verdict,
+};
