--- a/hemlockhook/src/client.rs
+++ b/hemlockhook/src/client.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hemlockhook_platform::HttpLog;
 use hemlockhook_runtime::executor::{Executor, Threads};
-use hemlockhook_runtime::http::HttpClient;
+use hemlockhook_runtime::http::{HttpClient, HttpError};
 use http::{Request, Response};
 use http_body_util::Full;
 use serde::Serialize;
@@ -55,9 +55,9 @@
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<Response<Bytes>, String> {
+    ) -> Result<Response<Bytes>, HttpError> {
         let http = HttpClient::new(self.executor(), addr, 1);
-        async_io::block_on(http.send(req, MAX_ANSWER, timeout)).map_err(|e| e.to_string())
+        async_io::block_on(http.send(req, MAX_ANSWER, timeout))
     }
 
     /// Gets a report from each entry.
@@ -98,8 +98,8 @@
     {
         let body = serde_json::to_vec(message).map_err(|e| e.to_string())?;
         let req = Request::post(path).body(Full::new(body.into()));
-        let res = self.send(addr, req.map_err(|e| e.to_string())?, REQUEST_TIMEOUT)?;
-        parse(&res)
+        let res = self.send(addr, req.map_err(|e| e.to_string())?, REQUEST_TIMEOUT);
+        parse(&res.map_err(|e| e.to_string())?)
     }
 
     fn get<T>(&self, addr: SocketAddr, path: &str) -> Result<T, String>
@@ -107,8 +107,8 @@
         T: DeserializeOwned,
     {
         let req = Request::get(path).body(Full::default());
-        let res = self.send(addr, req.map_err(|e| e.to_string())?, REQUEST_TIMEOUT)?;
-        parse(&res)
+        let res = self.send(addr, req.map_err(|e| e.to_string())?, REQUEST_TIMEOUT);
+        parse(&res.map_err(|e| e.to_string())?)
     }
 
     fn executor(&self) -> Arc<Executor> {
--- a/hemlockhook/src/command/submit.rs
+++ b/hemlockhook/src/command/submit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hemlockhook_runtime::http::HttpError;
 use http::{Request, Response};
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -43,6 +44,7 @@
         .map_err(|e| usage(e.to_string()))?;
     match client.send(args.to, req, args.deadline + GRACE) {
         Ok(res) => print_answer(args, &key, &res),
+        Err(HttpError::Connect(why)) => Err(unreachable(args, &why.to_string())),
         Err(why) => {
             let again = again(args, &key, stamps.as_deref());
             Err(failure(
@@ -81,12 +83,11 @@
     let req = Request::get("/v1/stamps").body(Full::default())?;
     let res = client
         .send(args.to, req, REQUEST_TIMEOUT)
-        .map_err(|why| failure(Exit::Unreachable, format!("entry {}: {why}", args.to)))?;
+        .map_err(|why| unreachable(args, &why.to_string()))?;
     let stamps = res.headers().get(STAMP).and_then(|v| v.to_str().ok());
-    stamps.map(str::to_owned).ok_or_else(|| {
-        let why = format!("entry {} gave no stamps: {}", args.to, res.status());
-        failure(Exit::Unreachable, why)
-    })
+    stamps
+        .map(str::to_owned)
+        .ok_or_else(|| unreachable(args, &format!("it gave no stamps: {}", res.status())))
 }
 
 fn print_answer(args: &SubmitArgs, key: &str, res: &Response<Bytes>) -> eyre::Result<Exit> {
@@ -111,6 +112,10 @@
     })
 }
 
+fn unreachable(args: &SubmitArgs, why: &str) -> eyre::Report {
+    failure(Exit::Unreachable, format!("entry {}: {why}", args.to))
+}
+
 fn again(args: &SubmitArgs, key: &str, stamps: Option<&str>) -> String {
     let stamps = stamps.map_or_else(String::new, |stamps| format!(" --stamps '{stamps}'"));
     format!("the same command with --key {key}{stamps} --to {}", args.to)
--- /dev/null
+++ b/hemlockhook/tests/cli/fixture.rs
@@ -0,0 +1,176 @@
+//! A log stand-in, an entry that answers with fixed reports, and the command as a process.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use async_net::TcpListener;
+use bytes::Bytes;
+use hemlockhook_runtime::executor::Threads;
+use hemlockhook_runtime::http::{ServerLimits, serve};
+use hemlockhook_standin::{LogFaults, LogSettings, LogStandin};
+use hemlockhook_types::SystemClock;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+/// An address on which nothing listens.
+pub const NOWHERE: &str = "127.0.0.1:1";
+
+/// What the command printed, and its exit code.
+pub struct Output {
+    pub stdout: String,
+    pub stderr: String,
+    pub code: i32,
+}
+
+impl Output {
+    /// Returns everything, for snapshots.
+    pub fn all(&self) -> String {
+        format!("{}{}exit code {}", self.stdout, self.stderr, self.code)
+    }
+
+    /// Returns the standard output as JSON.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.stdout).unwrap_or_else(|e| panic!("{e}: {}", self.all()))
+    }
+}
+
+/// Runs the command in the repository's root.
+pub fn run(args: &[&str]) -> Output {
+    let output = Command::new(env!("CARGO_BIN_EXE_hemlockhook"))
+        .args(args)
+        .current_dir(root())
+        .env_remove("HEMLOCKHOOK_LOG")
+        .env_remove("HEMLOCKHOOK_ENTRIES")
+        .env("USER", "marija")
+        .output()
+        .expect("the command starts");
+    Output {
+        stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
+        stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+        code: output.status.code().expect("the command exits by itself"),
+    }
+}
+
+/// Returns the repository's root.
+pub fn root() -> PathBuf {
+    let package = Path::new(env!("CARGO_MANIFEST_DIR"));
+    package
+        .parent()
+        .expect("the package is in the repository")
+        .to_owned()
+}
+
+/// A directory of its own for a test, removed at the end.
+pub struct Scratch(pub PathBuf);
+
+impl Scratch {
+    pub fn new(name: &str) -> Self {
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&dir).expect("the target directory can be written");
+        Self(dir)
+    }
+
+    /// Writes a file and returns its path.
+    pub fn file(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("the scratch directory can be written");
+        path.display().to_string()
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Servers on loopback that the command can reach.
+pub struct Servers {
+    threads: Threads,
+    stops: Vec<Sender<()>>,
+}
+
+impl Servers {
+    pub fn start() -> Self {
+        Self {
+            threads: Threads::start("fixture", 1),
+            stops: Vec::new(),
+        }
+    }
+
+    /// Serves a log that keeps so many records of each stream.
+    pub fn log(&mut self, retain_records: usize) -> (SocketAddr, LogStandin) {
+        let (listener, addr) = listen();
+        let settings = LogSettings {
+            retain_records,
+            append_latency_ms: 0,
+            ..LogSettings::new(addr)
+        };
+        let log = LogStandin::new(settings, Arc::new(SystemClock));
+        let (stop, stopped) = async_channel::bounded(1);
+        let ex = self.threads.traffic();
+        ex.spawn(log.clone().serve(ex.clone(), listener, stopped))
+            .detach();
+        self.stops.push(stop);
+        (addr, log)
+    }
+
+    /// Serves an entry that answers as the closure says.
+    pub fn entry<F>(&mut self, answer: F) -> SocketAddr
+    where
+        F: Fn(&Method, &str) -> Option<String> + Clone + Send + Sync + 'static,
+    {
+        let (listener, addr) = listen();
+        let (stop, stopped) = async_channel::bounded(1);
+        let ex = self.threads.traffic();
+        let handler = move |req: Request<Incoming>| {
+            let path = req
+                .uri()
+                .path_and_query()
+                .map_or("", |p| p.as_str())
+                .to_owned();
+            let response = respond(answer(req.method(), &path));
+            async move { response }
+        };
+        ex.spawn(serve(
+            ex.clone(),
+            listener,
+            ServerLimits::default(),
+            stopped,
+            handler,
+        ))
+        .detach();
+        self.stops.push(stop);
+        addr
+    }
+}
+
+/// Loses the reply of each append.
+pub fn lose_replies() -> LogFaults {
+    LogFaults {
+        lose_replies: 1.0,
+        ..LogFaults::default()
+    }
+}
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = async_io::block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
+    let addr = listener.local_addr().expect("the listener is bound");
+    (listener, addr)
+}
+
+fn respond(body: Option<String>) -> Response<Full<Bytes>> {
+    let status = match body {
+        Some(_) => StatusCode::OK,
+        None => StatusCode::NOT_FOUND,
+    };
+    Response::builder()
+        .status(status)
+        .header("hemlockhook-stamp", "0-1")
+        .body(Full::new(Bytes::from(body.unwrap_or_default())))
+        .expect("the response is valid")
+}
--- /dev/null
+++ b/hemlockhook/tests/cli/main.rs
@@ -0,0 +1,7 @@
+//! The operators' command, run as a process against stand-ins.
+
+mod arguments;
+mod configs;
+mod docs;
+mod fixture;
+mod reports;
