--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -85,7 +85,7 @@
         }
 
         self.counters.submitted += 1;
-        let deadline = now + submission.job.deadline;
+        let deadline = now + self.time_allowed(&submission.job);
         let (callers, entries) = match origin {
             Origin::Caller => (vec![waiter], Vec::new()),
             Origin::Entry => (Vec::new(), vec![waiter]),
@@ -354,6 +354,14 @@
         self.actions.push(Action::Reply { waiter, response });
     }
 
+    /// Returns a job's deadline, brought forward to its service's.
+    fn time_allowed(&self, job: &Job) -> Duration {
+        self.inventory
+            .as_ref()
+            .and_then(|inventory| inventory.service(&job.service))
+            .map_or(job.deadline, |service| service.deadline.min(job.deadline))
+    }
+
     /// Ends the jobs whose deadline has passed.
     pub(super) fn expire_jobs(&mut self, now: Instant) {
         while let Some(Reverse((at, key))) = self.deadlines.peek().cloned() {
--- a/hemlockhook-inventory/src/import.rs
+++ b/hemlockhook-inventory/src/import.rs
@@ -204,7 +204,6 @@
             teams: vec![Team {
                 name: "everyone".into(),
                 share: 1,
-                cap: None,
             }],
             rules: Rules::default(),
         }
