Wait for a version to be in force everywhere, group shards, and tell new keys from old

Tried against real daemons on loopback: status listed each shard on a line of its own, config status took an accepted version for unknown until an entry had read it, and a key given by hand was always treated as sent before.

--- a/hemlockhook/src/cli.rs
+++ b/hemlockhook/src/cli.rs
@@ -65,7 +65,7 @@
     pub entries: Vec<SocketAddr>,
 }
 
-/// Arguments of `hemlockhook status` and `hemlockhook config status`.
+/// Arguments of `hemlockhook status`.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(ignore_rustdoc)]
 pub struct StatusArgs {
@@ -148,7 +148,23 @@
 
     /// Show which version is in force at which process
     #[bpaf(command, footer(help::CONFIG_STATUS))]
-    Status(#[bpaf(external(status_args))] StatusArgs),
+    Status(#[bpaf(external(config_status_args))] ConfigStatusArgs),
+}
+
+/// Arguments of `hemlockhook config status`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct ConfigStatusArgs {
+    #[bpaf(external(entries))]
+    pub entries: Entries,
+    /// Address of the platform's log, to tell the newest version
+    #[bpaf(env("HEMLOCKHOOK_LOG"), argument("IP:PORT"))]
+    pub log: Option<SocketAddr>,
+    /// Wait so long for the newest version to be in force everywhere
+    #[bpaf(argument::<String>("TIME"), parse(duration), fallback(Duration::ZERO))]
+    pub wait: Duration,
+    #[bpaf(external(format))]
+    pub output: Format,
 }
 
 /// Where configurations are read from.
@@ -236,6 +252,9 @@
     /// Idempotency key; repeat it, with its stamps, to submit the same job again
     #[bpaf(argument("KEY"))]
     pub key: Option<String>,
+    /// Declare that the key was never sent before, and get stamps for it
+    #[bpaf(switch)]
+    pub new_key: bool,
     /// Stamps that were held when the key was made
     #[bpaf(argument("STAMPS"))]
     pub stamps: Option<String>,
--- a/hemlockhook/src/client.rs
+++ b/hemlockhook/src/client.rs
@@ -8,7 +8,7 @@
 use hemlockhook_platform::HttpLog;
 use hemlockhook_runtime::executor::{Executor, Threads};
 use hemlockhook_runtime::http::{HttpClient, HttpError};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -136,6 +136,19 @@
     }
 }
 
+/// Returns the exit code for a question that no entry could answer: whether each answered that it
+/// knows nothing of it.
+pub fn exit_of_unknown<T>(answers: &[Answered<T>]) -> Exit {
+    let is_unknown = |answered: &Answered<T>| match &answered.answer {
+        Ok(_) => false,
+        Err(why) => why.starts_with(StatusCode::NOT_FOUND.as_str()),
+    };
+    match answers.iter().all(is_unknown) {
+        true => Exit::Negative,
+        false => Exit::Unreachable,
+    }
+}
+
 /// Says why entries did not answer, one a line.
 pub fn no_answer<T>(answers: &[Answered<T>]) -> String {
     let lines: Vec<String> = answers
--- a/hemlockhook/src/command/config.rs
+++ b/hemlockhook/src/command/config.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use hemlockhook_inventory::admin::{ConfigInForce, EntryStatus};
 use hemlockhook_inventory::diff::unified;
 use hemlockhook_inventory::{ConfigReader, ConfigRecord, Verdict};
@@ -11,8 +13,8 @@
 use serde::Serialize;
 use serde_json::json;
 
-use crate::cli::{ConfigCommand, Entries, Source};
-use crate::client::{Answered, Client};
+use crate::cli::{ConfigCommand, ConfigStatusArgs, Source};
+use crate::client::{Answered, Client, no_answer};
 use crate::command::inventory::read;
 use crate::command::publish;
 use crate::output::{Exit, Format, Table, dash, failure, line, print_json, text, usage};
@@ -23,6 +25,9 @@
 /// Begins the line that tells the version of a document that was shown.
 const VERSION_LINE: &str = "# version: ";
 
+/// Time between two questions while waiting for a version.
+const POLL: Duration = Duration::from_millis(100);
+
 /// Records read at once.
 const READ_MAX: usize = 1_000;
 
@@ -41,7 +46,7 @@
             source,
             file,
         } => diff(&source, &file, output),
-        ConfigCommand::Status(args) => status(&args.entries, args.output),
+        ConfigCommand::Status(args) => status(&args),
     }
 }
 
@@ -241,43 +246,79 @@
     detail: Option<String>,
 }
 
-fn status(entries: &Entries, format: Format) -> eyre::Result<Exit> {
-    let addresses = entries.addresses()?;
-    let answers = Client::start().get_all::<EntryStatus>(&addresses, "/v1/status")?;
-    let processes = processes(&answers);
-    let newest = processes
-        .iter()
-        .filter_map(|p| p.version)
-        .max()
-        .unwrap_or(0);
-    let everywhere = processes.iter().all(|p| p.version == Some(newest));
+/// Which version is in force where.
+#[derive(Serialize)]
+struct InForce {
+    newest: u64,
+    in_force_everywhere: bool,
+    processes: Vec<InForceAt>,
+}
 
-    if format == Format::Json {
-        let report = json!({
-            "newest": newest, "in_force_everywhere": everywhere, "processes": processes,
-        });
-        print_json(&report)?;
-    } else {
-        let mut table = Table::new(&["process", "kind", "version", "state"]);
-        for process in &processes {
-            table.row([
-                process.process.clone(),
-                process.kind.to_owned(),
-                process.version.map_or_else(dash, |v| v.to_string()),
-                state(process, newest),
-            ]);
+fn status(args: &ConfigStatusArgs) -> eyre::Result<Exit> {
+    let client = Client::start();
+    let addresses = args.entries.addresses()?;
+    let deadline = Instant::now() + args.wait;
+    let report = loop {
+        let report = in_force_where(&client, &addresses, args.log)?;
+        if report.in_force_everywhere || Instant::now() >= deadline {
+            break report;
         }
-        table.print(&format!("newest version: {newest}"));
+        async_io::block_on(Timer::after(POLL));
+    };
+
+    match args.output {
+        Format::Json => print_json(&report)?,
+        Format::Text => print_status(&report),
     }
-    Ok(match everywhere {
-        true => Exit::Ok,
-        false => Exit::Negative,
+    Ok(Exit::from(report.in_force_everywhere))
+}
+
+fn in_force_where(
+    client: &Client,
+    entries: &[SocketAddr],
+    log: Option<SocketAddr>,
+) -> eyre::Result<InForce> {
+    let mut reader = ConfigReader::new();
+    if let Some(log) = log {
+        // What entries have in force is worth telling even if the log can't be read.
+        let _ = read_log(&client.log(log), |record| {
+            reader.on_record(record.offset, &record.body);
+        });
+    }
+    let answers = client.get_each::<EntryStatus>(entries, "/v1/status");
+    if answers.iter().all(|answered| answered.answer.is_err()) {
+        return Err(failure(Exit::Unreachable, no_answer(&answers)));
+    }
+    let processes = processes(&answers);
+    let told = processes.iter().filter_map(|process| process.version);
+    let newest = told.max().unwrap_or(0).max(reader.version());
+    Ok(InForce {
+        newest,
+        in_force_everywhere: processes.iter().all(|p| p.version == Some(newest)),
+        processes,
     })
 }
 
+fn print_status(report: &InForce) {
+    let mut table = Table::new(&["process", "kind", "version", "state"]);
+    for process in &report.processes {
+        table.row([
+            process.process.clone(),
+            process.kind.to_owned(),
+            process.version.map_or_else(dash, |v| v.to_string()),
+            state(process, report.newest),
+        ]);
+    }
+    match report.newest {
+        0 => table.print("no version is published yet"),
+        newest => table.print(&format!("newest version: {newest}")),
+    }
+}
+
 fn state(process: &InForceAt, newest: u64) -> String {
     match (process.version, &process.detail) {
         (_, Some(detail)) => detail.clone(),
+        (Some(0), None) => "none yet".to_owned(),
         (Some(version), None) if version == newest => "in force".to_owned(),
         _ => "behind".to_owned(),
     }
--- a/hemlockhook/src/command/drain.rs
+++ b/hemlockhook/src/command/drain.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 
 use crate::cli::DrainArgs;
-use crate::client::{Answered, Client, no_answer};
+use crate::client::{Answered, Client, exit_of_unknown, no_answer};
 use crate::output::{Exit, Format, failure, line, print_json};
 
 /// Asks entries to let an upstream leave or come back. One entry that reaches its agent is enough:
@@ -28,7 +28,7 @@
         .iter()
         .find_map(|answered| answered.answer.as_ref().ok())
     else {
-        return Err(failure(Exit::Unreachable, no_answer(&answers)));
+        return Err(failure(exit_of_unknown(&answers), no_answer(&answers)));
     };
     match (args.output, leaving) {
         (Format::Json, _) => print_json(&json!(reply))?,
--- a/hemlockhook/src/command/job.rs
+++ b/hemlockhook/src/command/job.rs
@@ -3,7 +3,7 @@
 use hemlockhook_inventory::admin::JobStatus;
 
 use crate::cli::{Entries, JobCommand};
-use crate::client::{Answered, Client, no_answer};
+use crate::client::{Answered, Client, exit_of_unknown, no_answer};
 use crate::output::{Exit, Format, Table, dash, failure, line, print_json, time, time_or_dash};
 
 /// Runs `hemlockhook job`.
@@ -28,12 +28,8 @@
 
     let Some(status) = found else {
         let why = no_answer(&answers);
-        let exit = match why.lines().all(|line| line.contains("404")) {
-            true => Exit::Negative,
-            false => Exit::Unreachable,
-        };
         return Err(failure(
-            exit,
+            exit_of_unknown(&answers),
             format!("no entry knows the job {key}\n{why}"),
         ));
     };
--- a/hemlockhook/src/command/status.rs
+++ b/hemlockhook/src/command/status.rs
@@ -112,22 +112,33 @@
         line!("  shard {shard} is claimed by {}", owners.join(" and "));
     }
     for status in statuses {
-        for shard in status
-            .shards
-            .iter()
-            .filter(|s| s.state != ShardState::Complete)
-        {
-            let awaiting = match shard.awaiting.is_empty() {
-                true => String::new(),
-                false => format!(", awaiting {}", shard.awaiting.join(", ")),
-            };
-            line!(
-                "  shard {} at {}: {}{awaiting}",
-                shard.shard,
-                status.name,
-                shard.state
-            );
-        }
+        print_unsettled(status);
+    }
+}
+
+/// Prints the shards of an entry whose account is not complete, together where they wait for the
+/// same agents.
+fn print_unsettled(status: &EntryStatus) {
+    let mut groups: BTreeMap<(&'static str, &[String]), Vec<u16>> = BTreeMap::new();
+    for shard in status
+        .shards
+        .iter()
+        .filter(|s| s.state != ShardState::Complete)
+    {
+        let group = (shard.state.into(), shard.awaiting.as_slice());
+        groups.entry(group).or_default().push(shard.shard);
+    }
+    for ((state, awaiting), shards) in groups {
+        let awaiting = match awaiting.is_empty() {
+            true => String::new(),
+            false => format!(", awaiting {}", awaiting.join(", ")),
+        };
+        let shards: Vec<String> = shards.iter().map(u16::to_string).collect();
+        line!(
+            "  {state} at {}{awaiting}: {}",
+            status.name,
+            shards.join(" ")
+        );
     }
 }
 
--- a/hemlockhook/src/command/submit.rs
+++ b/hemlockhook/src/command/submit.rs
@@ -31,7 +31,7 @@
     let stamps = match &args.stamps {
         Some(stamps) => Some(stamps.clone()),
         // A key that was made before may only be sent with the stamps held then, or with none.
-        None if args.key.is_some() => None,
+        None if args.key.is_some() && !args.new_key => None,
         None => Some(fresh_stamps(&client, args)?),
     };
 
--- a/hemlockhook/src/help.rs
+++ b/hemlockhook/src/help.rs
@@ -32,7 +32,8 @@
 
 /// `hemlockhook submit --help`.
 pub const SUBMIT: &str = "\
-The job is answered as a whole, or not at all.
+The job is answered as a whole, or not at all. A key that is given by --key counts as sent before: unless \
+--stamps or --new-key says more, it may get an unknown outcome after an entry was lost.
  Example: a job of one task
    hemlockhook submit --to 127.0.0.1:7001 --team sales-desk --service quote '{\"run_ms\":50}'";
 
@@ -96,7 +97,7 @@
 pub const CONFIG_STATUS: &str = "\
 The exit code is 0 if one version is in force everywhere.
  Example: two entries and their agents
-   hemlockhook config status --entry 127.0.0.1:7003 --entry 127.0.0.1:7013";
+   hemlockhook config status --entry 127.0.0.1:7003 --entry 127.0.0.1:7013 --log 127.0.0.1:7100 --wait 7s";
 
 /// `hemlockhook job show --help`.
 pub const JOB: &str = "\
