Repeat the configuration in force from the entries, and notice one that came by a repeat

The repeater now takes what the log holds apart from the reader, so that the follower of the log can run it. An entry that recovered a version from a repeat did not put it in force, because it looked for accepted records only.

--- a/hemlockhook-entry/src/engine/peers.rs
+++ b/hemlockhook-entry/src/engine/peers.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use hemlockhook_inventory::Inventory;
 use hemlockhook_inventory::admin::EventKind;
-use hemlockhook_inventory::{Inventory, Verdict};
 use hemlockhook_ownership::Record;
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::{AgentFrame, PeerStatus};
@@ -133,10 +133,12 @@
     }
 
     pub(super) fn on_configs(&mut self, now: Instant, records: &[(u64, Bytes)]) {
+        let before = self.config.version();
         for (offset, body) in records {
-            if let Verdict::Accepted { .. } = self.config.on_record(*offset, body) {
-                self.on_config_in_force(now);
-            }
+            self.config.on_record(*offset, body);
+        }
+        if self.config.version() > before {
+            self.on_config_in_force(now);
         }
     }
 
--- a/hemlockhook-entry/src/engine/report.rs
+++ b/hemlockhook-entry/src/engine/report.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use hemlockhook_inventory::ConfigRecord;
 use hemlockhook_inventory::admin::{
     AgentStatus, BacklogStatus, ConfigInForce, EntryStatus, Event, EventKind, JobStatus, LogStatus,
     PeerStatus, ShardState, ShardStatus, UpstreamState,
@@ -27,6 +28,11 @@
         }
     }
 
+    /// Returns the record that would repeat the configuration in force in the log.
+    pub fn config_repeat(&self) -> Option<ConfigRecord> {
+        self.config.repeat()
+    }
+
     /// Returns the counts for the burn report.
     pub fn burn_counts(&self, now: Instant) -> BurnCounts {
         self.burn.counts(self.wall_ms(now))
--- a/hemlockhook-entry/src/follow.rs
+++ b/hemlockhook-entry/src/follow.rs
@@ -1,12 +1,13 @@
 //! Follows the platform's log and announces this entry in it.
 
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_channel::Receiver;
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use hemlockhook_inventory::Repeater;
 use hemlockhook_ownership::Record;
 use hemlockhook_platform::{Batch, Log, LogError, LogRecord, Offset};
 use hemlockhook_types::Clock;
@@ -29,6 +30,12 @@
 /// Time after which the announcement is repeated.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(240);
 
+/// Shortest retention of the log that announcements and configurations outlast.
+const LOG_RETENTION: Duration = Duration::from_secs(3_600);
+
+/// Time between two looks at whether the configuration is to be repeated.
+const REPEAT_CHECK: Duration = Duration::from_secs(10);
+
 /// Records read at once.
 const READ_MAX: usize = 1_000;
 
@@ -64,14 +71,26 @@
     }
 }
 
-/// Follows the configurations.
-pub async fn follow_configs(log: Arc<dyn Log>, control: Control) {
+/// Follows the configurations, and repeats the one in force before retention drops it.
+pub async fn follow_configs(log: Arc<dyn Log>, control: Control, clock: Arc<dyn Clock>) {
+    let mut repeater = Repeater::new(LOG_RETENTION, fastrand::f64());
+    let mut check_at = clock.now();
     let mut next = 0;
     loop {
         match log.read(CONFIG, next, READ_MAX).await {
-            Ok(batch) if batch.records.is_empty() => drop(Timer::after(POLL).await),
+            Ok(batch) if batch.records.is_empty() => {
+                if clock.now() >= check_at {
+                    check_at = clock.now() + REPEAT_CHECK;
+                    repeat_config(&*log, &control, &mut repeater, clock.now()).await;
+                }
+                Timer::after(POLL).await;
+            }
             Ok(batch) => {
                 next = end_of(&batch);
+                for record in &batch.records {
+                    let age = age(record, clock.wall());
+                    repeater.on_record(clock.now(), age, record.offset, &record.body);
+                }
                 let records: Vec<(u64, Bytes)> = batch
                     .records
                     .into_iter()
@@ -85,6 +104,14 @@
     }
 }
 
+async fn repeat_config(log: &dyn Log, control: &Control, repeater: &mut Repeater, now: Instant) {
+    let repeat = control.inspect(|engine, _| engine.config_repeat()).await;
+    if let Some(record) = repeater.due(now, repeat.flatten()) {
+        // A repeat that fails, or whose reply is lost, is tried again if it does not show up.
+        let _ = log.append(CONFIG, record.to_bytes().into()).await;
+    }
+}
+
 /// Announces this entry, and repeats it well within the log's retention.
 pub async fn announce(log: Arc<dyn Log>, record: Record) {
     let body = serde_json::to_vec(&record).expect("records have string keys only");
@@ -111,11 +138,7 @@
 }
 
 fn read_member(record: &LogRecord, now: SystemTime) -> Option<(u64, Duration, Record)> {
-    let now_ms = now
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis() as u64;
-    let age = Duration::from_millis(now_ms.saturating_sub(record.appended_ms));
+    let age = age(record, now);
     let body = serde_json::from_slice(&record.body);
     if let Err(err) = &body {
         spdlog::warn!("a record of the log cannot be read: {err}", kv: { offset = record.offset });
@@ -123,6 +146,14 @@
     Some((record.offset, age, body.ok()?))
 }
 
+fn age(record: &LogRecord, now: SystemTime) -> Duration {
+    let now_ms = now
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64;
+    Duration::from_millis(now_ms.saturating_sub(record.appended_ms))
+}
+
 fn end_of(batch: &Batch) -> Offset {
     batch.records.last().map_or(0, |record| record.offset + 1)
 }
--- a/hemlockhook-entry/src/process.rs
+++ b/hemlockhook-entry/src/process.rs
@@ -113,7 +113,11 @@
                 to_end_rx,
                 clock.clone(),
             )),
-            traffic.spawn(follow::follow_configs(log.clone(), control.clone())),
+            traffic.spawn(follow::follow_configs(
+                log.clone(),
+                control.clone(),
+                clock.clone(),
+            )),
             traffic.spawn(follow::announce(log, announcement)),
         ];
 
--- a/hemlockhook-inventory/tests/publishing/cases.rs
+++ b/hemlockhook-inventory/tests/publishing/cases.rs
@@ -89,34 +89,45 @@
 #[gtest]
 fn a_record_is_repeated_before_retention_drops_it() {
     let start = Instant::now();
-    let retention = Duration::from_secs(400);
-    let mut repeater = Repeater::new(retention, 0.5);
+    let seconds = Duration::from_secs;
+    let mut repeater = Repeater::new(seconds(400), 0.5);
     let mut reader = ConfigReader::new();
-    expect_that!(repeater.due(start, &reader), none());
+    expect_that!(repeater.due(start, reader.repeat()), none());
 
-    let verdict = reader.on_record(1, &record("a", 0).to_bytes());
-    repeater.on_verdict(start, Duration::from_secs(100), verdict);
-    expect_that!(
-        repeater.due(start + Duration::from_secs(49), &reader),
-        none()
-    );
+    let first = record("a", 0).to_bytes();
+    reader.on_record(1, &first);
+    repeater.on_record(start, seconds(100), 1, &first);
+    expect_that!(repeater.due(start + seconds(49), reader.repeat()), none());
 
-    let due = start + Duration::from_secs(50);
+    let due = start + seconds(50);
     let repeat = repeater
-        .due(due, &reader)
+        .due(due, reader.repeat())
         .expect("150 s of 400 s have passed");
     expect_that!(repeat.version, some(eq(1)));
-    expect_that!(repeater.due(due + Duration::from_secs(1), &reader), none());
+    expect_that!(repeater.due(due + seconds(1), reader.repeat()), none());
     expect_that!(
-        repeater.due(due + Duration::from_secs(20), &reader),
+        repeater.due(due + seconds(20), reader.repeat()),
         some(anything())
     );
 
-    let verdict = reader.on_record(2, &repeat.to_bytes());
-    expect_that!(verdict, eq(Verdict::Repeated));
-    repeater.on_verdict(due, Duration::ZERO, verdict);
     expect_that!(
-        repeater.due(due + Duration::from_secs(149), &reader),
-        none()
+        reader.on_record(2, &repeat.to_bytes()),
+        eq(Verdict::Repeated)
+    );
+    repeater.on_record(due, Duration::ZERO, 2, &repeat.to_bytes());
+    expect_that!(repeater.due(due + seconds(149), reader.repeat()), none());
+}
+
+#[gtest]
+fn a_version_that_the_log_no_longer_holds_is_repeated_at_once() {
+    let mut reader = ConfigReader::new();
+    reader.adopt(4, TUNELPOKROV);
+    expect_that!(reader.repeat(), none());
+
+    reader.on_truncated(5);
+    let mut repeater = Repeater::new(Duration::from_secs(400), 0.0);
+    expect_that!(
+        repeater.due(Instant::now(), reader.repeat()),
+        some(anything())
     );
 }
