--- a/hemlockhook/tests/cli/main.rs
+++ b/hemlockhook/tests/cli/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod configs;
+mod daemons;
 mod docs;
 mod fixture;
 mod reports;
