--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -196,6 +196,15 @@
         for withdrawn in frame.withdrawn {
             self.on_withdrawn(now, agent, withdrawn);
         }
+        if let Some(custody) = frame.custody {
+            self.place_custody(agent, custody);
+        }
+        if let Some(leaver) = frame
+            .adopted
+            .filter(|leaver| self.links.contains_key(leaver))
+        {
+            self.frame(leaver).custodian = Some(agent);
+        }
         if frame.grants > 0 {
             self.dispatcher.granted(now, agent, frame.grants);
         }
@@ -251,6 +260,28 @@
         }
     }
 
+    /// Has another agent adopt the records of one that leaves: the one that shares most services.
+    fn place_custody(&mut self, leaver: Incarnation, custody: v1::Custody) {
+        let Some(leaving) = self.links.get(&leaver) else {
+            return;
+        };
+        let shared = |link: &AgentLink| {
+            let services = link.hello.services.iter();
+            services
+                .filter(|service| leaving.hello.services.contains(service))
+                .count()
+        };
+        let custodian = self
+            .links
+            .iter()
+            .filter(|(agent, link)| **agent != leaver && link.usable && !link.leaving)
+            .max_by_key(|(agent, link)| (shared(link), **agent ^ leaver))
+            .map(|(agent, _)| *agent);
+        if let Some(custodian) = custodian {
+            self.frame(custodian).custody = Some(custody);
+        }
+    }
+
     fn on_withdrawn(&mut self, now: Instant, agent: Incarnation, withdrawn: v1::Withdrawn) {
         let outcome = match withdrawn.refusal {
             None => Ok(()),
