--- a/hemlockhook-proto/src/lib.rs
+++ b/hemlockhook-proto/src/lib.rs
@@ -3,6 +3,9 @@
 //! The code is generated from `proto/hemlockhook.proto` by `tools/generate` and committed, so that
 //! a build needs no generator.
 
+pub mod convert;
+pub mod starts;
+
 /// Version 1 of the messages.
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- a/hemlockhook-schedule/src/lib.rs
+++ b/hemlockhook-schedule/src/lib.rs
@@ -1,1 +1,25 @@
 //! Queueing, grants, estimates, quotas and upstream health.
+//!
+//! An entry owns a [`Dispatcher`], which queues the tasks of its jobs and places them on the grants
+//! that it holds. An agent owns a [`SlotTable`], which shares its upstream's slots among the entries
+//! as grants. Neither does I/O: events and the time go in, actions come out.
+
+mod admission;
+mod backlog;
+pub mod dispatcher;
+mod estimate;
+mod fleet;
+mod placement;
+mod queue;
+mod share;
+pub mod slots;
+pub mod spec;
+mod upstream;
+mod upstreams;
+
+pub use dispatcher::Dispatcher;
+pub use slots::{SlotAction, SlotTable};
+pub use spec::{
+    Demand, Intervention, InterventionKind, JobId, JobSpec, Placement, Policy, Rejection, Snapshot,
+    TaskSpec, TeamSnapshot, UpstreamHealth, UpstreamSnapshot, UpstreamSpec,
+};
