Split the gate's store, the owner's log and the tests' network into files

`Gate::on_record(now, offset, age, &record)` replaces `observe` for shells that know the offset, and `Gate::may_join(now)` tells whether what was read reaches back for the window and the announcement interval; agents join only then. Without it a log that was truncated in an outage could hide a takeover from an agent that joins.

--- a/hemlockhook-ownership/src/gate.rs
+++ b/hemlockhook-ownership/src/gate.rs
@@ -3,18 +3,21 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use hemlockhook_types::{
-    Ballot, Incarnation, JobKey, ServiceName, ShardId, TaskEnd, TaskIndex, TaskResult,
-};
+use hemlockhook_types::{Ballot, Incarnation, JobKey, ShardId, TaskIndex, TaskResult};
 
 use crate::epoch::{base, keep_time};
+use crate::history::{History, log_time};
 use crate::order::{Custody, FenceReport, StartOrder, StartRecord, StartRefusal, Withdrawal};
 use crate::record::Record;
 use crate::rules::Rules;
+use crate::starts::Starts;
 
 /// Default time for which starts are taken after an announcement: 6 hours.
 pub const LEASE: Duration = Duration::from_secs(6 * 60 * 60);
 
+/// Default of the longest time between two appends of a record that is kept up: 5 minutes.
+pub const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(5 * 60);
+
 /// Bounds of a [`Gate`].
 #[derive(Clone, Debug)]
 pub struct GateConfig {
@@ -27,6 +30,8 @@
     /// Time for which starts are taken after the announcement was last appended. All processes
     /// must have the same.
     pub lease: Duration,
+    /// Longest time in which each owner appends its ballots again while the log is up.
+    pub announce_interval: Duration,
     #[doc(hidden)]
     pub rules: Rules,
 }
@@ -38,6 +43,7 @@
             max_starts: 100_000,
             max_result_bytes: 8 << 20,
             lease: LEASE,
+            announce_interval: ANNOUNCE_INTERVAL,
             rules: Rules::default(),
         }
     }
@@ -49,14 +55,8 @@
     cfg: GateConfig,
     me: Incarnation,
     floors: HashMap<ShardId, Ballot>,
-    jobs: HashMap<JobKey, JobStarts>,
-    /// Ends in order, for expiry.
-    ended: VecDeque<Ended>,
-    /// Results in order of their end, for eviction.
-    kept: VecDeque<(JobKey, TaskIndex)>,
-    starts: usize,
-    running: usize,
-    result_bytes: usize,
+    starts: Starts,
+    history: History,
     withdrawn: BTreeMap<JobKey, Withdrawal>,
     /// Withdrawals in order, for expiry.
     withdrawn_at: VecDeque<(Instant, JobKey)>,
@@ -76,12 +76,8 @@
             cfg,
             me,
             floors: HashMap::new(),
-            jobs: HashMap::new(),
-            ended: VecDeque::new(),
-            kept: VecDeque::new(),
-            starts: 0,
-            running: 0,
-            result_bytes: 0,
+            starts: Starts::default(),
+            history: History::default(),
             withdrawn: BTreeMap::new(),
             withdrawn_at: VecDeque::new(),
             adopted: Vec::new(),
@@ -106,6 +102,21 @@
         }
     }
 
+    /// Takes in a record of the membership stream, in order, with its offset and its age by the
+    /// log's clock. Does what [`Gate::observe`] does, and keeps how far back the records reach.
+    pub fn on_record(&mut self, now: Instant, offset: u64, age: Duration, record: &Record) {
+        self.history.on_record(offset, log_time(now, age));
+        self.observe(record);
+    }
+
+    /// Returns whether the records read reach back far enough to join: every owner that could have
+    /// started a task inside the window has appended its ballot since then.
+    pub fn may_join(&self, now: Instant) -> bool {
+        let span = self.cfg.window + self.cfg.announce_interval;
+        let now = log_time(now, Duration::ZERO);
+        !self.cfg.rules.history || self.history.reaches_back(now, span)
+    }
+
     /// Opens the gate. To be called once the announcement of this incarnation is in the log and
     /// the log has been read to its end since.
     pub fn join(&mut self) {
@@ -133,7 +144,7 @@
     pub fn start(&mut self, now: Instant, order: &StartOrder) -> Result<(), StartRefusal> {
         self.check(now, order)?;
         self.raise(order.shard, order.ballot);
-        self.record(order);
+        self.starts.insert(order);
         Ok(())
     }
 
@@ -144,7 +155,7 @@
         if rules.floor && base(order.ballot) < floor {
             return Err(StartRefusal::StaleBallot(floor));
         }
-        if rules.marker && self.has_marker(&order.key, order.index) {
+        if rules.marker && self.starts.has(&order.key, order.index) {
             return Err(StartRefusal::AlreadyStarted);
         }
         if self.withdrawn.contains_key(&order.key) {
@@ -156,7 +167,7 @@
         if self.leaving || self.sealed {
             return Err(StartRefusal::Leaving);
         }
-        if self.starts >= self.cfg.max_starts {
+        if self.starts.count() >= self.cfg.max_starts {
             return Err(StartRefusal::Full);
         }
         Ok(())
@@ -174,7 +185,7 @@
         if base(ballot) < floor {
             return Err(StartRefusal::StaleBallot(floor));
         }
-        if self.jobs.contains_key(&withdrawal.key) {
+        if self.starts.has_job(&withdrawal.key) {
             return Err(StartRefusal::AlreadyStarted);
         }
         if !self.joined || self.lease_lapsed(now) {
@@ -194,26 +205,8 @@
 
     /// Takes in the end of a task. A second end of the same task is ignored.
     pub fn finish(&mut self, now: Instant, key: &JobKey, index: TaskIndex, result: TaskResult) {
-        let Some(marker) = self.marker_mut(key, index) else {
-            return;
-        };
-        if marker.result.is_some() {
-            return;
-        }
-
-        let bytes = result_bytes(&result);
-        marker.result = Some(result);
-        self.running -= 1;
-        self.ended.push_back(Ended {
-            at: now,
-            key: key.clone(),
-            index,
-        });
-        if bytes > 0 {
-            self.result_bytes += bytes;
-            self.kept.push_back((key.clone(), index));
-        }
-        self.evict();
+        self.starts.finish(now, key, index, result);
+        self.starts.evict(self.cfg.max_result_bytes);
     }
 
     /// Raises the floors of shards and returns the starts held for them. Shards whose floor is
@@ -231,11 +224,7 @@
             fenced.push(*shard);
         }
 
-        for (key, job) in &self.jobs {
-            if fenced.contains(&job.shard) {
-                report.records.extend(job.records(key));
-            }
-        }
+        report.records = self.starts.records(|shard| fenced.contains(&shard));
         let withdrawn = self.withdrawn.values();
         report.withdrawn = withdrawn
             .filter(|withdrawal| fenced.contains(&withdrawal.shard))
@@ -248,18 +237,14 @@
     /// Closes the gate for good and returns all that it holds, for another agent to adopt. Returns
     /// `None` while a task runs or the agent is not leaving.
     pub fn seal(&mut self) -> Option<Custody> {
-        if self.running > 0 || !self.leaving {
+        if self.starts.running() > 0 || !self.leaving {
             return None;
         }
         self.sealed = true;
         let adopted = self.adopted.iter().map(|(agent, _)| *agent);
         Some(Custody {
             agents: std::iter::once(self.me).chain(adopted).collect(),
-            records: self
-                .jobs
-                .iter()
-                .flat_map(|(key, job)| job.records(key))
-                .collect(),
+            records: self.starts.records(|_| true),
             withdrawn: self.withdrawn.values().cloned().collect(),
         })
     }
@@ -274,12 +259,12 @@
             return Err(StartRefusal::Leaving);
         }
         let withdrawn = self.withdrawn.len() + custody.withdrawn.len();
-        if withdrawn.max(self.starts + custody.records.len()) > self.cfg.max_starts {
+        if withdrawn.max(self.starts.count() + custody.records.len()) > self.cfg.max_starts {
             return Err(StartRefusal::Full);
         }
 
         for record in &custody.records {
-            if !self.has_marker(&record.key, record.index) {
+            if !self.starts.has(&record.key, record.index) {
                 self.keep_record(now, record);
             }
         }
@@ -290,7 +275,7 @@
             self.adopted.retain(|(known, _)| known != agent);
             self.adopted.push((*agent, now));
         }
-        self.evict();
+        self.starts.evict(self.cfg.max_result_bytes);
         Ok(())
     }
 
@@ -303,9 +288,7 @@
     pub fn expire(&mut self, now: Instant) {
         let kept = keep_time(self.cfg.window);
         let due = |at: Instant| now.saturating_duration_since(at) > kept;
-        while let Some(ended) = self.ended.pop_front_if(|ended| due(ended.at)) {
-            self.forget(&ended.key, ended.index);
-        }
+        self.starts.expire(due);
         while let Some((_, key)) = self.withdrawn_at.pop_front_if(|(at, _)| due(*at)) {
             self.withdrawn.remove(&key);
         }
@@ -314,12 +297,12 @@
 
     /// Returns the number of tasks that run.
     pub fn running(&self) -> usize {
-        self.running
+        self.starts.running()
     }
 
     /// Returns the number of start markers held.
     pub fn starts(&self) -> usize {
-        self.starts
+        self.starts.count()
     }
 
     fn raise(&mut self, shard: ShardId, ballot: Ballot) {
@@ -332,37 +315,6 @@
             .is_some_and(|sent| now.saturating_duration_since(sent) > self.cfg.lease)
     }
 
-    fn has_marker(&self, key: &JobKey, index: TaskIndex) -> bool {
-        self.jobs
-            .get(key)
-            .is_some_and(|job| job.markers.iter().any(|marker| marker.index == index))
-    }
-
-    fn marker_mut(&mut self, key: &JobKey, index: TaskIndex) -> Option<&mut Marker> {
-        let job = self.jobs.get_mut(key)?;
-        job.markers.iter_mut().find(|marker| marker.index == index)
-    }
-
-    fn record(&mut self, order: &StartOrder) {
-        let job = self
-            .jobs
-            .entry(order.key.clone())
-            .or_insert_with(|| JobStarts {
-                shard: order.shard,
-                fingerprint: order.fingerprint,
-                job_tasks: order.job_tasks,
-                service: order.service.clone(),
-                idempotent: order.idempotent,
-                markers: Vec::with_capacity(1),
-            });
-        job.markers.push(Marker {
-            index: order.index,
-            result: None,
-        });
-        self.starts += 1;
-        self.running += 1;
-    }
-
     fn keep_withdrawal(&mut self, now: Instant, withdrawal: &Withdrawal) {
         let key = withdrawal.key.clone();
         if self
@@ -386,90 +338,10 @@
             service: record.service.clone(),
             idempotent: record.idempotent,
         };
-        self.record(&order);
+        self.starts.insert(&order);
         if let Some(result) = &record.result {
-            self.finish(now, &record.key, record.index, result.clone());
-        }
-    }
-
-    /// Drops the oldest results until the rest fits its bound. Their markers stay.
-    fn evict(&mut self) {
-        while self.result_bytes > self.cfg.max_result_bytes {
-            let Some((key, index)) = self.kept.pop_front() else {
-                return;
-            };
-            let Some(marker) = self.marker_mut(&key, index) else {
-                continue;
-            };
-            let Some(result) = &mut marker.result else {
-                continue;
-            };
-            let bytes = result_bytes(result);
-            result.end = TaskEnd::Evicted;
-            self.result_bytes -= bytes;
-        }
-    }
-
-    fn forget(&mut self, key: &JobKey, index: TaskIndex) {
-        let Some(job) = self.jobs.get_mut(key) else {
-            return;
-        };
-        let Some(at) = job.markers.iter().position(|marker| marker.index == index) else {
-            return;
-        };
-        let marker = job.markers.swap_remove(at);
-        self.result_bytes -= marker.result.as_ref().map_or(0, result_bytes);
-        self.starts -= 1;
-        if job.markers.is_empty() {
-            self.jobs.remove(key);
+            self.starts
+                .finish(now, &record.key, record.index, result.clone());
         }
     }
 }
-
-/// The starts of one job at this agent.
-#[derive(Debug)]
-struct JobStarts {
-    shard: ShardId,
-    fingerprint: u64,
-    job_tasks: u32,
-    service: ServiceName,
-    idempotent: bool,
-    markers: Vec<Marker>,
-}
-
-impl JobStarts {
-    fn records(&self, key: &JobKey) -> impl Iterator<Item = StartRecord> {
-        self.markers.iter().map(move |marker| StartRecord {
-            key: key.clone(),
-            index: marker.index,
-            job_tasks: self.job_tasks,
-            fingerprint: self.fingerprint,
-            shard: self.shard,
-            service: self.service.clone(),
-            idempotent: self.idempotent,
-            result: marker.result.clone(),
-        })
-    }
-}
-
-#[derive(Debug)]
-struct Marker {
-    index: TaskIndex,
-    /// `None` while the task runs.
-    result: Option<TaskResult>,
-}
-
-#[derive(Debug)]
-struct Ended {
-    at: Instant,
-    key: JobKey,
-    index: TaskIndex,
-}
-
-fn result_bytes(result: &TaskResult) -> usize {
-    match &result.end {
-        TaskEnd::Ok(body) => body.len(),
-        TaskEnd::Failed(detail) => detail.len(),
-        TaskEnd::Cancelled | TaskEnd::Evicted => 0,
-    }
-}
--- a/hemlockhook-ownership/src/lib.rs
+++ b/hemlockhook-ownership/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod record;
 #[doc(hidden)]
 pub mod rules;
+mod starts;
 
 pub use gate::{Gate, GateConfig};
 pub use history::History;
--- a/hemlockhook-ownership/src/owner.rs
+++ b/hemlockhook-ownership/src/owner.rs
@@ -3,6 +3,7 @@
 mod account;
 mod admit;
 mod job;
+mod log;
 mod members;
 mod run;
 mod settle;
@@ -14,7 +15,7 @@
 use hemlockhook_types::{Answer, Ballot, Incarnation, JobKey, ShardId, Stamp, TaskIndex};
 
 use crate::epoch::{base, with_epoch};
-use crate::gate::LEASE;
+use crate::gate::{ANNOUNCE_INTERVAL, LEASE};
 use crate::order::Withdrawal;
 use crate::record::Record;
 use crate::rules::Rules;
@@ -52,7 +53,7 @@
             max_result_bytes: 64 << 20,
             fence_timeout: Duration::from_millis(500),
             lease: LEASE,
-            announce_interval: Duration::from_secs(300),
+            announce_interval: ANNOUNCE_INTERVAL,
             rules: Rules::default(),
         }
     }
--- a/hemlockhook-ownership/src/owner/account.rs
+++ b/hemlockhook-ownership/src/owner/account.rs
@@ -5,18 +5,11 @@
 
 use hemlockhook_types::{Ballot, Incarnation, JobKey, ServiceName, ShardId};
 
-use super::members::Announced;
 use super::takeover::{Append, Takeover};
 use super::{Owner, OwnerAction, Role};
-use crate::epoch::{
-    base, epoch_after, epoch_length, epoch_of, keep_time, next_counter, with_epoch,
-};
-use crate::history::{LogTime, log_time};
+use crate::epoch::{base, epoch_after, keep_time, next_counter};
+use crate::history::log_time;
 use crate::order::FenceReport;
-use crate::record::Record;
-
-/// Fence timeouts between two tries to append a takeover's record.
-const APPEND_RETRY_TIMEOUTS: u32 = 2;
 
 /// Highest exponent of the back-off between takes of contended shards.
 const MAX_BACK_OFF: u32 = 6;
@@ -54,68 +47,6 @@
         }
     }
 
-    /// Takes in a record of the membership stream, in order, with its offset and its age by the
-    /// log's clock.
-    pub fn on_record(&mut self, now: Instant, offset: u64, age: Duration, record: &Record) {
-        let written = log_time(now, age);
-        self.members.on_record(offset, written);
-        match record {
-            Record::Entry { .. } => {}
-            Record::Agent {
-                incarnation,
-                address,
-                services,
-                ..
-            } => self.members.announced(
-                offset,
-                written,
-                Announced {
-                    incarnation: *incarnation,
-                    address,
-                    services,
-                    lease: self.cfg.lease,
-                    keep: keep_time(self.cfg.window),
-                },
-            ),
-            Record::Takeover { shards, ballot } => {
-                self.on_recorded(now, offset, written, shards, *ballot);
-            }
-            Record::Left {
-                incarnation,
-                custodian,
-            } => self.on_left(written, *incarnation, *custodian),
-        }
-        self.check_accounts(now);
-    }
-
-    /// Takes in that the membership stream was read to its end after a record was appended.
-    pub fn on_caught_up(&mut self, now: Instant, takeover: u64) {
-        if let Some(takeover) = self.takeovers.get_mut(&takeover)
-            && takeover.offset.is_none()
-        {
-            takeover.append = Append::Failed(now);
-        }
-        self.check_accounts(now);
-    }
-
-    /// Takes in that a takeover's record was appended.
-    pub fn on_appended(&mut self, now: Instant, takeover: u64) {
-        let Some(state) = self.takeovers.get_mut(&takeover) else {
-            return;
-        };
-        state.append = Append::Done(now);
-        if state.offset.is_none() {
-            self.actions.push(OwnerAction::ReadToEnd { takeover });
-        }
-    }
-
-    /// Takes in that a takeover's record may not have been appended.
-    pub fn on_append_failed(&mut self, now: Instant, takeover: u64) {
-        if let Some(takeover) = self.takeovers.get_mut(&takeover) {
-            takeover.append = Append::Failed(now);
-        }
-    }
-
     /// Takes in that a link to an agent is up: its starts are asked for.
     pub fn agent_up(&mut self, _now: Instant, agent: Incarnation, services: &[ServiceName]) {
         let state = self.members.entry(agent);
@@ -222,7 +153,7 @@
         }
     }
 
-    /// Takes again what was contended, and what has used up its epochs.
+    /// Takes again what was contended.
     pub(super) fn retry_takes(&mut self, now: Instant) {
         let mut due = BTreeSet::new();
         let mut attempts = 0;
@@ -245,25 +176,6 @@
         }
     }
 
-    /// Appends records that failed, and those that are due again.
-    pub(super) fn repeat_records(&mut self, now: Instant) {
-        let retry = self.cfg.fence_timeout * APPEND_RETRY_TIMEOUTS;
-        let interval = self.cfg.announce_interval / 2;
-        let due: Vec<_> = self
-            .takeovers
-            .iter()
-            .filter(|(_, takeover)| match takeover.append {
-                Append::Sent(_) => false,
-                Append::Failed(at) => at + retry <= now,
-                Append::Done(at) => at + interval <= now,
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in due {
-            self.append(now, id);
-        }
-    }
-
     /// Time after its last sign of life for which an agent may hold starts that matter.
     pub(super) fn memory(&self) -> Duration {
         self.cfg.lease + keep_time(self.cfg.window)
@@ -316,19 +228,6 @@
         }
     }
 
-    fn append(&mut self, now: Instant, id: u64) {
-        let takeover = self.takeovers.get_mut(&id).expect("it is held");
-        takeover.append = Append::Sent(now);
-        let record = Record::Takeover {
-            shards: takeover.shards.iter().copied().collect(),
-            ballot: with_epoch(takeover.ballot, takeover.epoch),
-        };
-        self.actions.push(OwnerAction::Append {
-            takeover: id,
-            record,
-        });
-    }
-
     /// Asks an agent for its starts in everything held.
     pub(super) fn fence_agent(&mut self, agent: Incarnation) {
         let ids: Vec<_> = self.takeovers.keys().copied().collect();
@@ -389,7 +288,7 @@
         longest.mul_f64(self.rng.f64())
     }
 
-    fn step_down(&mut self, _now: Instant, shards: &[ShardId]) {
+    pub(super) fn step_down(&mut self, _now: Instant, shards: &[ShardId]) {
         for shard in shards {
             let Some(state) = self.shards.get(shard) else {
                 continue;
@@ -419,57 +318,4 @@
         }
         self.forget_shard(shard)
     }
-
-    fn on_recorded(
-        &mut self,
-        now: Instant,
-        offset: u64,
-        written: LogTime,
-        shards: &[ShardId],
-        ballot: Ballot,
-    ) {
-        self.note_begin(written, shards, ballot);
-        let ballot = base(ballot);
-        if ballot.owner != self.me {
-            for shard in shards {
-                self.saw_ballot(now, *shard, ballot);
-            }
-            return;
-        }
-
-        let covered = self.members.history().reaches_back(written, self.cfg.lease);
-        for takeover in self.takeovers.values_mut() {
-            if takeover.ballot == ballot && takeover.offset.is_none() {
-                takeover.offset = Some(offset);
-                takeover.covered = covered;
-            }
-        }
-    }
-
-    /// Notes when a ballot began at the earliest.
-    fn note_begin(&mut self, written: LogTime, shards: &[ShardId], ballot: Ballot) {
-        let epochs = u32::try_from(epoch_of(ballot)).unwrap_or(u32::MAX);
-        let age = epoch_length(self.cfg.window).saturating_mul(epochs);
-        let begin = written.checked_sub(age).unwrap_or(written);
-        for shard in shards {
-            let begins = &mut self.shards.entry(*shard).or_default().begins;
-            match begins.iter_mut().find(|(known, _)| *known == base(ballot)) {
-                Some((_, known)) => *known = begin.min(*known),
-                None => begins.push((base(ballot), begin)),
-            }
-        }
-    }
-
-    /// Takes in that an agent left. Its custodian, if any, is asked for the starts again, as it may
-    /// have adopted them after it reported.
-    fn on_left(&mut self, written: LogTime, agent: Incarnation, custodian: Option<Incarnation>) {
-        let state = self.members.entry(agent);
-        state.left = true;
-        state.forget_at = Some(written + keep_time(self.cfg.window));
-        if let Some(custodian) = custodian
-            && self.members.get(custodian).is_some_and(|agent| agent.up)
-        {
-            self.fence_agent(custodian);
-        }
-    }
 }
--- a/hemlockhook-ownership/src/owner/settle.rs
+++ b/hemlockhook-ownership/src/owner/settle.rs
@@ -4,7 +4,7 @@
 
 use hemlockhook_types::{Answer, Incarnation, JobKey, Reason, ShardId, TaskIndex};
 
-use super::job::{JobState, Refusing};
+use super::job::Refusing;
 use super::{Owner, OwnerAction};
 use crate::order::{StartRefusal, Withdrawal};
 
@@ -32,11 +32,6 @@
         }
     }
 
-    /// Returns whether a task of the job was or may have been started.
-    pub fn has_started(&self, key: &JobKey) -> bool {
-        self.jobs.get(key).is_some_and(JobState::any_started)
-    }
-
     /// Cancels a job. Returns the tasks to stop.
     pub fn cancel(&mut self, now: Instant, key: &JobKey) -> Vec<(Incarnation, TaskIndex)> {
         let Some(job) = self.jobs.get(key) else {
--- /dev/null
+++ b/hemlockhook-ownership/tests/world/heal.rs
@@ -0,0 +1,85 @@
+//! The check that the system serves again once all faults have ended.
+
+use hemlockhook_ownership::LookUp;
+use hemlockhook_types::Answer;
+
+use super::{AGENTS, ENTRIES, INTERVAL, SHARDS, World};
+
+impl World {
+    /// Ends all faults, and checks that the system serves again: one owner a shard, and a fresh
+    /// job completes.
+    pub fn heal(&mut self) {
+        self.log_up = true;
+        self.island = (0, 0);
+        for entry in 0..ENTRIES {
+            self.pause_entry(entry, false);
+        }
+        for agent in 0..AGENTS {
+            self.agents[agent].paused = false;
+            if self.agents[agent].leaving {
+                self.kill_agent(agent);
+            }
+        }
+        self.connect_all();
+        for (job, entry) in
+            (0..self.submissions.len()).flat_map(|job| [(job, 0), (job, 1), (job, 2)])
+        {
+            self.expire(entry, job);
+        }
+        for round in 0..8 {
+            self.advance(INTERVAL);
+            self.calm();
+            (0..ENTRIES).for_each(|entry| self.tell(entry));
+            while !self.gossip.is_empty() {
+                self.hear(0);
+            }
+            for shard in SHARDS {
+                if round >= 4 && self.owners(shard) == 0 {
+                    self.take(0, 1 << shard);
+                }
+            }
+            self.calm();
+        }
+        for shard in SHARDS {
+            let owners = self.owners(shard);
+            assert!(owners == 1, "shard {shard} has {owners} owners");
+        }
+        for _ in SHARDS {
+            self.check_service();
+        }
+    }
+
+    pub fn owners(&self, shard: u16) -> usize {
+        let owners = self.entries.iter();
+        owners
+            .filter(|entry| entry.owner.stamp(shard).is_some())
+            .count()
+    }
+
+    /// Checks that a fresh job completes.
+    pub fn check_service(&mut self) {
+        let number = self.make_job(1, 1);
+        let shard = self.submissions[number].job.shard();
+        let entry = (0..ENTRIES)
+            .find(|entry| self.entries[*entry].owner.stamp(shard).is_some())
+            .expect("the shard is owned");
+        self.submissions[number].stamp = self.entries[entry].owner.stamp(shard);
+        let key = self.submissions[number].job.key.clone();
+        self.submit(entry, number);
+        for agent in 0..AGENTS {
+            let queue = &self.entries[entry].queue;
+            if let Some(task) = queue.iter().position(|(queued, _)| *queued == key) {
+                self.dispatch(entry, task, agent);
+            }
+            self.calm();
+            let running = &self.agents[agent].running;
+            if let Some(task) = running.iter().position(|(running, _)| *running == key) {
+                self.finish(agent, task, true);
+            }
+            self.calm();
+        }
+        let found = self.entries[entry].owner.look_up(&key);
+        let answered = matches!(found, LookUp::Answered(Answer::Complete(_)));
+        assert!(answered, "a fresh job ends as {found:?}");
+    }
+}
--- /dev/null
+++ b/hemlockhook-ownership/tests/world/log.rs
@@ -0,0 +1,77 @@
+//! The log of the randomised tests.
+
+use super::ENTRIES;
+use super::World;
+use super::steps::Outcome;
+
+impl World {
+    pub fn append(&mut self, append: usize, outcome: Outcome) {
+        if self.appends.is_empty() {
+            return;
+        }
+        let append = self.appends.remove(append % self.appends.len());
+        let reaches = self.log_up && !self.is_cut(append.from);
+        let lands = reaches && outcome != Outcome::Failed;
+        if lands {
+            self.log.push((self.now, append.record));
+        }
+        let ok = lands && outcome == Outcome::Done;
+        let now = self.now;
+        for agent in &mut self.agents {
+            if agent.incarnation == append.from {
+                agent.on_append(append.sent, ok);
+            }
+        }
+        for entry in 0..ENTRIES {
+            let owner = &mut self.entries[entry].owner;
+            if owner.incarnation() != append.from {
+                continue;
+            }
+            match ok {
+                true => owner.on_appended(now, append.takeover),
+                false => owner.on_append_failed(now, append.takeover),
+            }
+            self.act(entry);
+        }
+    }
+
+    pub fn read_entry(&mut self, entry: usize) {
+        let proc = &mut self.entries[entry];
+        if !self.log_up || proc.paused || self.island.0 >> entry & 1 == 1 {
+            return;
+        }
+        let now = self.now;
+        let from = proc.read.max(self.first_retained);
+        for (offset, (written, record)) in self.log.iter().enumerate().skip(from) {
+            proc.owner
+                .on_record(now, offset as u64, now - *written, record);
+        }
+        proc.read = self.log.len();
+        for takeover in std::mem::take(&mut proc.reading) {
+            proc.owner.on_caught_up(now, takeover);
+        }
+        self.act(entry);
+        self.note_stamps(entry);
+        for number in std::mem::take(&mut self.entries[entry].inbox) {
+            self.submit(entry, number);
+        }
+    }
+
+    pub fn read_agent(&mut self, agent: usize) {
+        let proc = &mut self.agents[agent];
+        if !self.log_up || proc.paused || self.island.1 >> agent & 1 == 1 {
+            return;
+        }
+        let from = proc.read.max(self.first_retained);
+        proc.on_records(self.now, from, &self.log[from..]);
+        proc.read = self.log.len();
+    }
+
+    pub fn note_stamps(&mut self, entry: usize) {
+        for stamp in self.entries[entry].owner.owned() {
+            if !self.stamps.contains(&stamp) {
+                self.stamps.push(stamp);
+            }
+        }
+    }
+}
--- a/hemlockhook-ownership/tests/world/mod.rs
+++ b/hemlockhook-ownership/tests/world/mod.rs
@@ -1,6 +1,9 @@
 //! Owners, agents, clients, the log and the network of the randomised tests, with the checks of
 //! what must always hold.
 
+pub mod heal;
+pub mod log;
+pub mod net;
 pub mod procs;
 pub mod steps;
 
--- a/hemlockhook-ownership/tests/world/procs.rs
+++ b/hemlockhook-ownership/tests/world/procs.rs
@@ -2,7 +2,6 @@
 
 use std::time::Instant;
 
-use hemlockhook_ownership::history::{History, log_time};
 use hemlockhook_ownership::{Gate, GateConfig, Owner, OwnerConfig, Record, Rules};
 use hemlockhook_types::{Incarnation, JobKey, TaskIndex};
 
@@ -52,7 +51,6 @@
     pub gate: Gate,
     pub incarnation: Incarnation,
     pub place: usize,
-    pub history: History,
     pub read: usize,
     /// When the append on its way was sent.
     pub announcing: Option<Instant>,
@@ -70,13 +68,13 @@
             max_starts: 20,
             max_result_bytes: 60,
             lease: LEASE,
+            announce_interval: INTERVAL,
             rules,
         };
         Self {
             gate: Gate::new(cfg, incarnation),
             incarnation,
             place,
-            history: History::default(),
             read: 0,
             announcing: None,
             announced: None,
@@ -129,14 +127,9 @@
     /// Takes in records that were read, and joins at the end of the log.
     pub fn on_records(&mut self, now: Instant, from: usize, records: &[(Instant, Record)]) {
         for (offset, (written, record)) in (from as u64..).zip(records) {
-            self.history
-                .on_record(offset, log_time(now, now - *written));
-            self.gate.observe(record);
+            self.gate.on_record(now, offset, now - *written, record);
         }
-        let reaches_back = self
-            .history
-            .reaches_back(log_time(now, Default::default()), WINDOW + INTERVAL);
-        if self.announced.is_some() && reaches_back {
+        if self.announced.is_some() && self.gate.may_join(now) {
             self.gate.join();
         }
     }
--- a/hemlockhook-ownership/tests/world/steps.rs
+++ b/hemlockhook-ownership/tests/world/steps.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use hemlockhook_ownership::Record;
-use hemlockhook_types::{Answer, Incarnation, Reason, TaskEnd, TaskResult};
+use hemlockhook_types::{Answer, Reason, TaskEnd, TaskResult};
 use proptest::prelude::*;
 
 use super::procs::{AgentProc, EntryProc};
-use super::{AGENTS, ENTRIES, INTERVAL, Link, SHARDS, ToAgent, ToEntry, World, body_of};
+use super::{AGENTS, ENTRIES, INTERVAL, SHARDS, ToAgent, ToEntry, World, body_of};
 
 /// One step. Indexes are taken modulo what there is.
 #[derive(Clone, Copy, Debug)]
@@ -274,7 +274,7 @@
     }
 
     /// Returns the entry that a client reaches: a random one, or one that serves the shard.
-    fn route(&self, choice: usize, number: usize) -> usize {
+    pub fn route(&self, choice: usize, number: usize) -> usize {
         let shard = self.submissions[number].job.shard();
         let serves = |entry: &usize| self.entries[*entry].owner.stamp(shard).is_some();
         let owners: Vec<_> = (0..ENTRIES).filter(serves).collect();
@@ -284,259 +284,19 @@
         }
     }
 
-    /// Delivers messages of one of the directions that have any.
-    fn deliver_some(&mut self, message: usize, count: usize) {
-        let pending: Vec<_> = self
-            .links
-            .iter()
-            .flat_map(|(ends, link)| {
-                let up = (!link.to_entry.is_empty()).then_some((*ends, true));
-                let down = (!link.to_agent.is_empty()).then_some((*ends, false));
-                up.into_iter().chain(down)
-            })
-            .collect();
-        if !pending.is_empty() {
-            let ((entry, agent), up) = pending[message % pending.len()];
-            self.deliver(entry, agent, up, count);
-        }
-    }
-
-    fn deliver(&mut self, entry: usize, agent: usize, up: bool, count: usize) {
-        for _ in 0..count {
-            let Some(link) = self.links.get_mut(&(entry, agent)) else {
-                return;
-            };
-            match up {
-                true if !self.entries[entry].paused => match link.to_entry.pop_front() {
-                    Some(message) => self.at_entry(entry, agent, message),
-                    None => return,
-                },
-                false if !self.agents[agent].paused => match link.to_agent.pop_front() {
-                    Some(message) => self.at_agent(entry, agent, message),
-                    None => return,
-                },
-                _ => return,
-            }
-        }
-    }
-
-    /// Delivers a message of a superseded link, which a receiver drops.
-    fn deliver_old(&mut self, link: usize, up: bool) {
-        if self.rules.links || self.old_links.is_empty() {
-            return;
-        }
-        let at = link % self.old_links.len();
-        let link = &mut self.old_links[at];
-        let ends = pairs().find(|(entry, agent)| {
-            self.entries[*entry].owner.incarnation() == link.entry
-                && self.agents[*agent].incarnation == link.agent
-        });
-        let Some((entry, agent)) = ends else {
-            return;
-        };
-        match up {
-            true => {
-                let message = link.to_entry.pop_front();
-                message
-                    .into_iter()
-                    .for_each(|message| self.at_entry(entry, agent, message));
-            }
-            false => {
-                let message = link.to_agent.pop_front();
-                message
-                    .into_iter()
-                    .for_each(|message| self.at_agent(entry, agent, message));
-            }
-        }
-    }
-
-    fn at_agent(&mut self, entry: usize, agent: usize, message: ToAgent) {
-        let now = self.now;
-        let proc = &mut self.agents[agent];
-        let reply = match message {
-            ToAgent::Start(order) => match proc.gate.start(now, &order) {
-                Ok(()) => {
-                    proc.running.push((order.key.clone(), order.index));
-                    let doubled = proc.gate.start(now, &order);
-                    self.check_start(&order);
-                    doubled.iter().for_each(|()| self.check_start(&order));
-                    return;
-                }
-                Err(refusal) => ToEntry::Refusal(order.key, order.index, refusal),
-            },
-            ToAgent::Fence(takeover, shards, ballot) => {
-                ToEntry::Report(takeover, proc.gate.fence(now, &shards, ballot))
-            }
-            ToAgent::Withdraw(ballot, withdrawal) => {
-                let outcome = proc.gate.withdraw(now, ballot, &withdrawal);
-                ToEntry::Withdrawn(withdrawal.key, outcome)
-            }
-        };
-        if let Some(link) = self.links.get_mut(&(entry, agent)) {
-            link.to_entry.push_back(reply);
-        }
-    }
-
-    fn at_entry(&mut self, entry: usize, agent: usize, message: ToEntry) {
-        let now = self.now;
-        let agent = self.agents[agent].incarnation;
-        let proc = &mut self.entries[entry];
-        match message {
-            ToEntry::Refusal(key, index, refusal) => {
-                use hemlockhook_ownership::RefusedOutcome::Requeue;
-                if proc.owner.refused(now, agent, &key, index, refusal) == Requeue {
-                    proc.queue.push((key, index));
-                }
-            }
-            ToEntry::Done(key, index, result) => proc.owner.done(now, agent, &key, index, result),
-            ToEntry::Report(takeover, report) => {
-                proc.owner.on_report(now, agent, takeover, report.clone());
-                proc.owner.on_report(now, agent, takeover, report);
-            }
-            ToEntry::Withdrawn(key, outcome) => {
-                proc.owner.on_withdrawn(now, agent, &key, outcome);
-            }
-        }
-        self.act(entry);
-    }
-
-    fn break_link(&mut self, entry: usize, agent: usize, noticed: bool) {
-        let Some(link) = self.links.remove(&(entry, agent)) else {
-            return;
-        };
-        if noticed && !self.entries[entry].paused {
-            self.entries[entry].owner.agent_down(self.now, link.agent);
-            self.act(entry);
-        }
-        self.old_links.push(link);
-    }
-
-    fn cut(&mut self, entries: usize, agents: usize) {
-        self.island = (entries, agents);
-        for (entry, agent) in pairs() {
-            if self.entry_is_cut(entry) != self.agent_is_cut(agent) {
-                self.break_link(entry, agent, true);
-            }
-        }
-    }
-
-    fn connect(&mut self, entry: usize, agent: usize) {
-        let is_cut = self.entry_is_cut(entry) != self.agent_is_cut(agent);
-        if is_cut || self.entries[entry].paused || self.agents[agent].paused {
-            return;
-        }
-        self.break_link(entry, agent, false);
-        let incarnation = self.agents[agent].incarnation;
-        let link = Link {
-            entry: self.entries[entry].owner.incarnation(),
-            agent: incarnation,
-            to_agent: Default::default(),
-            to_entry: Default::default(),
-        };
-        self.links.insert((entry, agent), link);
-        let services: Vec<_> = AgentProc::services(agent)
-            .iter()
-            .map(|name| (*name).into())
-            .collect();
-        let owner = &mut self.entries[entry].owner;
-        owner.agent_up(self.now, incarnation, &services);
-        self.act(entry);
-    }
-
-    fn give_up(&mut self, entry: usize, agent: usize) {
-        if self.entries[entry].paused {
-            return;
-        }
-        self.break_link(entry, agent, false);
-        let agent = self.agents[agent].incarnation;
-        self.entries[entry].owner.agent_gone(self.now, agent);
-        self.act(entry);
-    }
-
-    fn append(&mut self, append: usize, outcome: Outcome) {
-        if self.appends.is_empty() {
-            return;
-        }
-        let append = self.appends.remove(append % self.appends.len());
-        let reaches = self.log_up && !self.is_cut(append.from);
-        let lands = reaches && outcome != Outcome::Failed;
-        if lands {
-            self.log.push((self.now, append.record));
-        }
-        let ok = lands && outcome == Outcome::Done;
-        let now = self.now;
-        for agent in &mut self.agents {
-            if agent.incarnation == append.from {
-                agent.on_append(append.sent, ok);
-            }
-        }
-        for entry in 0..ENTRIES {
-            let owner = &mut self.entries[entry].owner;
-            if owner.incarnation() != append.from {
-                continue;
-            }
-            match ok {
-                true => owner.on_appended(now, append.takeover),
-                false => owner.on_append_failed(now, append.takeover),
-            }
-            self.act(entry);
-        }
-    }
-
-    fn is_cut(&self, incarnation: Incarnation) -> bool {
-        let is_entry = |at: &usize| self.entries[*at].owner.incarnation() == incarnation;
-        let is_agent = |at: &usize| self.agents[*at].incarnation == incarnation;
-        (0..ENTRIES)
-            .filter(is_entry)
-            .any(|at| self.entry_is_cut(at))
-            || (0..AGENTS).filter(is_agent).any(|at| self.agent_is_cut(at))
-    }
-
-    fn read_entry(&mut self, entry: usize) {
-        let proc = &mut self.entries[entry];
-        if !self.log_up || proc.paused || self.island.0 >> entry & 1 == 1 {
-            return;
-        }
-        let now = self.now;
-        let from = proc.read.max(self.first_retained);
-        for (offset, (written, record)) in self.log.iter().enumerate().skip(from) {
-            proc.owner
-                .on_record(now, offset as u64, now - *written, record);
-        }
-        proc.read = self.log.len();
-        for takeover in std::mem::take(&mut proc.reading) {
-            proc.owner.on_caught_up(now, takeover);
-        }
-        self.act(entry);
-        self.note_stamps(entry);
-        for number in std::mem::take(&mut self.entries[entry].inbox) {
-            self.submit(entry, number);
-        }
-    }
-
-    fn read_agent(&mut self, agent: usize) {
-        let proc = &mut self.agents[agent];
-        if !self.log_up || proc.paused || self.island.1 >> agent & 1 == 1 {
-            return;
-        }
-        let from = proc.read.max(self.first_retained);
-        proc.on_records(self.now, from, &self.log[from..]);
-        proc.read = self.log.len();
-    }
-
-    fn kill_entry(&mut self, entry: usize) {
+    pub fn kill_entry(&mut self, entry: usize) {
         (0..AGENTS).for_each(|agent| self.break_link(entry, agent, false));
         let incarnation = self.new_incarnation();
         self.entries[entry] = EntryProc::new(self.rules, incarnation);
     }
 
-    fn kill_agent(&mut self, agent: usize) {
+    pub fn kill_agent(&mut self, agent: usize) {
         (0..ENTRIES).for_each(|entry| self.break_link(entry, agent, true));
         let incarnation = self.new_incarnation();
         self.agents[agent] = AgentProc::new(self.rules, incarnation, agent);
     }
 
-    fn pause_entry(&mut self, entry: usize, paused: bool) {
+    pub fn pause_entry(&mut self, entry: usize, paused: bool) {
         self.entries[entry].paused = paused;
         if !paused {
             for number in std::mem::take(&mut self.entries[entry].inbox) {
@@ -558,7 +318,7 @@
         self.act(entry);
     }
 
-    fn release(&mut self, entry: usize, shard: usize) {
+    pub fn release(&mut self, entry: usize, shard: usize) {
         if self.entries[entry].paused {
             return;
         }
@@ -568,32 +328,7 @@
         self.act(entry);
     }
 
-    /// Has an entry tell the others what it owns.
-    fn tell(&mut self, entry: usize) {
-        if self.entry_is_cut(entry) {
-            return;
-        }
-        for (shard, ballot) in self.entries[entry].owner.owned() {
-            for other in (0..ENTRIES).filter(|other| *other != entry) {
-                self.gossip.push((other, shard, ballot));
-            }
-        }
-    }
-
-    fn hear(&mut self, message: usize) {
-        if self.gossip.is_empty() {
-            return;
-        }
-        let (entry, shard, ballot) = self.gossip.remove(message % self.gossip.len());
-        if !self.entries[entry].paused && !self.entry_is_cut(entry) {
-            self.entries[entry]
-                .owner
-                .saw_ballot(self.now, shard, ballot);
-            self.act(entry);
-        }
-    }
-
-    fn dispatch(&mut self, entry: usize, task: usize, agent: usize) {
+    pub fn dispatch(&mut self, entry: usize, task: usize, agent: usize) {
         let now = self.now;
         let proc = &mut self.entries[entry];
         if proc.paused || proc.queue.is_empty() || !self.links.contains_key(&(entry, agent)) {
@@ -616,7 +351,7 @@
         self.act(entry);
     }
 
-    fn work(&mut self, entry: usize) {
+    pub fn work(&mut self, entry: usize) {
         for agent in 0..AGENTS {
             for task in (0..self.entries[entry].queue.len()).rev() {
                 self.dispatch(entry, task, agent);
@@ -629,7 +364,7 @@
         }
     }
 
-    fn finish(&mut self, agent: usize, task: usize, ok: bool) {
+    pub fn finish(&mut self, agent: usize, task: usize, ok: bool) {
         let now = self.now;
         let proc = &mut self.agents[agent];
         if proc.paused || proc.running.is_empty() {
@@ -656,7 +391,7 @@
         }
     }
 
-    fn cancel(&mut self, entry: usize, job: usize) {
+    pub fn cancel(&mut self, entry: usize, job: usize) {
         if self.submissions.is_empty() || self.entries[entry].paused {
             return;
         }
@@ -666,7 +401,7 @@
     }
 
     /// Has a deadline pass: what was not started is refused as not run.
-    fn expire(&mut self, entry: usize, job: usize) {
+    pub fn expire(&mut self, entry: usize, job: usize) {
         if self.submissions.is_empty() || self.entries[entry].paused {
             return;
         }
@@ -677,7 +412,7 @@
         let owner = &mut self.entries[entry].owner;
         let detail = "the deadline passed".to_owned();
         let reason = Reason::Deadline;
-        let answer = match owner.has_started(&key) {
+        let answer = match owner.any_started(&key) {
             true => Answer::Failed {
                 reason,
                 task: None,
@@ -694,7 +429,7 @@
     }
 
     /// Has an agent leave, and hand its records to another one.
-    fn leave(&mut self, agent: usize, custodian: Option<usize>) {
+    pub fn leave(&mut self, agent: usize, custodian: Option<usize>) {
         if self.agents[agent].paused || self.agents[agent].left {
             return;
         }
@@ -722,100 +457,8 @@
             sent: self.now,
         });
     }
-
-    pub fn connect_all(&mut self) {
-        pairs().for_each(|(entry, agent)| self.connect(entry, agent));
-    }
-
-    fn note_stamps(&mut self, entry: usize) {
-        for stamp in self.entries[entry].owner.owned() {
-            if !self.stamps.contains(&stamp) {
-                self.stamps.push(stamp);
-            }
-        }
-    }
-
-    /// Ends all faults, and checks that the system serves again: one owner a shard, and a fresh
-    /// job completes.
-    pub fn heal(&mut self) {
-        self.log_up = true;
-        self.island = (0, 0);
-        for entry in 0..ENTRIES {
-            self.pause_entry(entry, false);
-        }
-        for agent in 0..AGENTS {
-            self.agents[agent].paused = false;
-            if self.agents[agent].leaving {
-                self.kill_agent(agent);
-            }
-        }
-        self.connect_all();
-        for (job, entry) in
-            (0..self.submissions.len()).flat_map(|job| [(job, 0), (job, 1), (job, 2)])
-        {
-            self.expire(entry, job);
-        }
-        for round in 0..8 {
-            self.advance(INTERVAL);
-            self.calm();
-            (0..ENTRIES).for_each(|entry| self.tell(entry));
-            while !self.gossip.is_empty() {
-                self.hear(0);
-            }
-            for shard in SHARDS {
-                if round >= 4 && self.owners(shard) == 0 {
-                    self.take(0, 1 << shard);
-                }
-            }
-            self.calm();
-        }
-        for shard in SHARDS {
-            let owners = self.owners(shard);
-            assert!(owners == 1, "shard {shard} has {owners} owners");
-        }
-        for _ in SHARDS {
-            self.check_service();
-        }
-    }
-
-    fn owners(&self, shard: u16) -> usize {
-        let owners = self.entries.iter();
-        owners
-            .filter(|entry| entry.owner.stamp(shard).is_some())
-            .count()
-    }
-
-    /// Checks that a fresh job completes.
-    fn check_service(&mut self) {
-        let number = self.make_job(1, 1);
-        let shard = self.submissions[number].job.shard();
-        let entry = (0..ENTRIES)
-            .find(|entry| self.entries[*entry].owner.stamp(shard).is_some())
-            .expect("the shard is owned");
-        self.submissions[number].stamp = self.entries[entry].owner.stamp(shard);
-        let key = self.submissions[number].job.key.clone();
-        self.submit(entry, number);
-        for agent in 0..AGENTS {
-            let queue = &self.entries[entry].queue;
-            if let Some(task) = queue.iter().position(|(queued, _)| *queued == key) {
-                self.dispatch(entry, task, agent);
-            }
-            self.calm();
-            let running = &self.agents[agent].running;
-            if let Some(task) = running.iter().position(|(running, _)| *running == key) {
-                self.finish(agent, task, true);
-            }
-            self.calm();
-        }
-        let found = self.entries[entry].owner.look_up(&key);
-        let answered = matches!(
-            found,
-            hemlockhook_ownership::LookUp::Answered(Answer::Complete(_))
-        );
-        assert!(answered, "a fresh job ends as {found:?}");
-    }
 }
 
-fn pairs() -> impl Iterator<Item = (usize, usize)> {
+pub fn pairs() -> impl Iterator<Item = (usize, usize)> {
     (0..ENTRIES).flat_map(|entry| (0..AGENTS).map(move |agent| (entry, agent)))
 }
