Have an agent join again once its lease has lapsed

Counter-example, found on paper: an agent cut off from the log for its lease and the window is forgotten; a takeover without it is complete and starts a key; the agent's next announcement opened its gate again before it had read that takeover, and the old owner's start of the same key got through. `Gate::announced` now closes the gate if the lease had lapsed, until `join` after reading to the end. The scripted run starts the task twice without the rule.

Also: a ballot that has used up its epochs (57 days at a window of 10 minutes) is given up to be taken again, stamps far above any ballot known are not believed, and the dates of at most 64 earlier ballots are kept for each shard.

--- a/hemlockhook-ownership/src/epoch.rs
+++ b/hemlockhook-ownership/src/epoch.rs
@@ -20,8 +20,8 @@
 /// Highest epoch of a ballot.
 pub const MAX_EPOCH: u64 = (1 << EPOCH_BITS) - 1;
 
-/// Counters from here on are not accepted from outside, so that none can be exhausted.
-pub const MAX_COUNTER: u64 = 1 << 62;
+/// Stamps of callers whose counter is further above the highest one known are not taken for real.
+pub const MAX_COUNTER_JUMP: u64 = 1 << 36;
 
 /// Returns the ballot without its epoch: what floors and starts compare.
 pub fn base(ballot: Ballot) -> Ballot {
--- a/hemlockhook-ownership/src/gate.rs
+++ b/hemlockhook-ownership/src/gate.rs
@@ -125,8 +125,12 @@
 
     /// Takes in that an announcement of this incarnation was appended, with the time at which it
     /// was sent. Owners forget an agent that has not been announced for its lease, so the gate
-    /// closes then.
+    /// closes then, and opens only by [`Gate::join`]: a takeover that did without this agent may
+    /// have been recorded meanwhile.
     pub fn announced(&mut self, sent: Instant) {
+        if self.cfg.rules.rejoin && self.lease_lapsed(sent) {
+            self.joined = false;
+        }
         self.announced = self.announced.max(Some(sent));
     }
 
--- a/hemlockhook-ownership/src/owner/account.rs
+++ b/hemlockhook-ownership/src/owner/account.rs
@@ -7,7 +7,7 @@
 
 use super::takeover::{Append, Takeover};
 use super::{Owner, OwnerAction, Role};
-use crate::epoch::{base, epoch_after, keep_time, next_counter};
+use crate::epoch::{MAX_EPOCH, base, epoch_after, keep_time, next_counter};
 use crate::history::log_time;
 use crate::order::FenceReport;
 
@@ -169,11 +169,17 @@
         self.begin_takeover(now, due, attempts);
     }
 
+    /// Moves the stamps on. A ballot without epochs left is given up, to be taken again.
     pub(super) fn advance_epochs(&mut self, now: Instant) {
+        let mut used_up = Vec::new();
         for takeover in self.takeovers.values_mut() {
             let age = now.saturating_duration_since(takeover.began);
             takeover.epoch = epoch_after(age, self.cfg.window);
+            if takeover.epoch == MAX_EPOCH {
+                used_up.extend(&takeover.shards);
+            }
         }
+        self.step_down(now, &used_up);
     }
 
     /// Time after its last sign of life for which an agent may hold starts that matter.
--- a/hemlockhook-ownership/src/owner/admit.rs
+++ b/hemlockhook-ownership/src/owner/admit.rs
@@ -7,7 +7,7 @@
 use super::job::{JobState, TaskState};
 use super::takeover::Takeover;
 use super::{Admission, LookUp, Owner, Role};
-use crate::epoch::{MAX_COUNTER, base, epoch_length, epoch_of};
+use crate::epoch::{MAX_COUNTER_JUMP, base, epoch_length, epoch_of};
 use crate::history::log_time;
 
 /// What a submission's stamp says of a key that is not known here.
@@ -26,7 +26,7 @@
     /// Takes in a submission, with the stamp that the caller held when it made the key.
     pub fn admit(&mut self, now: Instant, job: &Job, stamp: Option<Stamp>) -> Admission {
         let shard = job.shard();
-        if stamp.is_some_and(|stamp| stamp.counter >= MAX_COUNTER) {
+        if stamp.is_some_and(|stamp| !self.is_plausible(shard, stamp)) {
             return Admission::Answered(unknown(Reason::KeyTooOld, "no owner gave out the stamp"));
         }
         if self.cfg.rules.stamp_above
@@ -69,6 +69,16 @@
         }
     }
 
+    /// Returns whether an owner can have given a stamp out. Others are not taken as ballots seen,
+    /// so that none can use the counter up.
+    fn is_plausible(&self, shard: ShardId, stamp: Stamp) -> bool {
+        let seen = self
+            .shards
+            .get(&shard)
+            .map_or(0, |state| state.seen.counter);
+        stamp.counter <= seen.saturating_add(MAX_COUNTER_JUMP)
+    }
+
     fn admit_known(&mut self, now: Instant, job: &Job, stamp: Option<Stamp>) -> Admission {
         let doubt = self.doubt(now, job, stamp);
         let known = self.jobs.get_mut(&job.key).expect("it is known");
--- a/hemlockhook-ownership/src/owner/log.rs
+++ b/hemlockhook-ownership/src/owner/log.rs
@@ -14,6 +14,9 @@
 /// Fence timeouts between two tries to append a takeover's record.
 const APPEND_RETRY_TIMEOUTS: u32 = 2;
 
+/// Highest number of earlier ballots of a shard whose stamps can be dated.
+const MAX_BEGINS: usize = 64;
+
 impl Owner {
     /// Takes in a record of the membership stream, in order, with its offset and its age by the
     /// log's clock.
@@ -146,6 +149,10 @@
                 Some((_, known)) => *known = begin.min(*known),
                 None => begins.push((base(ballot), begin)),
             }
+            if begins.len() > MAX_BEGINS {
+                begins.sort();
+                begins.remove(0);
+            }
         }
     }
 
--- a/hemlockhook-ownership/src/rules.rs
+++ b/hemlockhook-ownership/src/rules.rs
@@ -10,6 +10,8 @@
     pub join: bool,
     /// An agent takes no start once its lease has lapsed.
     pub lease: bool,
+    /// An agent whose lease lapsed joins again before it takes starts.
+    pub rejoin: bool,
     /// An agent refuses a task that it has started before.
     pub marker: bool,
     /// A key is fresh only if owner and counter of its stamp are those of the ballot.
@@ -42,6 +44,7 @@
             floor: true,
             join: true,
             lease: true,
+            rejoin: true,
             marker: true,
             stamp_owner: true,
             stamp_above: true,
--- a/hemlockhook-ownership/tests/random.rs
+++ b/hemlockhook-ownership/tests/random.rs
@@ -264,6 +264,48 @@
     is_needed(|rules| rules.lease = false, &steps.concat());
 }
 
+#[gtest]
+fn joining_again_is_needed() {
+    let steps = [
+        &[
+            Step::Island {
+                entries: 1,
+                agents: 1,
+            },
+            Step::Take {
+                entry: 2,
+                shards: 1,
+            },
+        ],
+        &[Step::Advance(3000), Step::Calm].repeat(4)[..],
+        &[
+            Step::Make {
+                stamp: 5,
+                tasks: 1,
+                entry: 0,
+            },
+            Step::Resubmit { job: 0, entry: 2 },
+            Step::Work(2),
+            Step::Island {
+                entries: 0,
+                agents: 0,
+            },
+            Step::Advance(700),
+            Step::Dispatch {
+                entry: 0,
+                task: 0,
+                agent: 0,
+            },
+            Step::Deliver {
+                message: 0,
+                count: 4,
+            },
+            Step::Calm,
+        ],
+    ];
+    is_needed(|rules| rules.rejoin = false, &steps.concat());
+}
+
 /// Job 0 has run at agent 0 under entry 0, and entry 0 has ended.
 const RUN_AND_KILL: [Step; 4] = [
     Step::Advance(10),
