--- /dev/null
+++ b/hemlockhook-ownership/examples/footprint.rs
@@ -0,0 +1,137 @@
+//! Prints the memory that start markers and jobs take, and the time of the steps on the path of a
+//! task. Memory is the growth of the resident set (Linux), so it includes the allocator's overhead.
+
+use std::env;
+use std::fs;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlockhook_ownership::{
+    Admission, Gate, GateConfig, Owner, OwnerAction, OwnerConfig, Record, StartOrder,
+};
+use hemlockhook_types::{Ballot, Job, SHARD_COUNT, Task, TaskEnd, TaskResult, shard_of};
+
+const MARKERS: usize = 200_000;
+const TASKS_PER_JOB: usize = 10;
+const PAGE_BYTES: usize = 4096;
+const AGENT: u64 = 1;
+
+fn main() {
+    match env::args().nth(1).as_deref() {
+        Some("gate") => gate(),
+        Some("owner") => owner(),
+        _ => println!("usage: footprint gate|owner"),
+    }
+}
+
+/// Measures a gate where each job has one task, as jobs spread over many agents.
+fn gate() {
+    let cfg = GateConfig {
+        max_starts: MARKERS,
+        max_result_bytes: 0,
+        ..GateConfig::default()
+    };
+    let mut gate = Gate::new(cfg, AGENT);
+    gate.join();
+    let ballot = Ballot {
+        counter: 1 << 16,
+        owner: 2,
+    };
+    let before = resident_bytes();
+    let began = Instant::now();
+    for number in 0..MARKERS {
+        let key: Arc<str> = format!("tunelpokrov/{number:032x}").into();
+        let order = StartOrder {
+            shard: shard_of(&key),
+            key: key.clone(),
+            index: 3,
+            job_tasks: 10,
+            fingerprint: number as u64,
+            ballot,
+            service: "quote".into(),
+            idempotent: true,
+        };
+        gate.start(began, &order).expect("it is the first start");
+        gate.finish(began, &key, 3, result());
+    }
+    let each = began.elapsed() / MARKERS as u32;
+    let bytes = (resident_bytes() - before) / MARKERS;
+    println!("gate: {bytes} bytes a marker, start and finish {each:?}");
+
+    let shards: Vec<_> = (0..SHARD_COUNT).collect();
+    let began = Instant::now();
+    let report = gate.fence(began, &shards, ballot);
+    let took = began.elapsed();
+    println!("gate: fence with {} records {took:?}", report.records.len());
+}
+
+fn owner() {
+    let now = Instant::now();
+    let cfg = OwnerConfig {
+        max_result_bytes: 0,
+        ..OwnerConfig::default()
+    };
+    let mut owner = Owner::new(cfg, 2);
+    let record = Record::Agent {
+        incarnation: AGENT,
+        name: "u1".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        services: vec!["quote".into()],
+        data_center: "osijek".to_owned(),
+    };
+    owner.on_record(now, 0, Duration::ZERO, &record);
+    owner.take(now, &(0..SHARD_COUNT).collect::<Vec<_>>());
+    owner.tick(now + Duration::from_secs(1));
+    owner.actions();
+
+    let jobs = MARKERS / TASKS_PER_JOB;
+    let before = resident_bytes();
+    let began = Instant::now();
+    for number in 0..jobs {
+        let job = job(number);
+        let stamp = owner.stamp(job.shard());
+        let admission = owner.admit(now, &job, stamp);
+        let Admission::Run(indexes) = admission else {
+            panic!("a fresh job runs, but got {admission:?}");
+        };
+        for index in indexes {
+            owner.start(now, &job.key, index, AGENT);
+            owner.done(now, AGENT, &job.key, index, result());
+        }
+        let settled = owner.actions();
+        assert!(matches!(settled[..], [OwnerAction::Settled { .. }]));
+    }
+    let each = began.elapsed() / MARKERS as u32;
+    let bytes = (resident_bytes() - before) / jobs;
+    println!("owner: {bytes} bytes an answered job without its results, {each:?} a task");
+}
+
+fn job(number: usize) -> Job {
+    let task = Task {
+        payload: Arc::from(&b""[..]),
+        declared: None,
+        class: "".into(),
+    };
+    Job {
+        key: format!("tunelpokrov/{number:032x}").into(),
+        fingerprint: number as u64,
+        team: "tunelpokrov".into(),
+        service: "quote".into(),
+        idempotent: true,
+        deadline: Duration::from_secs(5),
+        tasks: vec![task; TASKS_PER_JOB],
+    }
+}
+
+fn result() -> TaskResult {
+    TaskResult {
+        end: TaskEnd::Ok(Arc::from(&b""[..])),
+        run_time: Duration::from_millis(50),
+    }
+}
+
+fn resident_bytes() -> usize {
+    let text = fs::read_to_string("/proc/self/statm").expect("the system is Linux");
+    let pages = text.split(' ').nth(1).expect("it has seven fields");
+    pages.parse::<usize>().expect("it is a number") * PAGE_BYTES
+}
--- a/hemlockhook-ownership/src/owner/settle.rs
+++ b/hemlockhook-ownership/src/owner/settle.rs
@@ -8,6 +8,9 @@
 use super::{Owner, OwnerAction};
 use crate::order::{StartRefusal, Withdrawal};
 
+/// Bytes that a kept result takes besides its body.
+const RESULT_OVERHEAD_BYTES: usize = 48;
+
 impl Owner {
     /// Settles a job with an answer other than its tasks' results: its deadline passed, it was
     /// rejected. An answer that the job has already stands.
@@ -142,8 +145,8 @@
         self.refusing.remove(key);
         self.expiry.push_back((now, key.clone()));
 
-        if let Answer::Complete(results) = &answer {
-            self.answer_bytes += results.iter().map(|body| body.len()).sum::<usize>();
+        if let Answer::Complete(_) = &answer {
+            self.answer_bytes += answer_bytes(&answer);
             self.kept.push_back(key.clone());
         }
         self.evict();
@@ -278,9 +281,13 @@
     }
 }
 
+/// Returns the bytes that an answer's results take, with those of their bookkeeping.
 fn answer_bytes(answer: &Answer) -> usize {
     match answer {
-        Answer::Complete(results) => results.iter().map(|body| body.len()).sum(),
+        Answer::Complete(results) => results
+            .iter()
+            .map(|body| body.len() + RESULT_OVERHEAD_BYTES)
+            .sum(),
         _ => 0,
     }
 }
