--- a/hemlockhook-ownership/src/gate.rs
+++ b/hemlockhook-ownership/src/gate.rs
@@ -311,7 +311,9 @@
 
     fn raise(&mut self, shard: ShardId, ballot: Ballot) {
         let floor = self.floors.entry(shard).or_default();
-        *floor = base(ballot).max(*floor);
+        let raised = base(ballot).max(*floor);
+        assert!(raised >= *floor, "a floor never falls");
+        *floor = raised;
     }
 
     fn lease_lapsed(&self, now: Instant) -> bool {
--- a/hemlockhook-ownership/tests/world/mod.rs
+++ b/hemlockhook-ownership/tests/world/mod.rs
@@ -1,6 +1,7 @@
 //! Owners, agents, clients, the log and the network of the randomised tests, with the checks of
 //! what must always hold.
 
+mod faults;
 pub mod heal;
 pub mod log;
 pub mod net;
