Measure the throughput of one entry; count the log's offsets from its first record

Cause: callers without a stamp got unknown outcomes in a fresh deployment: the owner takes offset 0 for the beginning of the stream, the log begins at 1. Ruled out: missing reports (all agents had answered).

--- a/hemlockhook-bench/src/main.rs
+++ b/hemlockhook-bench/src/main.rs
@@ -5,6 +5,7 @@
 mod compare;
 mod replay;
 mod report;
+mod throughput;
 mod trace;
 
 use std::path::PathBuf;
@@ -40,6 +41,9 @@
         #[bpaf(long, argument("FILE"), optional)]
         chart: Option<PathBuf>,
     },
+    /// Measures tasks a second through one entry and the CPU time that a task takes.
+    #[bpaf(command)]
+    Throughput(#[bpaf(external(throughput::throughput_args))] throughput::ThroughputArgs),
     /// Writes the trace of a deployment to a file, as JSON Lines.
     #[bpaf(command)]
     Export {
@@ -80,6 +84,7 @@
             };
             comparison.run(output, chart.as_deref())
         }
+        Command::Throughput(args) => throughput::run(&args),
         Command::Export {
             deployment,
             seed,
--- a/hemlockhook-standin/src/log_store.rs
+++ b/hemlockhook-standin/src/log_store.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use hemlockhook_platform::Offset;
 use hemlockhook_platform::wire::{Record, Records};
+use hemlockhook_platform::{FIRST_OFFSET, Offset};
 
 /// How long records are kept.
 #[derive(Clone, Copy, Debug)]
@@ -91,9 +91,6 @@
 /// Most bytes of records in one answer, unless the first is longer.
 const MAX_READ_BYTES: usize = 16 * 1024 * 1024;
 
-/// Offset of the first record of a stream.
-const FIRST_OFFSET: Offset = 1;
-
 /// One stream: the records that are kept, without gaps.
 #[derive(Debug)]
 struct Stream {
--- a/hemlockhook/src/demo.rs
+++ b/hemlockhook/src/demo.rs
@@ -1,6 +1,5 @@
 //! The demonstration: a whole deployment as tasks of one process, with failures on the way.
 
-mod fleet;
 mod load;
 mod summary;
 
@@ -10,16 +9,25 @@
 
 use async_io::Timer;
 use bpaf::Bpaf;
+use hemlockhook::fleet::{Fleet, FleetConfig, FleetThreads};
 use hemlockhook_runtime::executor::Threads;
 use hemlockhook_runtime::log;
 
-use fleet::Fleet;
 use load::{Load, LoadSettings};
 use summary::Summary;
 
 /// Threads for traffic.
 const TRAFFIC_THREADS: usize = 4;
 
+/// The inventory that the deployment runs.
+const INVENTORY: &str = include_str!("../../inventories/tunelpokrov.yaml");
+
+/// Speeds of the upstreams, fastest and slowest 3 to 1.
+const SPEEDS: [f64; 4] = [1.0, 0.75, 0.5, 0.34];
+
+/// Number of entries.
+const ENTRIES: usize = 3;
+
 /// Time for the deployment to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -72,7 +80,15 @@
 
 async fn demonstrate(args: &DemoArgs, threads: &Threads) -> eyre::Result<Summary> {
     progress("starting a log, 11 upstreams with their agents, and 3 entries");
-    let mut fleet = Fleet::start(threads).await?;
+    let mut fleet = Fleet::start(
+        config(),
+        FleetThreads {
+            entries: threads,
+            agents: threads,
+            standins: threads,
+        },
+    )
+    .await?;
     fleet.publish().await?;
     fleet.ready(READY_TIMEOUT).await?;
 
@@ -100,9 +116,6 @@
     progress("waiting for the last answers");
     let outcomes = running.await;
     let counters = fleet.counters().await;
-    if std::env::var_os("DEMO_DEBUG").is_some() {
-        eprintln!("{counters:#?}");
-    }
     let late_starts = fleet.starts_after_leaving(drained);
     let starts = fleet.starts();
     fleet.stop().await;
@@ -115,6 +128,15 @@
     ))
 }
 
+fn config() -> FleetConfig {
+    FleetConfig {
+        inventory: INVENTORY.to_owned(),
+        speeds: SPEEDS.to_vec(),
+        entries: ENTRIES,
+        count_starts: true,
+    }
+}
+
 /// Shows a person how far the demonstration is.
 fn progress(text: &str) {
     let mut stderr = std::io::stderr();
--- a/hemlockhook/src/demo/fleet.rs
+++ b/hemlockhook/src/fleet.rs
@@ -1,4 +1,4 @@
-//! The processes of the demonstration.
+//! A deployment whose processes are tasks of one process, over loopback.
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -22,15 +22,6 @@
 use http::Request;
 use http_body_util::Full;
 
-/// The inventory that the deployment runs.
-const INVENTORY: &str = include_str!("../../../inventories/tunelpokrov.yaml");
-
-/// Speeds of the upstreams, slowest and fastest 3 to 1.
-const SPEEDS: [f64; 4] = [1.0, 0.75, 0.5, 0.34];
-
-/// Number of entries.
-const ENTRIES: usize = 3;
-
 /// Time after which a leaving upstream may get no new work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
 
@@ -40,9 +31,34 @@
 /// Time for a request to a stand-in or an admin port.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct FleetConfig {
+    /// The inventory, as YAML: one agent and one upstream stand-in for each of its upstreams.
+    pub inventory: String,
+    /// Speeds of the upstreams, taken in turn.
+    pub speeds: Vec<f64>,
+    /// Number of entries.
+    pub entries: usize,
+    /// Whether the upstreams count the starts of each task, which takes memory for every task.
+    pub count_starts: bool,
+}
+
+/// The threads that a deployment runs on; any of them may be the same.
+pub struct FleetThreads<'a> {
+    /// For the entries.
+    pub entries: &'a Threads,
+    /// For the agents.
+    pub agents: &'a Threads,
+    /// For the stand-ins of the log and the upstreams.
+    pub standins: &'a Threads,
+}
+
 /// A deployment on loopback.
 pub struct Fleet {
-    control: Arc<Executor>,
+    cfg: FleetConfig,
+    entry_ex: Executors,
+    agent_ex: Executors,
     traffic: Arc<Executor>,
     clock: Arc<dyn Clock>,
     inventory: Inventory,
@@ -57,6 +73,13 @@
     _stop: Sender<()>,
 }
 
+/// Where one kind of process runs.
+#[derive(Clone)]
+struct Executors {
+    control: Arc<Executor>,
+    traffic: Arc<Executor>,
+}
+
 /// An upstream that was told to leave, with its number of starts when it had to be left alone.
 pub struct Drained {
     upstream: usize,
@@ -65,10 +88,11 @@
 
 impl Fleet {
     /// Starts every process.
-    pub async fn start(threads: &Threads) -> eyre::Result<Self> {
+    pub async fn start(cfg: FleetConfig, threads: FleetThreads<'_>) -> eyre::Result<Self> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-        let inventory = check(INVENTORY).map_err(|problems| eyre!("inventory: {problems:?}"))?;
-        let (control, traffic) = (threads.control(), threads.traffic());
+        let inventory =
+            check(&cfg.inventory).map_err(|problems| eyre!("inventory: {problems:?}"))?;
+        let traffic = threads.standins.traffic();
         let (stop, stopped) = async_channel::bounded(1);
 
         let listener = TcpListener::bind(loopback()).await?;
@@ -81,7 +105,9 @@
             let listener = TcpListener::bind(loopback()).await?;
             let address = listener.local_addr()?;
             let mut settings = UpstreamSettings::new(&upstream.name, address);
-            settings.speed = SPEEDS[index % SPEEDS.len()];
+            settings.speed = cfg.speeds[index % cfg.speeds.len()];
+            settings.count_starts = cfg.count_starts;
+            settings.max_connections = upstream.connections as usize + 1;
             let standin = UpstreamStandin::new(settings, clock.clone());
             let serve = standin
                 .clone()
@@ -92,7 +118,9 @@
 
         let mut fleet = Self {
             log: HttpLog::new(traffic.clone(), log_address, REQUEST_TIMEOUT),
-            control,
+            entry_ex: Executors::of(threads.entries),
+            agent_ex: Executors::of(threads.agents),
+            cfg,
             traffic,
             clock,
             inventory,
@@ -108,7 +136,7 @@
             let agent = fleet.start_agent(index).await?;
             fleet.agents.push(Some(agent));
         }
-        for index in 0..ENTRIES {
+        for index in 0..fleet.cfg.entries {
             let entry = fleet.start_entry(index).await?;
             fleet.entries.push(Some(entry));
         }
@@ -126,7 +154,7 @@
 
     /// Publishes the inventory.
     pub async fn publish(&self) -> eyre::Result<()> {
-        self.append_config(0, INVENTORY.to_owned()).await
+        self.append_config(0, self.cfg.inventory.clone()).await
     }
 
     /// Publishes a change and returns the time until every entry had it in force.
@@ -138,7 +166,7 @@
             .max()
             .unwrap_or_default();
         let started = Instant::now();
-        let document = format!("{INVENTORY}\n# Changed while jobs ran.\n");
+        let document = format!("{}\n# Changed while jobs ran.\n", self.cfg.inventory);
         self.append_config(base, document).await?;
         loop {
             let versions = self.config_versions().await;
@@ -311,14 +339,16 @@
             log_level: "warn".to_owned(),
             limits: Default::default(),
         };
-        let (control, traffic) = (self.control.clone(), self.traffic.clone());
+        let Executors { control, traffic } = self.agent_ex.clone();
         AgentProcess::start(&settings, control, traffic, self.clock.clone()).await
     }
 
     async fn start_entry(&self, index: usize) -> eyre::Result<EntryProcess> {
         let settings = hemlockhook_entry::Settings {
             name: format!("entry-{index}"),
-            data_center: self.inventory.data_centers[index].name.to_string(),
+            data_center: self.inventory.data_centers[index % self.inventory.data_centers.len()]
+                .name
+                .to_string(),
             callers_address: loopback(),
             peers_address: loopback(),
             admin_address: loopback(),
@@ -330,11 +360,20 @@
             memory: Default::default(),
             timing: Default::default(),
         };
-        let (control, traffic) = (self.control.clone(), self.traffic.clone());
+        let Executors { control, traffic } = self.entry_ex.clone();
         EntryProcess::start(&settings, control, traffic, self.clock.clone()).await
     }
 }
 
+impl Executors {
+    fn of(threads: &Threads) -> Self {
+        Self {
+            control: threads.control(),
+            traffic: threads.traffic(),
+        }
+    }
+}
+
 /// Returns an address on loopback whose port is drawn by the operating system.
 fn loopback() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
