--- a/hemlockhook/tests/outcomes.rs
+++ b/hemlockhook/tests/outcomes.rs
@@ -35,8 +35,8 @@
             ..Job::new("job-1", &[20])
         };
         let outcome = cluster.call(&job, &mut rng()).await;
-        expect_that!(outcome.answer, eq("not_run"));
-        expect_that!(outcome.reason, eq("no_such_service"));
+        let told = (outcome.answer.as_str(), outcome.reason.as_str());
+        expect_that!(told, (eq("not_run"), eq("no_such_service")));
         expect_that!(cluster.starts().await.is_empty(), eq(true));
     });
 }
