--- a/hemlockhook/tests/support/caller.rs
+++ b/hemlockhook/tests/support/caller.rs
@@ -1,13 +1,19 @@
 //! Callers: they submit a job until it is answered.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_io::Timer;
+use hemlockhook_runtime::executor::Executor;
+use hemlockhook_runtime::http::HttpClient;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use serde_json::{Value, json};
 
-use super::cluster::Cluster;
+/// Connections to one address, at most.
+const CONNECTIONS: usize = 512;
 
 /// Time for one submission, after which the job is submitted again through another entry.
 const RESUBMIT_AFTER: Duration = Duration::from_secs(5);
@@ -43,6 +49,13 @@
         format!("farms/{}/{index}", self.key)
     }
 
+    /// Returns the tasks' names.
+    pub fn names(&self) -> Vec<String> {
+        (0..self.tasks.len())
+            .map(|index| self.task(index))
+            .collect()
+    }
+
     fn results(&self) -> Value {
         (0..self.tasks.len())
             .map(|index| json!(self.task(index)))
@@ -79,18 +92,30 @@
     }
 }
 
-impl Cluster {
+/// Submits jobs to the entries of a cluster. Clones share the stamps.
+#[derive(Clone)]
+pub struct Submitter {
+    ex: Arc<Executor>,
+    entries: Vec<SocketAddr>,
+    stamps: Arc<Mutex<String>>,
+    clients: Arc<Mutex<HashMap<SocketAddr, HttpClient>>>,
+}
+
+impl Submitter {
+    pub fn new(ex: Arc<Executor>, entries: Vec<SocketAddr>) -> Self {
+        Self {
+            ex,
+            entries,
+            stamps: Arc::default(),
+            clients: Arc::default(),
+        }
+    }
+
     /// Returns the stamps that a caller would hold now.
     pub fn stamps(&self) -> String {
         self.stamps.lock().expect("no test thread panicked").clone()
     }
 
-    /// Submits a job through random entries until it is answered for good.
-    pub async fn call(&self, job: &Job, rng: &mut fastrand::Rng) -> Outcome {
-        let stamps = self.stamps();
-        self.call_with(job, &stamps, rng).await
-    }
-
     /// Submits a job under stamps that were held when its key was made.
     pub async fn call_with(&self, job: &Job, stamps: &str, rng: &mut fastrand::Rng) -> Outcome {
         for _ in 0..TRIES {
@@ -118,7 +143,7 @@
         let req = req
             .body(Full::from(job.body()))
             .expect("the parts are valid");
-        let addr = self.entries[entry].callers?;
+        let addr = self.entries[entry];
         let res = self.client(addr).send(req, 1 << 20, timeout).await.ok()?;
         self.outcome(job, &res)
     }
@@ -130,7 +155,7 @@
             .uri(format!("/v1/jobs/farms/{}", job.key))
             .body(Full::default())
             .expect("the parts are valid");
-        let addr = self.entries[entry].callers?;
+        let addr = self.entries[entry];
         let res = self
             .client(addr)
             .send(req, 1 << 20, RESUBMIT_AFTER)
@@ -139,6 +164,13 @@
         self.outcome(job, &res)
     }
 
+    /// Returns the client of an address.
+    pub fn client(&self, addr: SocketAddr) -> HttpClient {
+        let mut clients = self.clients.lock().expect("no test thread panicked");
+        let new = || HttpClient::new(self.ex.clone(), addr, CONNECTIONS);
+        clients.entry(addr).or_insert_with(new).clone()
+    }
+
     fn outcome(&self, job: &Job, res: &Response<bytes::Bytes>) -> Option<Outcome> {
         if let Some(stamps) = res.headers().get("hemlockhook-stamp") {
             let stamps = stamps.to_str().unwrap_or_default().to_owned();
--- a/hemlockhook/tests/support/cluster.rs
+++ b/hemlockhook/tests/support/cluster.rs
@@ -1,20 +1,19 @@
 //! Entries, agents and stand-ins that belong together.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::sync::Mutex;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use std::{env, fs};
 
 use async_io::Timer;
 use hemlockhook_inventory::ConfigRecord;
 use hemlockhook_runtime::executor::Threads;
-use hemlockhook_runtime::http::HttpClient;
 use http::{Method, Request};
 use http_body_util::Full;
 use serde_json::{Value, json};
 
+use super::caller::{Job, Outcome, Submitter};
 use super::process::{Process, free_address};
 use super::relay::Relay;
 
@@ -51,8 +50,7 @@
     pub entries: Vec<Member>,
     pub agents: Vec<Member>,
     pub relays: Vec<Relay>,
-    pub(super) stamps: Mutex<String>,
-    clients: Mutex<HashMap<SocketAddr, HttpClient>>,
+    submitter: Submitter,
     dir: PathBuf,
     log: SocketAddr,
     upstreams: Vec<SocketAddr>,
@@ -71,7 +69,7 @@
 }
 
 impl Member {
-    fn start(program: &'static str, settings: Value, dir: &std::path::Path) -> Self {
+    fn start(program: &'static str, settings: Value, dir: &Path) -> Self {
         let address = |key: &str| settings[key].as_str().and_then(|text| text.parse().ok());
         let name = settings["name"].as_str().unwrap_or_default().to_owned();
         Self {
@@ -83,6 +81,10 @@
             settings,
         }
     }
+
+    fn restart(&mut self, dir: &Path) {
+        self.process = Process::start(self.program, &self.name, &self.settings, dir);
+    }
 }
 
 impl Cluster {
@@ -129,22 +131,25 @@
             let program = env!("CARGO_BIN_EXE_hemlockhook-agent");
             agents.push(Member::start(program, settings, &dir));
         }
-        let entries = (0..shape.entries).map(|at| {
-            let settings = json!({
-                "name": format!("entry-{at}"), "data_center": "osijek",
-                "callers_address": free_address(), "peers_address": free_address(),
-                "admin_address": free_address(), "log_address": log,
-                "log_level": "debug",
-            });
-            Member::start(env!("CARGO_BIN_EXE_hemlockhook-entry"), settings, &dir)
-        });
+        let entries: Vec<_> = (0..shape.entries)
+            .map(|at| {
+                let settings = json!({
+                    "name": format!("entry-{at}"), "data_center": "osijek",
+                    "callers_address": free_address(), "peers_address": free_address(),
+                    "admin_address": free_address(), "log_address": log,
+                    "log_level": "debug",
+                });
+                Member::start(env!("CARGO_BIN_EXE_hemlockhook-entry"), settings, &dir)
+            })
+            .collect();
+        let callers = entries.iter().filter_map(|entry| entry.callers).collect();
+        let submitter = Submitter::new(threads.traffic(), callers);
         let cluster = Self {
-            entries: entries.collect(),
+            entries,
             agents,
             relays,
             threads,
-            stamps: Mutex::default(),
-            clients: Mutex::default(),
+            submitter,
             dir,
             log,
             upstreams,
@@ -200,11 +205,69 @@
         );
     }
 
-    /// Starts an entry or an agent again that has ended, with its settings.
-    pub fn restart(&mut self, member: impl Fn(&mut Self) -> &mut Member) {
-        let dir = self.dir.clone();
-        let member = member(self);
-        member.process = Process::start(member.program, &member.name, &member.settings, &dir);
+    /// Starts an agent again that has ended, with its settings.
+    pub fn restart_agent(&mut self, at: usize) {
+        self.agents[at].restart(&self.dir);
+    }
+
+    /// Starts an entry again that has ended, with its settings.
+    pub fn restart_entry(&mut self, at: usize) {
+        self.entries[at].restart(&self.dir);
+    }
+
+    /// Returns what submits jobs, for a task of its own.
+    pub fn submitter(&self) -> Submitter {
+        self.submitter.clone()
+    }
+
+    /// Returns the stamps that a caller would hold now.
+    pub fn stamps(&self) -> String {
+        self.submitter.stamps()
+    }
+
+    /// Submits a job through random entries until it is answered for good.
+    pub async fn call(&self, job: &Job, rng: &mut fastrand::Rng) -> Outcome {
+        let stamps = self.stamps();
+        self.submitter.call_with(job, &stamps, rng).await
+    }
+
+    /// Submits a job once. Returns `None` unless it is answered for good.
+    pub async fn submit(
+        &self,
+        entry: usize,
+        job: &Job,
+        stamps: &str,
+        timeout: Duration,
+    ) -> Option<Outcome> {
+        self.submitter.submit(entry, job, stamps, timeout).await
+    }
+
+    /// Cancels a job once. Returns `None` unless it is answered for good.
+    pub async fn cancel(&self, entry: usize, job: &Job) -> Option<Outcome> {
+        self.submitter.cancel(entry, job).await
+    }
+
+    /// Returns the jobs whose answers are belied by what the upstreams saw.
+    pub async fn mistold(&self, jobs: &[Job], outcomes: &[Outcome]) -> Vec<String> {
+        let starts = self.starts().await;
+        let mut mistold = Vec::new();
+        for (job, outcome) in jobs.iter().zip(outcomes) {
+            let started = job
+                .names()
+                .iter()
+                .filter(|name| starts.contains_key(*name))
+                .count();
+            let is_true = match outcome.answer.as_str() {
+                "complete" => outcome.whole && started == job.tasks.len(),
+                "not_run" => started == 0,
+                "failed" | "unknown" => true,
+                _ => false,
+            };
+            if !is_true {
+                mistold.push(format!("{}: {outcome:?}, {started} started", job.key));
+            }
+        }
+        mistold
     }
 
     pub async fn set_log_faults(&self, faults: Value) {
@@ -253,12 +316,6 @@
         page.map(|(_, body)| body).unwrap_or_default()
     }
 
-    pub(super) fn client(&self, addr: SocketAddr) -> HttpClient {
-        let mut clients = self.clients.lock().expect("no test thread panicked");
-        let new = || HttpClient::new(self.threads.traffic(), addr, 512);
-        clients.entry(addr).or_insert_with(new).clone()
-    }
-
     async fn send(
         &self,
         addr: SocketAddr,
@@ -272,6 +329,7 @@
             .body(Full::from(body.to_owned()))
             .expect("the request's parts are valid");
         let res = self
+            .submitter
             .client(addr)
             .send(req, 64 << 20, ADMIN_TIMEOUT)
             .await
@@ -291,7 +349,7 @@
     }
 
     /// Appends the inventory to the log, which may be down at first.
-    async fn publish(&self, shape: Shape) {
+    pub async fn publish(&self, shape: Shape) {
         let record = ConfigRecord {
             change_id: "first".to_owned(),
             document: inventory(shape),
--- a/hemlockhook/tests/support/mod.rs
+++ b/hemlockhook/tests/support/mod.rs
@@ -7,7 +7,7 @@
 mod process;
 mod relay;
 
-pub use caller::Job;
+pub use caller::{Job, Outcome};
 pub use cluster::{Cluster, Shape};
 
 use std::time::Duration;
