--- a/hemlockhook-agent/src/engine/log.rs
+++ b/hemlockhook-agent/src/engine/log.rs
@@ -40,8 +40,12 @@
     due: Instant,
     /// The services in the append that is under way.
     in_flight: Option<Vec<ServiceName>>,
+    /// When the append under way, or the last one, was sent.
+    sent: Instant,
     /// The services last announced with success.
     announced: Option<Vec<ServiceName>>,
+    /// When the last announcement that succeeded was sent.
+    announced_at: Option<Instant>,
     backoff: Backoff,
 }
 
@@ -50,7 +54,9 @@
         Self {
             due: now,
             in_flight: None,
+            sent: now,
             announced: None,
+            announced_at: None,
             backoff: Backoff::default(),
         }
     }
@@ -77,8 +83,8 @@
     next: Offset,
     due: Instant,
     in_flight: bool,
-    /// Whether the read under way was begun after this agent's announcement.
-    after_announcement: bool,
+    /// When the last announcement before the read under way was sent.
+    after: Option<Instant>,
     period: Duration,
     backoff: Backoff,
 }
@@ -90,7 +96,7 @@
             next: 0,
             due: now,
             in_flight: false,
-            after_announcement: false,
+            after: None,
             period,
             backoff: Backoff::default(),
         }
@@ -100,12 +106,12 @@
         (!self.in_flight).then_some(self.due)
     }
 
-    fn poll(&mut self, now: Instant, announced: bool) -> Option<Action> {
+    fn poll(&mut self, now: Instant, announced: Option<Instant>) -> Option<Action> {
         if self.in_flight || now < self.due {
             return None;
         }
         self.in_flight = true;
-        self.after_announcement = announced;
+        self.after = announced;
         Some(Action::Read {
             stream: self.stream,
             from: self.next,
@@ -139,7 +145,7 @@
 impl Engine {
     /// Begins the appends and reads that are due.
     pub(super) fn upkeep(&mut self, now: Instant) {
-        let announced = self.announcer.announced.is_some();
+        let announced = self.announcer.announced_at;
         let reads = [
             self.config_log.poll(now, announced),
             self.membership.poll(now, announced),
@@ -149,13 +155,13 @@
             return;
         }
         match self.own_services() {
-            Some(services) if now >= self.announcer.due => self.announce(services),
+            Some(services) if now >= self.announcer.due => self.announce(now, services),
             Some(_) => {}
             None => self.announcer.due = self.announcer.due.max(now + UNNAMED_PERIOD),
         }
     }
 
-    fn announce(&mut self, services: Vec<ServiceName>) {
+    fn announce(&mut self, now: Instant, services: Vec<ServiceName>) {
         let record = Record::Agent {
             incarnation: self.cfg.incarnation,
             name: self.cfg.name.to_string(),
@@ -164,6 +170,7 @@
             data_center: self.cfg.data_center.to_string(),
         };
         self.announcer.in_flight = Some(services);
+        self.announcer.sent = now;
         self.append(&record);
     }
 
@@ -180,6 +187,7 @@
         }
         self.announcer.backoff = Backoff::default();
         self.announcer.announced = self.announcer.in_flight.take();
+        self.announcer.announced_at = Some(self.announcer.sent);
         self.announcer.due = now + self.cfg.announce_period;
         self.membership.due = now;
         self.apply_config(now);
@@ -209,15 +217,21 @@
             }
         }
         let at_end = self.membership.advance(now, batch);
-        match self.membership.after_announcement {
-            _ if !at_end || self.gate.is_joined() => {}
-            true => {
-                self.gate.join();
-                self.apply_config(now);
-            }
-            // The announcement came while this read was under way: only a later one counts.
-            false if self.announcer.announced.is_some() => self.membership.due = now,
-            false => {}
+        match self.membership.after {
+            _ if !at_end => {}
+            // An announcement came while this read was under way: only a later one counts.
+            after if after < self.announcer.announced_at => self.membership.due = now,
+            Some(sent) => self.on_caught_up(now, sent),
+            None => {}
+        }
+    }
+
+    /// Takes in that the log was read to its end after an announcement that was sent at `sent`.
+    fn on_caught_up(&mut self, now: Instant, sent: Instant) {
+        self.gate.announced(sent);
+        if !self.gate.is_joined() {
+            self.gate.join();
+            self.apply_config(now);
         }
     }
 
--- a/hemlockhook-ownership/src/history.rs
+++ b/hemlockhook-ownership/src/history.rs
@@ -5,6 +5,9 @@
 /// Shift of [`LogTime`] against the process's clock: one year.
 const LOG_TIME_SHIFT: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
+/// Offset of the first record of a stream.
+const FIRST_OFFSET: u64 = 1;
+
 /// The time at which something was written to the log.
 ///
 /// Records may be older than the start of the process's clock, so these times are shifted and
@@ -39,6 +42,6 @@
     /// the stream.
     pub fn reaches_back(&self, at: LogTime, span: Duration) -> bool {
         self.first
-            .is_some_and(|first| first.offset == 0 || first.written + span <= at)
+            .is_some_and(|first| first.offset <= FIRST_OFFSET || first.written + span <= at)
     }
 }
