--- a/hemlockhook-runtime/src/log.rs
+++ b/hemlockhook-runtime/src/log.rs
@@ -1,6 +1,9 @@
 //! JSON-lines logs on stderr.
 
+use std::backtrace::{Backtrace, BacktraceStatus};
 use std::io::{self, Write};
+use std::panic::{self, PanicHookInfo};
+use std::process;
 use std::sync::Arc;
 
 use spdlog::formatter::JsonFormatter;
@@ -10,6 +13,9 @@
 
 use hemlockhook_types::TaskIndex;
 
+/// Exit status of a process that a panic stops.
+const PANIC_STATUS: i32 = 70;
+
 /// Why logging was not set up.
 #[derive(Debug, Error)]
 pub enum LogError {
@@ -21,9 +27,17 @@
     Setup(#[from] spdlog::Error),
 }
 
-/// Makes JSON lines on stderr the process's log, from `level` up.
+/// Makes JSON lines on stderr the log of a daemon, from `level` up.
+///
+/// A panic on any thread is logged too, and stops the process: it says that an invariant is broken,
+/// and a process that went on without one of its tasks would look alive and not be.
 pub fn init(level: &str) -> Result<(), LogError> {
-    init_to(level, io::stderr())
+    init_to(level, io::stderr())?;
+    panic::set_hook(Box::new(|info| {
+        log_panic(info);
+        process::exit(PANIC_STATUS);
+    }));
+    Ok(())
 }
 
 /// Makes JSON lines on `writer` the process's log, from `level` up.
@@ -50,6 +64,19 @@
     Ok(())
 }
 
+fn log_panic(info: &PanicHookInfo<'_>) {
+    let message = info.payload_as_str().unwrap_or("no message");
+    let place = info.location().map(ToString::to_string);
+    let place = place.as_deref().unwrap_or("unknown");
+    let backtrace = Backtrace::capture();
+    let backtrace = match backtrace.status() {
+        BacktraceStatus::Captured => backtrace.to_string(),
+        _ => String::new(),
+    };
+    let backtrace = backtrace.as_str();
+    spdlog::critical!("an invariant is broken: {message}", kv: { place, backtrace });
+}
+
 /// Writes lines about one job, which all carry its key and, where given, the task.
 #[derive(Clone, Copy, Debug)]
 pub struct JobLog<'a> {
--- a/hemlockhook-runtime/tests/settings.rs
+++ b/hemlockhook-runtime/tests/settings.rs
@@ -7,6 +7,8 @@
 use googletest::prelude::*;
 use hemlockhook_runtime::settings::{self, SettingsError};
 use insta::assert_snapshot;
+use proptest::prelude::{Just, prop_assert, prop_oneof, proptest};
+use proptest::test_runner::{Config, RngSeed};
 use serde::Deserialize;
 
 #[derive(Debug, Deserialize, Validate)]
@@ -137,3 +139,28 @@
     expect_that!(err, matches_pattern!(SettingsError::Read { .. }));
     assert_snapshot!(err);
 }
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn any_change_to_good_settings_is_taken_or_told(
+        line in 1..11usize,
+        change in prop_oneof![
+            Just(""), Just("- x"), Just("  : 1"), Just("threads: [1, {a: 2}]"), Just("name: ~"),
+            Just("limits: &a {b: *a}"), Just("upstreams: 7"), Just("outage: {refuse: 1}"),
+            Just("\tname: x"), Just("address: [127.0.0.1, 7000]"), Just("---"), Just("? {}"),
+        ],
+    ) {
+        let mut lines: Vec<&str> = GOOD.lines().collect();
+        lines[line - 1] = change;
+        match settings::parse::<Settings>(&lines.join("\n")) {
+            Ok(_) => {}
+            Err(problems) => prop_assert!(!problems.is_empty()),
+        }
+    }
+}
