--- a/hemlockhook/src/client.rs
+++ b/hemlockhook/src/client.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use hemlockhook_platform::HttpLog;
 use hemlockhook_runtime::executor::{Executor, Threads};
-use hemlockhook_runtime::http::HttpClient;
-use http::{Request, Response};
+use hemlockhook_runtime::http::{HttpClient, HttpError};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -55,9 +55,9 @@
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<Response<Bytes>, String> {
+    ) -> Result<Response<Bytes>, HttpError> {
         let http = HttpClient::new(self.executor(), addr, 1);
-        async_io::block_on(http.send(req, MAX_ANSWER, timeout)).map_err(|e| e.to_string())
+        async_io::block_on(http.send(req, MAX_ANSWER, timeout))
     }
 
     /// Gets a report from each entry.
@@ -98,8 +98,8 @@
     {
         let body = serde_json::to_vec(message).map_err(|e| e.to_string())?;
         let req = Request::post(path).body(Full::new(body.into()));
-        let res = self.send(addr, req.map_err(|e| e.to_string())?, REQUEST_TIMEOUT)?;
-        parse(&res)
+        let res = self.send(addr, req.map_err(|e| e.to_string())?, REQUEST_TIMEOUT);
+        parse(&res.map_err(|e| e.to_string())?)
     }
 
     fn get<T>(&self, addr: SocketAddr, path: &str) -> Result<T, String>
@@ -107,8 +107,8 @@
         T: DeserializeOwned,
     {
         let req = Request::get(path).body(Full::default());
-        let res = self.send(addr, req.map_err(|e| e.to_string())?, REQUEST_TIMEOUT)?;
-        parse(&res)
+        let res = self.send(addr, req.map_err(|e| e.to_string())?, REQUEST_TIMEOUT);
+        parse(&res.map_err(|e| e.to_string())?)
     }
 
     fn executor(&self) -> Arc<Executor> {
@@ -136,6 +136,19 @@
     }
 }
 
+/// Returns the exit code for a question that no entry could answer: whether each answered that it
+/// knows nothing of it.
+pub fn exit_of_unknown<T>(answers: &[Answered<T>]) -> Exit {
+    let is_unknown = |answered: &Answered<T>| match &answered.answer {
+        Ok(_) => false,
+        Err(why) => why.starts_with(StatusCode::NOT_FOUND.as_str()),
+    };
+    match answers.iter().all(is_unknown) {
+        true => Exit::Negative,
+        false => Exit::Unreachable,
+    }
+}
+
 /// Says why entries did not answer, one a line.
 pub fn no_answer<T>(answers: &[Answered<T>]) -> String {
     let lines: Vec<String> = answers
--- /dev/null
+++ b/hemlockhook/tests/cli/main.rs
@@ -0,0 +1,8 @@
+//! The operators' command, run as a process against stand-ins.
+
+mod arguments;
+mod configs;
+mod daemons;
+mod docs;
+mod fixture;
+mod reports;
