--- a/hemlockhook-runtime/examples/throughput.rs
+++ b/hemlockhook-runtime/examples/throughput.rs
@@ -3,12 +3,12 @@
 //! `cargo run --release -p hemlockhook-runtime --example throughput -- MODE [LANES] [SECONDS] [THREADS]`
 //! with MODE `http` (short requests), `sleep` (each takes 5 ms) or `grpc` (frames on one stream).
 
+use std::env;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
-use std::{env, fs};
 
 use async_channel::Receiver;
 use async_io::Timer;
@@ -19,6 +19,7 @@
 use hemlockhook_proto::v1::agent_client::AgentClient;
 use hemlockhook_proto::v1::agent_server::{Agent, AgentServer};
 use hemlockhook_proto::v1::{AgentFrame, EntryFrame};
+use hemlockhook_runtime::cpu::thread_time;
 use hemlockhook_runtime::executor::{Executor, Threads};
 use hemlockhook_runtime::grpc;
 use hemlockhook_runtime::http::{HttpClient, ServerLimits, read_body, serve};
@@ -157,15 +158,6 @@
     }
 }
 
-/// Returns the processor time of the threads whose names start with `prefix`.
 fn cpu(prefix: &str) -> Duration {
-    let tasks = fs::read_dir("/proc/self/task").unwrap();
-    let nanos = tasks.filter_map(|entry| {
-        let path = entry.ok()?.path();
-        let name = fs::read_to_string(path.join("comm")).ok()?;
-        let stat = fs::read_to_string(path.join("schedstat")).ok()?;
-        let nanos: u64 = stat.split_whitespace().next()?.parse().ok()?;
-        name.starts_with(prefix).then_some(nanos)
-    });
-    Duration::from_nanos(nanos.sum())
+    thread_time(prefix).expect("the system counts the time of threads")
 }
