--- a/hemlockhook-runtime/src/grpc.rs
+++ b/hemlockhook-runtime/src/grpc.rs
@@ -45,6 +45,15 @@
 /// Requests that a peer may have open on one connection.
 const MAX_STREAMS: u32 = 4096;
 
+/// Time for a peer to take what is written to it, after which the connection is closed.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Connections that other processes may open at once; one more is closed.
+const MAX_CONNECTIONS: usize = 4096;
+
+/// Longest request head taken, in bytes.
+const MAX_HEAD: u32 = 16 * 1024;
+
 /// Time without traffic after which a connection is pinged.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
 
@@ -66,6 +75,9 @@
 {
     let connections = TaskSet::new(ex.clone());
     while let Some(stream) = accept(&listener, &stop).await {
+        if connections.len() >= MAX_CONNECTIONS {
+            continue;
+        }
         let conn = serve_connection(ex.clone(), stream, stop.clone(), service.clone());
         connections.spawn(conn);
     }
@@ -90,9 +102,13 @@
         .max_frame_size(MAX_FRAME)
         .max_send_buf_size(SEND_BUFFER)
         .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEAD)
         .keep_alive_interval(KEEP_ALIVE)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .serve_connection(HyperIo::new(Stream::new(stream), READ_BUFFER), service);
+        .serve_connection(
+            HyperIo::new(Stream::new(stream, WRITE_TIMEOUT), READ_BUFFER),
+            service,
+        );
     let mut conn = pin!(conn);
 
     let stopped = async {
@@ -149,7 +165,10 @@
         .max_send_buf_size(SEND_BUFFER)
         .keep_alive_interval(KEEP_ALIVE)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .handshake(HyperIo::new(Stream::new(stream), READ_BUFFER))
+        .handshake(HyperIo::new(
+            Stream::new(stream, WRITE_TIMEOUT),
+            READ_BUFFER,
+        ))
         .await
         .map_err(io::Error::other)?;
     ex.spawn(async move {
--- a/hemlockhook-runtime/src/http/client.rs
+++ b/hemlockhook-runtime/src/http/client.rs
@@ -27,6 +27,9 @@
 /// Bytes read at once from a connection.
 const READ_BUFFER: usize = 4096;
 
+/// Time for a server to take what is written to it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -246,7 +249,7 @@
     async fn open(addr: SocketAddr) -> Result<Self, HttpError> {
         let stream = TcpStream::connect(addr).await.map_err(HttpError::Connect)?;
         stream.set_nodelay(true).map_err(HttpError::Connect)?;
-        let stream = Stream::new(stream);
+        let stream = Stream::new(stream, WRITE_TIMEOUT);
         let socket = stream.socket();
         let (sender, driver) = http1::handshake(HyperIo::new(stream, READ_BUFFER)).await?;
         Ok(Self {
--- a/hemlockhook-runtime/src/http/server.rs
+++ b/hemlockhook-runtime/src/http/server.rs
@@ -50,6 +50,8 @@
     pub header_timeout: Duration,
     /// Time for a whole body to arrive; for handlers, which read bodies.
     pub body_timeout: Duration,
+    /// Time for a client to take what is written to it; it is closed after it.
+    pub write_timeout: Duration,
     /// Most connections open at once; one more is answered with 503 and closed.
     pub max_connections: usize,
     /// Most headers in a request.
@@ -64,6 +66,7 @@
             max_body: 1024 * 1024,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(30),
             max_connections: 4096,
             max_headers: 64,
             max_head: 16 * 1024,
@@ -134,7 +137,7 @@
             refuse(stream).await;
             continue;
         }
-        let (io, handler) = connect(Stream::new(stream));
+        let (io, handler) = connect(Stream::new(stream, limits.write_timeout));
         let conn = serve_connection(io, limits, stop.clone(), handler);
         connections.spawn(conn);
     }
--- a/hemlockhook-runtime/src/io.rs
+++ b/hemlockhook-runtime/src/io.rs
@@ -5,8 +5,9 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite};
 use hyper::rt::ReadBufCursor;
 
@@ -17,13 +18,19 @@
     io: Arc<Async<TcpStream>>,
     /// Nothing is left to read until the reactor says so.
     drained: bool,
+    /// Time for the peer to make room for more.
+    write_timeout: Duration,
+    /// Runs while a write waits for the peer.
+    write_timer: Option<Timer>,
 }
 
 impl Stream {
-    pub(crate) fn new(stream: async_net::TcpStream) -> Self {
+    pub(crate) fn new(stream: async_net::TcpStream, write_timeout: Duration) -> Self {
         Self {
             io: stream.into(),
             drained: false,
+            write_timeout,
+            write_timer: None,
         }
     }
 
@@ -58,25 +65,40 @@
 }
 
 impl Stream {
-    fn poll_write_with<F>(&self, cx: &mut Context<'_>, mut write: F) -> Poll<io::Result<usize>>
+    fn poll_write_with<F>(&mut self, cx: &mut Context<'_>, mut write: F) -> Poll<io::Result<usize>>
     where
         F: FnMut(&TcpStream) -> io::Result<usize>,
     {
         loop {
             match write(self.io.get_ref()) {
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
-                    ready!(self.io.poll_writable(cx))?;
+                    ready!(self.poll_writable(cx))?;
                 }
                 Err(err) if err.kind() == io::ErrorKind::Interrupted => {}
-                written => return Poll::Ready(written),
+                written => {
+                    self.write_timer = None;
+                    return Poll::Ready(written);
+                }
             }
         }
     }
+
+    fn poll_writable(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Poll::Ready(res) = self.io.poll_writable(cx) {
+            return Poll::Ready(res);
+        }
+        let timeout = self.write_timeout;
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Timer::after(timeout));
+        ready!(Pin::new(timer).poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl AsyncWrite for Stream {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
@@ -84,7 +106,7 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
--- a/hemlockhook-runtime/tests/limits.rs
+++ b/hemlockhook-runtime/tests/limits.rs
@@ -1,6 +1,6 @@
 //! What the HTTP server does with clients that send too much, too slowly or nonsense.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
@@ -145,6 +145,28 @@
     server.assert_serves_others();
 }
 
+#[googletest::test]
+fn a_client_that_does_not_read_is_given_up() {
+    let server = start(ServerLimits {
+        write_timeout: Duration::from_millis(100),
+        ..ServerLimits::default()
+    });
+    let mut stream = server.connect();
+    stream.set_write_timeout(Some(PATIENCE)).unwrap();
+    let mut bytes = head("content-length: 1000000\r\n");
+    bytes.resize(bytes.len() + 1_000_000, b'x');
+    // Each request is echoed, until neither side has room left and the server closes.
+    let broken = (0..1000).find_map(|_| stream.write_all(&bytes).err());
+    let kind = broken
+        .expect("the server went on without being read")
+        .kind();
+    expect_that!(
+        kind,
+        any![eq(ErrorKind::ConnectionReset), eq(ErrorKind::BrokenPipe)]
+    );
+    server.assert_serves_others();
+}
+
 #[googletest::test]
 fn a_body_that_is_cut_off_disturbs_no_one() {
     let server = start(ServerLimits::default());
