--- a/hemlockhook-bench/src/replay.rs
+++ b/hemlockhook-bench/src/replay.rs
@@ -16,6 +16,7 @@
 
 const FAST_FAILURE_US: u64 = 1_000;
 const SETTLE_US: u64 = 100_000;
+const HEARTBEAT_US: u64 = 1_000_000;
 const SERVICES: usize = 3;
 
 /// How the replay chooses.
@@ -147,6 +148,7 @@
     },
     WakeEntry(usize),
     WakeAgent(usize),
+    Heartbeat,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -304,6 +306,9 @@
 
     fn run(mut self) -> Outcome {
         self.link();
+        if let Chooser::System(_) = self.chooser {
+            self.push(HEARTBEAT_US, Event::Heartbeat);
+        }
         let client_us = self.trace.deployment.client_us;
         for (index, job) in self.trace.jobs.iter().enumerate() {
             let at = SETTLE_US + job.at_us + client_us;
@@ -418,6 +423,7 @@
                 self.flush_entry(entry);
             }
             Event::LinkLost { agent, entry, lost } => self.link_lost(agent, entry, &lost),
+            Event::Heartbeat => self.heartbeat(),
             Event::WakeEntry(entry) => {
                 self.entries[entry].wakeup = None;
                 self.flush_entry(entry);
@@ -429,6 +435,29 @@
         }
     }
 
+    /// Exchanges the entries' reports of their teams' work.
+    fn heartbeat(&mut self) {
+        let reports: Vec<_> = self
+            .entries
+            .iter()
+            .map(|e| e.dispatcher.snapshot().teams)
+            .collect();
+        for (from, report) in reports.iter().enumerate() {
+            for (to, entry) in self.entries.iter_mut().enumerate() {
+                let teams = report.iter().filter(|_| from != to);
+                entry.dispatcher.forget_peer(entry_id(from));
+                teams.for_each(|t| {
+                    entry
+                        .dispatcher
+                        .set_peer_usage(entry_id(from), &t.team, t.running, t.queued)
+                });
+            }
+        }
+        if self.now_us < self.trace.jobs.last().map_or(0, |job| job.at_us) {
+            self.push(self.now_us + HEARTBEAT_US, Event::Heartbeat);
+        }
+    }
+
     fn service(&self, job: usize) -> usize {
         let name = &self.trace.jobs[job].service;
         self.service_names
--- a/hemlockhook-schedule/src/admission.rs
+++ b/hemlockhook-schedule/src/admission.rs
@@ -25,8 +25,8 @@
             ..
         } = &self.policy;
         let left = spec.deadline.saturating_duration_since(now);
-        let wait = self.expected_wait();
         let longest = queued.last().map_or(0.0, |task| task.work_secs);
+        let wait = self.expected_wait(longest >= self.policy.long_threshold.as_secs_f64());
         let run = Duration::from_secs_f64(longest / self.upstreams.fastest_speed(&spec.service));
         match () {
             () if !teams.is_empty() && !teams.iter().any(|(team, _)| *team == spec.team) => reject(
@@ -72,10 +72,15 @@
         })
     }
 
-    /// Returns the time that the queued work takes at the rate at which this entry is served.
-    fn expected_wait(&self) -> Duration {
+    /// Returns the time that the queued work ahead of a job takes at the rate at which this entry is
+    /// served: long work waits for its part of the slots, short work does not wait for long work.
+    fn expected_wait(&self, long: bool) -> Duration {
         let slots = (self.running_tasks() + self.upstreams.grants() as usize).max(1);
-        Duration::from_secs_f64((self.queued_work_secs / slots as f64).clamp(0.0, 1e6))
+        let wait_secs = match long {
+            true => self.queued_work.long_secs / f64::from(self.long_ceiling()),
+            false => self.queued_work.short_secs / slots as f64,
+        };
+        Duration::from_secs_f64(wait_secs.clamp(0.0, 1e6))
     }
 }
 
--- a/hemlockhook-schedule/src/backlog.rs
+++ b/hemlockhook-schedule/src/backlog.rs
@@ -12,6 +12,10 @@
 /// Offset of [`Demand::head_urgency`], so that what is overdue can be told in an unsigned number.
 pub const URGENCY_OFFSET_MS: u64 = 1 << 31;
 
+/// Speed ranges by which an upstream has to be faster than what is ready for its agent to be told of
+/// work that waits for it: nearly three times as fast.
+const MIN_GAIN: usize = 12;
+
 /// Agents that are told of a backlog at one time in messages of their own.
 const MAX_TOLD_AT_ONCE: usize = 4;
 
@@ -82,7 +86,7 @@
     let fleet = upstreams.fleet(service)?;
     let best_ready = fleet.ready.first().map(|rank| rank.bucket);
     let first = fleet.silent.first()?;
-    let faster = best_ready.is_none_or(|ready| first.bucket < ready);
+    let faster = best_ready.is_none_or(|ready| first.bucket.0 >= ready.0 + MIN_GAIN);
     (u64::from(total.queued) > fleet.told && faster).then_some(first.agent)
 }
 
@@ -105,16 +109,19 @@
         queued_long: 0,
     };
     for service in &upstream.spec.services {
-        let ready = upstreams
-            .fleet(service)
-            .and_then(|fleet| fleet.ready.first());
-        let Some(total) = totals.get(service) else {
+        let (Some(total), Some(fleet)) = (totals.get(service), upstreams.fleet(service)) else {
             continue;
         };
-        if ready.is_some_and(|ready| ready.bucket.0 >= upstream.bucket()) {
+        if fleet
+            .ready
+            .first()
+            .is_some_and(|r| r.bucket.0 + MIN_GAIN > upstream.bucket())
+        {
             continue;
         }
-        demand.queued += total.queued;
+        // What other agents were told of is not told to this one as well.
+        let told_others = (fleet.told - u64::from(upstream.told.queued)) as u32;
+        demand.queued += total.queued.saturating_sub(told_others);
         demand.queued_long += total.queued_long;
         demand.head_urgency = demand.head_urgency.min(relative_ms(total.head, now_us));
     }
--- a/hemlockhook-schedule/src/dispatcher.rs
+++ b/hemlockhook-schedule/src/dispatcher.rs
@@ -32,9 +32,11 @@
     pub(crate) queue: Queue,
     pub(crate) shares: Shares,
     pub(crate) estimates: Estimates,
-    pub(crate) queued_work_secs: f64,
+    pub(crate) queued_work: QueuedWork,
     pub(crate) running_long: u32,
     epoch: Option<Instant>,
+    /// The latest time seen, in microseconds since the first event.
+    latest_us: u64,
     running: HashMap<(JobId, TaskIndex), Running>,
     deadlines: BTreeSet<(Instant, JobId)>,
     overdue: BTreeSet<(Instant, JobId, TaskIndex)>,
@@ -42,6 +44,13 @@
     backlogs: Backlogs,
 }
 
+/// Work that is queued, in seconds on an upstream of mean speed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct QueuedWork {
+    pub short_secs: f64,
+    pub long_secs: f64,
+}
+
 /// A job that was not yet answered.
 #[derive(Debug)]
 pub(crate) struct JobState {
@@ -54,6 +63,15 @@
     deadline: Instant,
 }
 
+impl QueuedWork {
+    fn add(&mut self, long: bool, work_secs: f64) {
+        match long {
+            true => self.long_secs += work_secs,
+            false => self.short_secs += work_secs,
+        }
+    }
+}
+
 /// A task that waits for a slot.
 #[derive(Clone, Debug)]
 pub(crate) struct QueuedTask {
@@ -98,9 +116,10 @@
             queue: Queue::default(),
             shares,
             estimates: Estimates::default(),
-            queued_work_secs: 0.0,
+            queued_work: QueuedWork::default(),
             running_long: 0,
             epoch: None,
+            latest_us: 0,
             running: HashMap::new(),
             deadlines: BTreeSet::new(),
             overdue: BTreeSet::new(),
@@ -152,7 +171,12 @@
             team: spec.team,
         };
         let ideal_us = (longest / self.upstreams.fastest_speed(&lane.service) * 1e6) as u64;
-        let urgency = now_us + ideal_us * u64::from(self.policy.ageing_percent) / 100;
+        let slots = self.upstreams.slots();
+        let charged_secs = if long { 0.0 } else { work_secs };
+        let start_us = self.shares.charge(now_us, &lane.team, charged_secs, slots);
+        // A job of many tasks is due later: all upstreams together take that long for it.
+        let span_us = ideal_us + (work_secs / f64::from(slots.max(1)) * 1e6) as u64;
+        let urgency = start_us + span_us * u64::from(self.policy.ageing_percent) / 100;
         let (tasks, deadline) = (queued.len(), spec.deadline);
         let job = self.jobs.insert(JobState {
             lane: lane.clone(),
@@ -164,7 +188,7 @@
         if tasks > 0 {
             self.queue.insert(&lane, urgency, job, tasks);
             self.shares.count_queued(&lane.team, tasks as i64);
-            self.queued_work_secs += work_secs;
+            self.queued_work.add(long, work_secs);
             self.deadlines.insert((deadline, job));
         }
         Ok(job)
@@ -207,7 +231,7 @@
             self.deadlines.remove(&(state.deadline, job));
         }
         self.queue.remove(&lane, urgency, job, 1, last);
-        self.count_dequeued(&lane.team, 1, task.work_secs);
+        self.count_dequeued(&lane, 1, task.work_secs);
         self.shares.count_running(&lane.team, 1);
         let index = task.spec.index;
         let long = self.place(now, agent, job, lane, task, run_secs);
@@ -279,7 +303,7 @@
         state.queued.insert(position, running.task);
         self.queue.insert(&state.lane, state.urgency, job, 1);
         self.shares.count_queued(&state.lane.team, 1);
-        self.queued_work_secs += work_secs;
+        self.queued_work.add(state.lane.long, work_secs);
         self.deadlines.insert((state.deadline, job));
     }
 
@@ -366,7 +390,8 @@
 
     fn micros(&mut self, now: Instant) -> u64 {
         let epoch = *self.epoch.get_or_insert(now);
-        now.saturating_duration_since(epoch).as_micros() as u64
+        self.latest_us = now.saturating_duration_since(epoch).as_micros() as u64;
+        self.latest_us
     }
 
     fn expect(&self, spec: &JobSpec, task: &TaskSpec) -> QueuedTask {
@@ -418,12 +443,12 @@
         long
     }
 
-    fn count_dequeued(&mut self, team: &TeamName, tasks: usize, work_secs: f64) {
-        self.shares.count_queued(team, -(tasks as i64));
-        self.queued_work_secs = match self.queue.tasks() {
-            0 => 0.0,
-            _ => self.queued_work_secs - work_secs,
-        };
+    fn count_dequeued(&mut self, lane: &LaneKey, tasks: usize, work_secs: f64) {
+        self.shares.count_queued(&lane.team, -(tasks as i64));
+        match self.queue.tasks() {
+            0 => self.queued_work = QueuedWork::default(),
+            _ => self.queued_work.add(lane.long, -work_secs),
+        }
     }
 
     fn drop_queued(&mut self, job: JobId) {
@@ -436,10 +461,14 @@
         };
         let dropped = std::mem::take(&mut state.queued);
         let work_secs = dropped.iter().map(|task| task.work_secs).sum();
+        if !state.lane.long {
+            self.shares
+                .refund(&state.lane.team, work_secs, self.upstreams.slots());
+        }
         let (lane, urgency) = (state.lane.clone(), state.urgency);
         self.deadlines.remove(&(state.deadline, job));
         self.queue.remove(&lane, urgency, job, dropped.len(), true);
-        self.count_dequeued(&lane.team, dropped.len(), work_secs);
+        self.count_dequeued(&lane, dropped.len(), work_secs);
     }
 
     fn forget_running(&mut self, now: Instant, job: JobId, index: TaskIndex) -> Option<Running> {
--- a/hemlockhook-schedule/src/estimate.rs
+++ b/hemlockhook-schedule/src/estimate.rs
@@ -11,8 +11,17 @@
 /// Variance of the logarithm of a run time of which nothing is known.
 const UNKNOWN_VARIANCE: f64 = 2.0;
 
-/// Variance of the logarithm of a declared run time's error before any was observed.
-const DECLARED_VARIANCE: f64 = 1.5;
+/// A declared run time counts as close if the logarithm of its error is at most this.
+const CLOSE_ERROR: f64 = 0.45;
+
+/// Variance of the logarithm of the error of close declarations before any was observed.
+const CLOSE_VARIANCE: f64 = 0.05;
+
+/// Variance of the logarithm of the error of other declarations before any was observed.
+const WIDE_VARIANCE: f64 = 2.0;
+
+/// Share of the declarations that are taken to be close before any was observed.
+const CLOSE_SHARE: f64 = 0.3;
 
 /// Number of observations that the assumed variances count as.
 const PRIOR_WEIGHT: f64 = 5.0;
@@ -35,7 +44,15 @@
 #[derive(Debug)]
 struct ClassStats {
     work: Moments,
-    declared_error: Moments,
+    declared: Declarations,
+}
+
+/// How far declared run times were off: some are close and the others may be anything.
+#[derive(Debug)]
+struct Declarations {
+    close_share: Moments,
+    close: Moments,
+    wide: Moments,
 }
 
 /// Mean and variance that forget slowly.
@@ -48,26 +65,23 @@
 
 impl Estimates {
     /// Returns the work expected in a task. The declared run time counts as much as the declared run
-    /// times of the class were right before.
+    /// times of the class were right before, and less if it is far from the class's run times.
     pub fn expect(&self, service: &ServiceName, class: &Arc<str>, declared: Option<f64>) -> f64 {
         let stats = self
             .classes
             .get(service)
             .and_then(|classes| classes.get(class));
-        let (mean, variance) = match stats {
-            Some(stats) => (stats.work.mean, stats.work.variance),
-            None => (UNKNOWN_SECS.ln(), UNKNOWN_VARIANCE),
-        };
-        let Some(declared) = declared else {
-            return mean.exp();
-        };
-        let (bias, error) = match stats {
-            Some(stats) => (stats.declared_error.mean, stats.declared_error.variance),
-            None => (0.0, DECLARED_VARIANCE),
-        };
-        let declared = declared.max(MIN_SECS).ln() - bias;
-        let trust = variance / (variance + error);
-        (mean + trust * (declared - mean)).exp()
+        let unknown = ClassStats::default();
+        let ClassStats {
+            work,
+            declared: declarations,
+        } = stats.unwrap_or(&unknown);
+        match declared {
+            Some(declared) => declarations
+                .combine(work, declared.max(MIN_SECS).ln())
+                .exp(),
+            None => work.mean.exp(),
+        }
     }
 
     /// Returns how often a class was observed, up to the weight that is remembered.
@@ -92,9 +106,7 @@
         let work = work_secs.max(MIN_SECS).ln();
         stats.work.observe(work);
         if let Some(declared) = declared {
-            stats
-                .declared_error
-                .observe(declared.max(MIN_SECS).ln() - work);
+            stats.declared.observe(declared.max(MIN_SECS).ln() - work);
         }
     }
 }
@@ -103,11 +115,36 @@
     fn default() -> Self {
         Self {
             work: Moments::new(UNKNOWN_SECS.ln(), UNKNOWN_VARIANCE),
-            declared_error: Moments::new(0.0, DECLARED_VARIANCE),
+            declared: Declarations {
+                close_share: Moments::new(CLOSE_SHARE, 0.25),
+                close: Moments::new(0.0, CLOSE_VARIANCE),
+                wide: Moments::new(0.0, WIDE_VARIANCE),
+            },
         }
     }
 }
 
+impl Declarations {
+    fn observe(&mut self, error: f64) {
+        let close = error.abs() <= CLOSE_ERROR;
+        self.close_share.observe(if close { 1.0 } else { 0.0 });
+        match close {
+            true => self.close.observe(error),
+            false => self.wide.observe(error),
+        }
+    }
+
+    /// Weighs the two kinds of declaration by how well each explains what was declared.
+    fn combine(&self, work: &Moments, declared: f64) -> f64 {
+        let share = self.close_share.mean.clamp(0.01, 0.99);
+        let close = share * work.likelihood(declared, &self.close);
+        let wide = (1.0 - share) * work.likelihood(declared, &self.wide);
+        let weight = close / (close + wide).max(f64::MIN_POSITIVE);
+        weight * work.given(declared, &self.close)
+            + (1.0 - weight) * work.given(declared, &self.wide)
+    }
+}
+
 impl Moments {
     fn new(mean: f64, variance: f64) -> Self {
         Self {
@@ -117,6 +154,19 @@
         }
     }
 
+    /// Returns how likely a declared value is, given how declared values are off.
+    fn likelihood(&self, declared: f64, error: &Moments) -> f64 {
+        let variance = self.variance + error.variance;
+        let off = declared - self.mean - error.mean;
+        (-off * off / (2.0 * variance)).exp() / variance.sqrt()
+    }
+
+    /// Returns the mean, given a declared value that is off like others before.
+    fn given(&self, declared: f64, error: &Moments) -> f64 {
+        let trust = self.variance / (self.variance + error.variance);
+        self.mean + trust * (declared - error.mean - self.mean)
+    }
+
     fn observe(&mut self, value: f64) {
         let reach = MAX_DEVIATIONS * self.variance.sqrt();
         let off = (value - self.mean).clamp(-reach, reach);
--- a/hemlockhook-schedule/src/placement.rs
+++ b/hemlockhook-schedule/src/placement.rs
@@ -22,8 +22,7 @@
 }
 
 impl Dispatcher {
-    /// Returns the next task to be placed. Jobs are looked at in the order of their urgency, those of
-    /// teams above their fair share last.
+    /// Returns the next task to be placed. Jobs are looked at in the order of their urgency.
     pub(crate) fn choose(&self, now_us: u64) -> Option<Choice> {
         if !self.upstreams.any_ready() {
             return None;
@@ -31,16 +30,16 @@
         let long_allowed = self.running_long < self.long_ceiling();
         let mut lanes: Vec<_> = self.open_lanes(long_allowed).collect();
         let mut heap: BinaryHeap<_> = BinaryHeap::with_capacity(lanes.len());
-        for (at, (_, over, jobs)) in lanes.iter_mut().enumerate() {
+        for (at, (_, jobs)) in lanes.iter_mut().enumerate() {
             heap.extend(
                 jobs.next()
-                    .map(|(urgency, job)| Reverse((*over, urgency, job, at))),
+                    .map(|(urgency, job)| Reverse((urgency, job, at))),
             );
         }
         let mut ahead: Vec<(&ServiceName, usize)> = Vec::new();
         for _ in 0..LOOK_AHEAD {
-            let Reverse((_, _, job, at)) = heap.pop()?;
-            let (key, over, jobs) = &mut lanes[at];
+            let Reverse((_, job, at)) = heap.pop()?;
+            let (key, jobs) = &mut lanes[at];
             let fleet = self.upstreams.fleet(&key.service)?;
             let state = &self.jobs[job];
             let waiting = ahead_of(&mut ahead, &key.service);
@@ -57,7 +56,7 @@
             }
             heap.extend(
                 jobs.next()
-                    .map(|(urgency, job)| Reverse((*over, urgency, job, at))),
+                    .map(|(urgency, job)| Reverse((urgency, job, at))),
             );
         }
         None
@@ -66,12 +65,12 @@
     fn open_lanes(
         &self,
         long_allowed: bool,
-    ) -> impl Iterator<Item = (&LaneKey, bool, impl Iterator<Item = (u64, JobId)> + '_)> {
+    ) -> impl Iterator<Item = (&LaneKey, impl Iterator<Item = (u64, JobId)> + '_)> {
         let open = self.queue.lanes().filter(move |(key, _)| {
             let fleet = self.upstreams.fleet(&key.service);
             (long_allowed || !key.long) && fleet.is_some_and(|fleet| !fleet.ready.is_empty())
         });
-        open.map(move |(key, lane)| (key, self.shares.is_over(&key.team), lane.jobs()))
+        open.map(|(key, lane)| (key, lane.jobs()))
     }
 }
 
--- a/hemlockhook-schedule/src/share.rs
+++ b/hemlockhook-schedule/src/share.rs
@@ -4,8 +4,14 @@
 
 use hemlockhook_types::{Incarnation, TeamName};
 
-/// A team may hold this share of its fair part before others go first, in percent.
-const TOLERANCE_PERCENT: u64 = 125;
+/// A team is charged for its work at its fair part of the slots times this.
+const ALLOWANCE: f64 = 1.25;
+
+/// Microseconds of its fair part that a team may save up for a burst.
+const CREDIT_US: u64 = 6_000_000;
+
+/// Furthest, in microseconds, that a team's jobs are put off in favour of other teams.
+const MAX_DEBT_US: u64 = 30_000_000;
 
 /// The running work of teams, at this entry and as its peers report it.
 #[derive(Debug, Default)]
@@ -19,6 +25,8 @@
     running: u32,
     queued: u32,
     peers: HashMap<Incarnation, PeerUsage>,
+    /// When the work that was submitted would be done at the team's fair part of the slots.
+    charged_until_us: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -65,14 +73,40 @@
         self.drop_idle(team);
     }
 
-    /// Returns whether a team holds more than its fair part of what runs, counted among the teams
-    /// that have work.
-    pub fn is_over(&self, team: &TeamName) -> bool {
-        let weight = |team: &TeamName| u64::from(*self.weights.get(team).unwrap_or(&1));
-        let weights: u64 = self.usage.keys().map(weight).sum();
-        let total: u64 = self.usage.values().map(Usage::total_running).sum();
-        let own = self.usage.get(team).map_or(0, Usage::total_running);
-        own * weights * 100 > total * weight(team) * TOLERANCE_PERCENT
+    /// Charges a team for a job and returns when the job counts as arrived: now, or later for a team
+    /// that asks for more than its fair part of the slots, so that the others' jobs go first.
+    pub fn charge(&mut self, now_us: u64, team: &TeamName, work_secs: f64, slots: u32) -> u64 {
+        let rate = self.fair_slots(team, slots);
+        let usage = self.usage.entry(team.clone()).or_default();
+        let start_us = usage.charged_until_us.max(now_us.saturating_sub(CREDIT_US));
+        let until_us = start_us + (work_secs / rate * 1e6) as u64;
+        usage.charged_until_us = until_us.min(now_us + MAX_DEBT_US);
+        start_us.max(now_us)
+    }
+
+    /// Gives back the charge for work that was dropped.
+    pub fn refund(&mut self, team: &TeamName, work_secs: f64, slots: u32) {
+        let rate = self.fair_slots(team, slots);
+        if let Some(usage) = self.usage.get_mut(team) {
+            let charge_us = (work_secs / rate * 1e6) as u64;
+            usage.charged_until_us = usage.charged_until_us.saturating_sub(charge_us);
+        }
+    }
+
+    /// Returns the slots that a team may count on at this entry: its part among the teams that have
+    /// work, of the entry's part among its peers.
+    fn fair_slots(&self, team: &TeamName, slots: u32) -> f64 {
+        let weight = |team: &TeamName| f64::from(*self.weights.get(team).unwrap_or(&1));
+        let others = self.usage.keys().filter(|other| *other != team);
+        let weights = weight(team) + others.map(weight).sum::<f64>();
+        let entries = 1 + self
+            .usage
+            .values()
+            .map(|usage| usage.peers.len())
+            .max()
+            .unwrap_or(0);
+        let part = weight(team) / weights / entries as f64;
+        (f64::from(slots) * part * ALLOWANCE).max(0.1)
     }
 
     /// Returns the teams that have work at this entry, with what runs and what is queued here.
@@ -92,11 +126,6 @@
 }
 
 impl Usage {
-    fn total_running(&self) -> u64 {
-        let peers = self.peers.values().map(|peer| u64::from(peer.running));
-        u64::from(self.running) + peers.sum::<u64>()
-    }
-
     fn is_idle(&self) -> bool {
         let peers = self
             .peers
--- a/hemlockhook-schedule/src/slots.rs
+++ b/hemlockhook-schedule/src/slots.rs
@@ -10,6 +10,9 @@
 /// A recall that was neither answered nor overtaken by starts is repeated after this time.
 const RECALL_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// A grant is not recalled for this time, in which it may be on its way or its start on the way back.
+const SETTLE_TIME: Duration = Duration::from_millis(10);
+
 /// A slot goes to another entry than the one that it was last used by, at the cost of a message, if
 /// that one's backlog is due earlier by this much.
 const SWITCH_MARGIN_MS: u64 = 300;
@@ -50,6 +53,8 @@
     running_long: u32,
     leaving: bool,
     epoch: Option<Instant>,
+    /// When grants will have been idle for long enough to be recalled.
+    recall_at: Option<Instant>,
     entries: BTreeMap<Incarnation, EntryState>,
     actions: Vec<SlotAction>,
 }
@@ -62,6 +67,8 @@
     /// Grants among them that were asked back.
     recalling: u32,
     recalled_at: Option<Instant>,
+    /// When it was last given a grant.
+    granted_at: Option<Instant>,
     /// Backlog that was told and not granted since.
     demand: Demand,
     /// When the first of the backlog is due, in milliseconds since the table's first event.
@@ -77,6 +84,7 @@
             running_long: 0,
             leaving: false,
             epoch: None,
+            recall_at: None,
             entries: BTreeMap::new(),
             actions: Vec::new(),
         }
@@ -158,10 +166,9 @@
     /// Returns when `actions` has to be called again, if no event comes first.
     pub fn next_wakeup(&self) -> Option<Instant> {
         let recalls = self.entries.values().filter(|state| state.recalling > 0);
-        recalls
-            .filter_map(|state| state.recalled_at)
-            .min()
-            .map(|at| at + RECALL_TIMEOUT)
+        let repeat = recalls.filter_map(|state| state.recalled_at).min();
+        let repeat = repeat.map(|at| at + RECALL_TIMEOUT);
+        [repeat, self.recall_at].into_iter().flatten().min()
     }
 
     /// Returns the number of tasks that run.
@@ -201,7 +208,7 @@
             let Some(entry) = self.neediest(known).or(known).or_else(|| self.poorest()) else {
                 break;
             };
-            self.grant(entry);
+            self.grant(now, entry);
         }
         self.recall(now);
     }
@@ -232,12 +239,13 @@
             .map(|(entry, _)| *entry)
     }
 
-    fn grant(&mut self, entry: Incarnation) {
+    fn grant(&mut self, now: Instant, entry: Incarnation) {
         let state = self
             .entries
             .get_mut(&entry)
             .expect("the entry was just found");
         state.held += 1;
+        state.granted_at = Some(now);
         state.demand.queued = state.demand.queued.saturating_sub(1);
         let last = self.actions.iter_mut().find_map(|action| match action {
             SlotAction::Grant { entry: to, count } if *to == entry => Some(count),
@@ -249,34 +257,54 @@
         }
     }
 
+    /// Asks for idle grants of entries without a backlog, as many as the others lack.
     fn recall(&mut self, now: Instant) {
+        self.recall_at = None;
         for state in self.entries.values_mut() {
-            if state
-                .recalled_at
-                .is_some_and(|at| now >= at + RECALL_TIMEOUT)
-            {
-                state.recalling = 0;
-                state.recalled_at = None;
-            }
+            state.recalling = state.recalling(now);
         }
         let wanted: u32 = self.entries.values().map(|state| state.demand.queued).sum();
         let coming: u32 = self.entries.values().map(|state| state.recalling).sum();
         let mut missing = wanted.saturating_sub(coming);
         for (entry, state) in &mut self.entries {
-            let spare = state
-                .held
-                .saturating_sub(state.demand.queued + state.recalling);
-            let count = spare.min(missing);
+            let count = state.spare(now).min(missing);
             if count == 0 {
                 continue;
             }
+            match state.granted_at.map(|at| at + SETTLE_TIME) {
+                Some(settled) if settled > now => {
+                    self.recall_at = Some(self.recall_at.map_or(settled, |at| at.min(settled)));
+                }
+                _ => {
+                    state.recall(now, count);
+                    self.actions.push(SlotAction::Recall {
+                        entry: *entry,
+                        count,
+                    });
+                }
+            }
             missing -= count;
-            state.recalling += count;
-            state.recalled_at = Some(now);
-            self.actions.push(SlotAction::Recall {
-                entry: *entry,
-                count,
-            });
         }
     }
 }
+
+impl EntryState {
+    /// Returns the grants that were asked back and may still come.
+    fn recalling(&self, now: Instant) -> u32 {
+        let recalled = self.recalled_at.filter(|at| now < *at + RECALL_TIMEOUT);
+        recalled.map_or(0, |_| self.recalling)
+    }
+
+    /// Returns the grants that the entry has no use for, as far as is known.
+    fn spare(&self, now: Instant) -> u32 {
+        match self.demand.queued {
+            0 => self.held - self.recalling(now),
+            _ => 0,
+        }
+    }
+
+    fn recall(&mut self, now: Instant, count: u32) {
+        self.recalling = self.recalling(now) + count;
+        self.recalled_at = Some(now);
+    }
+}
--- a/hemlockhook-schedule/src/upstreams.rs
+++ b/hemlockhook-schedule/src/upstreams.rs
@@ -26,6 +26,7 @@
     probes: BTreeSet<(Instant, Incarnation)>,
     useless: BTreeSet<Incarnation>,
     grants: u32,
+    slots: u32,
     ready: u32,
 }
 
@@ -38,6 +39,7 @@
     failing: bool,
     useless: bool,
     grants: u32,
+    slots: u32,
     told: u32,
     flow: u64,
     probe: Option<Instant>,
@@ -104,6 +106,11 @@
         self.index.grants
     }
 
+    /// Returns the slots of all upstreams, whoever holds them.
+    pub fn slots(&self) -> u32 {
+        self.index.slots
+    }
+
     /// Returns the speed of an upstream.
     pub fn speed(&self, agent: Incarnation) -> f64 {
         self.get(agent).map_or(1.0, Upstream::speed)
@@ -187,10 +194,14 @@
                 agent,
             },
             ready: upstream.is_ready(now),
-            silent: upstream.grants == 0 && upstream.told.queued == 0 && upstream.wants_grants(),
+            silent: upstream.grants == 0
+                && upstream.flow == 0
+                && upstream.told.queued == 0
+                && upstream.wants_grants(),
             failing: upstream.is_failing(),
             useless: upstream.leaving && upstream.grants > 0,
             grants: upstream.grants,
+            slots: upstream.spec.slots,
             told: upstream.told.queued,
             flow: upstream.flow,
             probe: next_probe.filter(|at| *at > now),
@@ -208,6 +219,7 @@
         }
         let agent = indexed.rank.agent;
         self.grants += indexed.grants;
+        self.slots += indexed.slots;
         self.ready += u32::from(indexed.ready);
         self.probes.extend(indexed.probe.map(|at| (at, agent)));
         self.useless.extend(indexed.useless.then_some(agent));
@@ -226,6 +238,7 @@
         }
         let agent = indexed.rank.agent;
         self.grants -= indexed.grants;
+        self.slots -= indexed.slots;
         self.ready -= u32::from(indexed.ready);
         indexed.probe.map(|at| self.probes.remove(&(at, agent)));
         self.useless.remove(&agent);
