--- a/hemlockhook/tests/cli/docs.rs
+++ b/hemlockhook/tests/cli/docs.rs
@@ -1,6 +1,7 @@
 //! Runs every example of the help and of the pages for operators.
 
 use std::fs;
+use std::process::Command;
 
 use googletest::prelude::*;
 
@@ -110,3 +111,28 @@
         expect_that!(failing(&name, &lines), is_empty(), "{page}");
     }
 }
+
+#[gtest]
+fn the_settings_of_the_first_deployment_pass() {
+    let programs = [
+        (env!("CARGO_BIN_EXE_hemlockhook-standin"), "standin"),
+        (env!("CARGO_BIN_EXE_hemlockhook-entry"), "entry-osijek"),
+        (env!("CARGO_BIN_EXE_hemlockhook-entry"), "entry-vukovar"),
+        (env!("CARGO_BIN_EXE_hemlockhook-agent"), "agent-orders-os-1"),
+        (env!("CARGO_BIN_EXE_hemlockhook-agent"), "agent-orders-vu-1"),
+    ];
+    for (program, name) in programs {
+        let settings = root().join(format!("settings/{name}.yaml"));
+        let output = Command::new(program)
+            .arg("--settings")
+            .arg(&settings)
+            .arg("--check")
+            .output()
+            .expect("the program starts");
+        expect_that!(
+            output.status.success(),
+            eq(true),
+            "{settings:?}: {output:?}"
+        );
+    }
+}
