Restore a configuration that nobody knows any more, by compare-and-set on the log's end

If the log dropped the version in force while no process ran, no base could be decided by anyone and the stream had to be cleared. A restoring record is now accepted if it got the very offset that its writer had read to, which every reader can tell from the record alone; a late or doubled copy is refused. The randomised runs restore as well, and a seventh mutant (accepted wherever it stands) is caught.

--- a/hemlockhook-inventory/src/publish/mod.rs
+++ b/hemlockhook-inventory/src/publish/mod.rs
@@ -9,6 +9,10 @@
 //! unchanged in version. Such a repeat says up to which offset its writer had read. A reader that
 //! misses records can't tell what was accepted among them: it decides again from a repeat or a
 //! peer's version, once it has read every record since the point for which that version is known.
+//!
+//! When every process that knew the version in force is gone and the log has dropped it, an operator
+//! restores a configuration: such a record is accepted if it got the very offset that its writer
+//! had read to, so that every reader can tell from the record alone.
 
 pub mod publisher;
 pub mod reader;
--- a/hemlockhook-inventory/src/publish/publisher.rs
+++ b/hemlockhook-inventory/src/publish/publisher.rs
@@ -5,6 +5,10 @@
 use crate::publish::reader::{ConfigReader, Verdict};
 use crate::publish::record::ConfigRecord;
 
+/// Why nothing can be published by a base.
+const UNKNOWN_VERSION: &str = "the log no longer holds the version in force; processes that have \
+    it repeat it there, and if none is left, a configuration can be restored";
+
 /// What the caller is to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PublishAction {
@@ -52,6 +56,9 @@
 /// A change whose reply was lost is looked for in the log. While it is not there and its base is
 /// still in force, it is appended again under its change id: of several copies at most one can be
 /// accepted, for the base of the others is then no longer in force.
+///
+/// A change that restores a configuration has no base. It is appended only while the log does not
+/// tell which version is in force, and is accepted only at the very end that its writer had read.
 #[derive(Clone, Debug)]
 pub struct Publisher {
     reader: ConfigReader,
@@ -123,8 +130,12 @@
             (Some(Verdict::Refused { in_force }), _) => {
                 PublishAction::Done(PublishOutcome::Refused { in_force })
             }
-            (_, None) => self.give_up("the log does not hold the version in force any more"),
-            (_, Some(in_force)) if self.record.base == in_force => {
+            (_, None) if self.record.restore => {
+                self.record.read_to = Some(self.reader.next_offset());
+                PublishAction::Append(self.record.to_bytes())
+            }
+            (_, None) => self.give_up(UNKNOWN_VERSION),
+            (_, Some(in_force)) if self.record.base == in_force && !self.record.restore => {
                 PublishAction::Append(self.record.to_bytes())
             }
             (_, Some(in_force)) => self.not_found(in_force),
--- a/hemlockhook-inventory/src/publish/reader.rs
+++ b/hemlockhook-inventory/src/publish/reader.rs
@@ -69,6 +69,11 @@
 
         let record = ConfigRecord::from_bytes(body);
         match (&self.log.decided, record) {
+            (None, Some(record)) if record.restores_at(offset) => {
+                self.log.undecided.clear();
+                self.log.decided_since = offset;
+                self.decide(offset, record)
+            }
             (Some(_), Some(record)) => self.decide(offset, record),
             (Some(_), None) => Verdict::Ignored,
             (None, record) => {
@@ -161,6 +166,7 @@
             author: String::new(),
             version: Some(decided.version),
             read_to: Some(self.log.next),
+            restore: false,
         })
     }
 
@@ -173,7 +179,11 @@
             None => {}
         }
 
-        if record.base != in_force {
+        let is_accepted = match record.restore {
+            true => record.restores_at(offset),
+            false => record.base == in_force,
+        };
+        if !is_accepted {
             let refused = Verdict::Refused { in_force };
             self.outcomes.insert(&record.change_id, refused);
             return refused;
--- a/hemlockhook-inventory/src/publish/record.rs
+++ b/hemlockhook-inventory/src/publish/record.rs
@@ -20,9 +20,13 @@
     /// Set when the record repeats the version in force, so that retention does not drop it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<u64>,
-    /// Set with `version`: every record below this offset had been read when it was repeated.
+    /// Set with `version` and with `restore`: every record below this offset had been read.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub read_to: Option<u64>,
+    /// Set when nobody knows the version in force any more: the record is accepted if nothing was
+    /// appended after what its writer had read.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub restore: bool,
 }
 
 impl ConfigRecord {
@@ -31,8 +35,18 @@
         serde_json::from_slice(body).ok()
     }
 
+    /// Returns whether the record at an offset restores a configuration. It can be told from the
+    /// record alone.
+    pub fn restores_at(&self, offset: u64) -> bool {
+        self.restore && self.version.is_none() && self.read_to == Some(offset)
+    }
+
     /// Returns the record as it is appended.
     pub fn to_bytes(&self) -> Vec<u8> {
         serde_json::to_vec(self).expect("a record of strings and numbers is valid JSON")
     }
 }
+
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
--- a/hemlockhook-inventory/tests/publishing/cases.rs
+++ b/hemlockhook-inventory/tests/publishing/cases.rs
@@ -131,3 +131,26 @@
         some(anything())
     );
 }
+
+#[gtest]
+fn a_restored_configuration_counts_only_at_the_end_that_was_read() {
+    let restore = |change_id: &str, read_to| ConfigRecord {
+        restore: true,
+        read_to: Some(read_to),
+        ..record(change_id, 0)
+    };
+    let mut reader = ConfigReader::new();
+    reader.on_truncated(7);
+    expect_that!(
+        reader.on_record(7, &record("a", 0).to_bytes()),
+        eq(Verdict::Undecided)
+    );
+    expect_that!(
+        reader.on_record(8, &restore("b", 7).to_bytes()),
+        eq(Verdict::Undecided)
+    );
+    let accepted = reader.on_record(9, &restore("c", 9).to_bytes());
+    expect_that!(accepted, eq(Verdict::Accepted { version: 9 }));
+    let late = reader.on_record(10, &restore("d", 9).to_bytes());
+    expect_that!(late, eq(Verdict::Refused { in_force: 9 }));
+}
--- a/hemlockhook-inventory/tests/publishing/machine.rs
+++ b/hemlockhook-inventory/tests/publishing/machine.rs
@@ -29,6 +29,9 @@
         reader: usize,
         behind: u64,
     },
+    Restore {
+        publisher: usize,
+    },
     Step {
         publisher: usize,
         fate: Fate,
@@ -69,6 +72,7 @@
             3 => (reader(), fate()).prop_map(|(reader, fate)| Transition::Repeat { reader, fate }),
             6 => (publisher(), reader(), prop_oneof![4 => Just(0), 1 => 1..4_u64])
                 .prop_map(|(publisher, reader, behind)| Transition::Begin { publisher, reader, behind }),
+            2 => publisher().prop_map(|publisher| Transition::Restore { publisher }),
             20 => (publisher(), fate())
                 .prop_map(|(publisher, fate)| Transition::Step { publisher, fate }),
             1 => publisher().prop_map(|publisher| Transition::Deadline { publisher }),
@@ -121,6 +125,7 @@
             } => {
                 world.begin(publisher, reader, behind);
             }
+            Transition::Restore { publisher } => world.restore(publisher),
             Transition::Step { publisher, fate } => world.step(publisher, fate),
             Transition::Deadline { publisher } => world.deadline(publisher),
             Transition::Resume { publisher } => world.resume(publisher),
--- a/hemlockhook-inventory/tests/publishing/world.rs
+++ b/hemlockhook-inventory/tests/publishing/world.rs
@@ -23,12 +23,14 @@
     TrustLostReply,
     /// A reader does not notice that it misses records.
     NoGapCheck,
+    /// A reader accepts a restored configuration wherever it stands.
+    RestoreAnywhere,
     /// A reader trusts a repeat without what its writer had not read.
     NoReadToCheck,
 }
 
 impl Mutant {
-    pub fn all() -> [Self; 6] {
+    pub fn all() -> [Self; 7] {
         [
             Self::NoBaseCheck,
             Self::AdoptLower,
@@ -36,6 +38,7 @@
             Self::TrustLostReply,
             Self::NoGapCheck,
             Self::NoReadToCheck,
+            Self::RestoreAnywhere,
         ]
     }
 }
@@ -56,7 +59,7 @@
 pub struct Seen(Arc<Mutex<BTreeMap<&'static str, u64>>>);
 
 impl Seen {
-    const EXPECTED: [&'static str; 9] = [
+    const EXPECTED: [&'static str; 10] = [
         "accepted",
         "refused",
         "not published",
@@ -66,6 +69,7 @@
         "decided again",
         "adopted",
         "all agreed at the end",
+        "restored",
     ];
 
     pub fn count(&self, what: &'static str) {
@@ -175,7 +179,11 @@
             self.verdicts.push(None);
             return;
         }
-        if record.base != self.version {
+        let is_accepted = match record.restore {
+            true => record.read_to == Some(offset),
+            false => record.base == self.version,
+        };
+        if !is_accepted {
             self.verdicts.push(Some(Verdict::Refused {
                 in_force: self.version,
             }));
@@ -306,6 +314,26 @@
         });
     }
 
+    /// Begins to restore a configuration, as an operator does when no process has one.
+    pub fn restore(&mut self, publisher: usize) {
+        if self.runs[publisher].is_some() {
+            return;
+        }
+        self.changes += 1;
+        let record = ConfigRecord {
+            change_id: format!("change-{}", self.changes),
+            document: format!("document {}", self.changes),
+            restore: true,
+            ..ConfigRecord::default()
+        };
+        let inner = Publisher::new(ConfigReader::new(), record.clone());
+        self.unsettled[publisher] = None;
+        self.runs[publisher] = Some(Run {
+            publisher: inner,
+            record,
+        });
+    }
+
     /// Publishes again what was left unsettled.
     pub fn resume(&mut self, publisher: usize) {
         if self.runs[publisher].is_some() {
@@ -367,7 +395,10 @@
         let change = &run.record.change_id;
         match run.publisher.action() {
             PublishAction::Done(PublishOutcome::Accepted { version }) => {
-                self.seen.count("accepted");
+                self.seen.count(match run.record.restore {
+                    true => "restored",
+                    false => "accepted",
+                });
                 let in_force = self.log.truth.accepted.get(change);
                 assert_eq!(
                     in_force,
@@ -479,6 +510,7 @@
     let mut record = ConfigRecord::from_bytes(body).expect("only records are appended");
     match mutant {
         Some(Mutant::NoBaseCheck) => record.base = reader.version(),
+        Some(Mutant::RestoreAnywhere) if record.restore => record.read_to = Some(offset),
         Some(Mutant::NoReadToCheck) => record.read_to = record.version.map(|_| offset),
         Some(Mutant::NoGapCheck) => {
             for skipped in reader.next_offset()..offset {
--- a/hemlockhook/src/cli.rs
+++ b/hemlockhook/src/cli.rs
@@ -190,6 +190,9 @@
     /// Version that the document was edited from
     #[bpaf(argument("VERSION"))]
     pub base: Option<u64>,
+    /// Publish although nobody knows the version in force: the log dropped it while no process ran
+    #[bpaf(switch)]
+    pub restore: bool,
     /// Id of a change that an earlier try left unsettled
     #[bpaf(argument("ID"))]
     pub change_id: Option<String>,
--- a/hemlockhook/src/command/config.rs
+++ b/hemlockhook/src/command/config.rs
@@ -62,9 +62,7 @@
 /// Returns the configuration in force, by the log or else by an entry.
 pub fn in_force(client: &Client, source: &Source) -> eyre::Result<ConfigInForce> {
     let mut reader = ConfigReader::new();
-    let result = read_log(&client.log(source.log), |record| {
-        reader.on_record(record.offset, &record.body);
-    });
+    let result = read_log(&client.log(source.log), |read| _ = give(&mut reader, &read));
     for peer in peers(client, &source.entries) {
         reader.adopt(peer.version, &peer.document);
     }
@@ -74,7 +72,7 @@
         (Err(e), _, 0) => Err(failure(Exit::Unreachable, e.to_string())),
         (Ok(()), None, 0) => Err(failure(
             Exit::Unreachable,
-            "the log no longer holds the version in force: name an entry with --entry",
+            "the log no longer holds the version in force: name an entry that has it with --entry",
         )),
         (_, _, version) => Ok(ConfigInForce {
             version,
@@ -92,10 +90,18 @@
         .collect()
 }
 
-/// Gives every record that the log holds to a closure.
+/// What is read from the log.
+pub enum Read<'a> {
+    /// Every record below this offset is gone.
+    From(u64),
+    /// A record.
+    Record(&'a LogRecord),
+}
+
+/// Gives everything that the log holds to a closure.
 pub fn read_log<F>(log: &HttpLog, mut take: F) -> Result<(), LogError>
 where
-    F: FnMut(&LogRecord),
+    F: FnMut(Read<'_>),
 {
     let mut next = 0;
     loop {
@@ -106,7 +112,8 @@
             }
             other => other?,
         };
-        batch.records.iter().for_each(&mut take);
+        take(Read::From(batch.first_retained));
+        batch.records.iter().map(Read::Record).for_each(&mut take);
         match batch.records.last() {
             Some(last) if last.offset + 1 < batch.end => next = last.offset + 1,
             _ => return Ok(()),
@@ -114,6 +121,17 @@
     }
 }
 
+/// Gives what was read to a reader. Returns its verdict on a record.
+fn give(reader: &mut ConfigReader, read: &Read<'_>) -> Verdict {
+    match read {
+        Read::From(first_retained) => {
+            reader.on_truncated(*first_retained);
+            Verdict::Ignored
+        }
+        Read::Record(record) => reader.on_record(record.offset, &record.body),
+    }
+}
+
 fn show(source: &Source, version: Option<u64>, format: Format) -> eyre::Result<Exit> {
     let client = Client::start();
     let shown = match version {
@@ -182,8 +200,11 @@
 fn changes(client: &Client, source: &Source) -> eyre::Result<Vec<Change>> {
     let mut reader = ConfigReader::new();
     let mut changes = Vec::new();
-    read_log(&client.log(source.log), |record| {
-        let verdict = reader.on_record(record.offset, &record.body);
+    read_log(&client.log(source.log), |read| {
+        let verdict = give(&mut reader, &read);
+        let Read::Record(record) = read else {
+            return;
+        };
         let Some(body) = ConfigRecord::from_bytes(&record.body) else {
             return;
         };
@@ -281,9 +302,7 @@
     let mut reader = ConfigReader::new();
     if let Some(log) = log {
         // What entries have in force is worth telling even if the log can't be read.
-        let _ = read_log(&client.log(log), |record| {
-            reader.on_record(record.offset, &record.body);
-        });
+        let _ = read_log(&client.log(log), |read| _ = give(&mut reader, &read));
     }
     let answers = client.get_each::<EntryStatus>(entries, "/v1/status");
     if answers.iter().all(|answered| answered.answer.is_err()) {
--- a/hemlockhook/src/command/publish.rs
+++ b/hemlockhook/src/command/publish.rs
@@ -13,7 +13,7 @@
 
 use crate::cli::PublishArgs;
 use crate::client::Client;
-use crate::command::config::{CONFIG, base_of, peers, read_log, split_version};
+use crate::command::config::{CONFIG, Read, base_of, peers, read_log, split_version};
 use crate::command::inventory::{print_problems, read};
 use crate::output::{Exit, Format, line, print_json};
 
@@ -31,7 +31,11 @@
 
     let record = ConfigRecord {
         change_id: args.change_id.clone().unwrap_or_else(new_change_id),
-        base: base_of(args.base, line)?,
+        base: match args.restore {
+            true => 0,
+            false => base_of(args.base, line)?,
+        },
+        restore: args.restore,
         document: document.to_owned(),
         author: args.author.clone(),
         ..ConfigRecord::default()
@@ -90,8 +94,9 @@
 }
 
 fn read_to_end(publisher: &mut Publisher, log: &HttpLog) -> Result<(), LogError> {
-    read_log(log, |record| {
-        publisher.on_record(record.offset, &record.body)
+    read_log(log, |read| match read {
+        Read::From(first_retained) => publisher.on_truncated(first_retained),
+        Read::Record(record) => publisher.on_record(record.offset, &record.body),
     })
 }
 
@@ -118,9 +123,12 @@
         PublishOutcome::Unsettled { why } => {
             line!("not settled, and it may still come in force: {why}");
             line!(
-                "to settle it: hemlockhook config publish {} --base {} --change-id {} --log {}",
+                "to settle it: hemlockhook config publish {} {} --change-id {} --log {}",
                 args.file.display(),
-                record.base,
+                match record.restore {
+                    true => "--restore".to_owned(),
+                    false => format!("--base {}", record.base),
+                },
                 record.change_id,
                 args.source.log,
             );
--- a/hemlockhook/src/help.rs
+++ b/hemlockhook/src/help.rs
@@ -68,7 +68,8 @@
 pub const PUBLISH: &str = "\
 The version that the document was edited from is read from its first line, which `config show` writes, or \
 given by --base; 0 stands for none yet. If another version is in force by then, the document is refused and \
-the difference is shown.
+the difference is shown. Only if the log dropped the version in force while no process ran, so that nobody \
+knows it any more, use --restore in place of a base.
  
  Examples: publish the first document; change it
    hemlockhook config publish inventories/tunelpokrov.yaml --base 0 --log 127.0.0.1:7100
--- a/hemlockhook/tests/cli/configs.rs
+++ b/hemlockhook/tests/cli/configs.rs
@@ -197,6 +197,25 @@
     );
 }
 
+#[gtest]
+fn what_nobody_knows_any_more_is_restored() {
+    let mut servers = Servers::start();
+    let (addr, _) = servers.log(1);
+    let log = addr.to_string();
+    publish(&log, FIRST, &["--base", "0"]);
+    expect_that!(append(&log, "{}"), eq(true));
+    let by_base = publish(&log, FIRST, &["--base", "0"]);
+    expect_that!(by_base.code, eq(3), "{}", by_base.all());
+
+    let restored = publish(&log, FIRST, &["--restore"]);
+    expect_that!(restored.all(), eq("accepted as version 3\nexit code 0"));
+    let shown = run(&["config", "show", "--log", &log]);
+    expect_that!(shown.stdout, starts_with("# version: 3\n"));
+    expect_that!(publish(&log, FIRST, &["--restore"]).code, eq(1));
+    let next = publish(&log, FIRST, &["--base", "3"]);
+    expect_that!(next.all(), eq("accepted as version 4\nexit code 0"));
+}
+
 /// Appends a record to the stream of configurations, as another program might.
 fn append(log: &str, body: &str) -> bool {
     use std::io::{Read, Write};
