--- /dev/null
+++ b/hemlockhook-entry/src/engine/job_report.rs
@@ -0,0 +1,106 @@
+//! What operators are told of one job.
+
+use std::time::Instant;
+
+use hemlockhook_inventory::admin::{JobStatus, TaskState, TaskStatus};
+use hemlockhook_ownership::LookUp;
+use hemlockhook_types::{Answer, JobKey, TaskIndex, shard_of};
+
+use super::Engine;
+use super::jobs::{Place, Submitted};
+use super::report::millis_until;
+
+impl Engine {
+    /// Returns where a job stands, if it is known here.
+    pub fn job_status(&self, now: Instant, key: &JobKey) -> Option<JobStatus> {
+        let submitted = self.submissions.get(key);
+        let answer = match self.owner.look_up(key) {
+            LookUp::Answered(answer) => Some(answer),
+            _ if submitted.is_none() => return None,
+            _ => None,
+        };
+        let tasks = match (&answer, submitted) {
+            (Some(answer), _) => ended_tasks(answer),
+            (None, Some(submitted)) => self.task_statuses(key, submitted),
+            (None, None) => Vec::new(),
+        };
+        Some(JobStatus {
+            key: key.to_string(),
+            entry: self.me.name.clone(),
+            shard: shard_of(key),
+            service: submitted.map_or_else(String::new, |s| s.job().service.to_string()),
+            answer: answer.as_ref().map(Answer::kind),
+            reason: answer.as_ref().and_then(Answer::reason),
+            detail: match &answer {
+                Some(answer) => detail(answer),
+                None => submitted.map(|s| place_detail(s.place()).to_owned()),
+            },
+            age_ms: submitted.map(|s| s.age(now).as_millis() as u64),
+            deadline_in_ms: submitted.map(|s| millis_until(now, s.deadline())),
+            tasks,
+        })
+    }
+
+    /// Returns the tasks of a job that is dealt with here and has no answer yet.
+    fn task_statuses(&self, key: &JobKey, submitted: &Submitted) -> Vec<TaskStatus> {
+        if !matches!(submitted.place(), Place::Local(_)) {
+            return Vec::new();
+        }
+        let running = self.owner.running(key);
+        let not_started = self.owner.not_started(key);
+        let count = submitted.job().tasks.len() as TaskIndex;
+        (0..count)
+            .map(|index| {
+                let agent = running.iter().find(|(_, running)| *running == index);
+                let (state, detail) = match agent {
+                    Some(_) => (TaskState::Running, None),
+                    None if not_started.contains(&index) => {
+                        (TaskState::Queued, Some("it waits for a slot"))
+                    }
+                    None => (TaskState::Ok, None),
+                };
+                TaskStatus {
+                    index,
+                    state,
+                    upstream: agent
+                        .and_then(|(agent, _)| self.links.get(agent))
+                        .map(|link| link.name.clone()),
+                    for_ms: None,
+                    detail: detail.map(str::to_owned),
+                }
+            })
+            .collect()
+    }
+}
+
+/// Returns the tasks of a complete job. Of others it is not kept which task ended how.
+fn ended_tasks(answer: &Answer) -> Vec<TaskStatus> {
+    let Answer::Complete(results) = answer else {
+        return Vec::new();
+    };
+    (0..)
+        .zip(results)
+        .map(|(index, _)| TaskStatus {
+            index,
+            state: TaskState::Ok,
+            ..TaskStatus::default()
+        })
+        .collect()
+}
+
+fn detail(answer: &Answer) -> Option<String> {
+    match answer {
+        Answer::Complete(_) => None,
+        Answer::Failed { detail, .. }
+        | Answer::NotRun { detail, .. }
+        | Answer::Unknown { detail, .. } => Some(detail.clone()),
+    }
+}
+
+fn place_detail(place: Place) -> &'static str {
+    match place {
+        Place::Held => "no entry that owns its shard is known",
+        Place::Local(_) => "it is dealt with at this entry",
+        Place::Relayed(..) => "it is forwarded to the entry that owns its shard",
+    }
+}
--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -40,6 +40,16 @@
         &self.submission.job
     }
 
+    /// Returns where the job is dealt with.
+    pub fn place(&self) -> Place {
+        self.place
+    }
+
+    /// Returns whether it was submitted here, and not only forwarded to here.
+    fn is_callers(&self) -> bool {
+        !self.callers.is_empty() || self.entries.is_empty()
+    }
+
     /// Returns when the job's answer ceases to be of use.
     pub fn deadline(&self) -> Instant {
         self.deadline
@@ -53,7 +63,7 @@
 
 /// Where a submission is dealt with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Place {
+pub enum Place {
     /// Nowhere: no owner of its shard is known.
     Held,
     /// Here; scheduled unless all its tasks have been started.
@@ -325,7 +335,10 @@
         if let Some(submitted) = self.submissions.get(key) {
             let took = now.saturating_duration_since(submitted.arrived);
             let job = submitted.submission.job.clone();
-            self.count_answer(now, &job, &answer, took);
+            // The entry that forwarded a job counts it.
+            if submitted.is_callers() {
+                self.count_answer(now, &job, &answer, took);
+            }
         }
         self.finish(now, key, Reply::Answer(answer));
     }
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! moves their results to one another. It does no I/O and runs on the control thread.
 
 mod agents;
+mod job_report;
 mod jobs;
 mod peers;
 mod report;
--- a/hemlockhook-entry/src/engine/report.rs
+++ b/hemlockhook-entry/src/engine/report.rs
@@ -4,16 +4,18 @@
 
 use hemlockhook_inventory::ConfigRecord;
 use hemlockhook_inventory::admin::{
-    AgentStatus, BacklogStatus, ConfigInForce, EntryStatus, Event, EventKind, JobStatus, LogStatus,
+    AgentStatus, BacklogStatus, ConfigInForce, EntryStatus, Event, EventKind, LogStatus,
     PeerStatus, ShardState, ShardStatus, UpstreamState,
 };
 use hemlockhook_inventory::burn::{BurnCounts, Cause};
-use hemlockhook_ownership::LookUp;
 use hemlockhook_schedule::{Snapshot, UpstreamHealth};
-use hemlockhook_types::{Answer, Job, JobKey, shard_of};
+use hemlockhook_types::{Answer, Job, ServiceName, TeamName};
 
 use super::Engine;
 
+/// Stands for names that the inventory does not have.
+const OTHER_NAME: &str = "(other)";
+
 impl Engine {
     /// Returns the events after a sequence number.
     pub fn events(&self, since: u64) -> Vec<Event> {
@@ -38,29 +40,6 @@
         self.burn.counts(self.wall_ms(now))
     }
 
-    /// Returns where a job stands, if it is known here.
-    pub fn job_status(&self, now: Instant, key: &JobKey) -> Option<JobStatus> {
-        let submitted = self.submissions.get(key);
-        let answer = match self.owner.look_up(key) {
-            LookUp::Answered(answer) => Some(answer),
-            _ if submitted.is_none() => return None,
-            _ => None,
-        };
-        let service = submitted.map_or_else(String::new, |s| s.job().service.to_string());
-        Some(JobStatus {
-            key: key.to_string(),
-            entry: self.me.name.clone(),
-            shard: shard_of(key),
-            service,
-            answer: answer.as_ref().map(Answer::kind),
-            reason: answer.as_ref().and_then(Answer::reason),
-            detail: None,
-            age_ms: submitted.map(|s| s.age(now).as_millis() as u64),
-            deadline_in_ms: submitted.map(|s| millis_until(now, s.deadline())),
-            tasks: Vec::new(),
-        })
-    }
-
     pub(super) fn note(&mut self, kind: EventKind, subject: &str, detail: &str) {
         let at_ms = self.wall_ms(Instant::now());
         spdlog::info!("{detail}", kv: { event = kind.to_string(), subject = subject.to_owned() });
@@ -88,7 +67,20 @@
             Answer::Unknown { .. } => Some(Cause::Unknown),
         };
         let at_ms = self.wall_ms(now);
-        self.burn.count(at_ms, &job.service, &job.team, bad);
+        let (service, team) = self.counted_names(job);
+        self.burn.count(at_ms, &service, &team, bad);
+    }
+
+    /// Returns the names to count a job under. Names that the inventory does not have are counted
+    /// together, or callers could fill the memory with them.
+    fn counted_names(&self, job: &Job) -> (ServiceName, TeamName) {
+        let inventory = self.inventory.as_ref();
+        let service = inventory.and_then(|i| i.service(&job.service));
+        let team = inventory.and_then(|i| i.team(&job.team));
+        (
+            service.map_or_else(|| OTHER_NAME.into(), |service| service.name.clone()),
+            team.map_or_else(|| OTHER_NAME.into(), |team| team.name.clone()),
+        )
     }
 
     /// Returns the entry's state.
@@ -208,7 +200,7 @@
 }
 
 /// Returns the milliseconds until a time, negative once it has passed.
-fn millis_until(now: Instant, at: Instant) -> i64 {
+pub(super) fn millis_until(now: Instant, at: Instant) -> i64 {
     let ahead = at.saturating_duration_since(now).as_millis() as i64;
     ahead - now.saturating_duration_since(at).as_millis() as i64
 }
--- a/hemlockhook-ownership/src/owner/run.rs
+++ b/hemlockhook-ownership/src/owner/run.rs
@@ -123,6 +123,11 @@
             .unwrap_or_default()
     }
 
+    /// Returns the tasks of a job that are known not to have been started.
+    pub fn not_started(&self, key: &JobKey) -> Vec<TaskIndex> {
+        self.jobs.get(key).map(JobState::idle).unwrap_or_default()
+    }
+
     /// Takes in the starts that an agent reported for shards that are held.
     pub(super) fn merge(
         &mut self,
