Refuse jobs of a service that nothing runs as not run; learn nothing from stopped tasks

Cause: with no agent of the service to keep the mark of a refusal, a job that can never run was answered as unknown; tasks that were stopped or never started counted as successes of 0 s and spoiled estimates. Change: any linked agent keeps such a mark; the dispatcher drops such placements.

--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -236,9 +236,15 @@
         let key = JobKey::from(done.key);
         let result: TaskResult = done.result.unwrap_or_default().into();
         if let Some((_, job)) = self.placed.remove(&(key.clone(), done.index)) {
-            let ok = matches!(result.end, TaskEnd::Ok(_) | TaskEnd::Cancelled);
-            self.dispatcher
-                .ended(now, agent, job, done.index, result.run_time, ok);
+            match result.end {
+                TaskEnd::Cancelled => self.dispatcher.dropped(now, agent, job, done.index),
+                _ => {
+                    let ok = matches!(result.end, TaskEnd::Ok(_));
+                    let run_time = result.run_time;
+                    self.dispatcher
+                        .ended(now, agent, job, done.index, run_time, ok);
+                }
+            }
         }
         self.owner.done(now, agent, &key, done.index, result);
     }
@@ -253,10 +259,7 @@
         log::task(&key, refusal.index).debug(&format!("start refused: {reason}"));
         match outcome {
             RefusedOutcome::Requeue => self.dispatcher.refused(now, agent, job, refusal.index),
-            RefusedOutcome::Nothing => {
-                self.dispatcher
-                    .ended(now, agent, job, refusal.index, Duration::ZERO, true);
-            }
+            RefusedOutcome::Nothing => self.dispatcher.dropped(now, agent, job, refusal.index),
         }
     }
 
@@ -295,8 +298,7 @@
     pub(super) fn forget_placed(&mut self, now: Instant, shard: ShardId) {
         let placed = self.placed.extract_if(|(key, _), _| shard_of(key) == shard);
         for ((_, index), (agent, job)) in placed {
-            self.dispatcher
-                .ended(now, agent, job, index, Duration::ZERO, false);
+            self.dispatcher.dropped(now, agent, job, index);
         }
     }
 
@@ -323,8 +325,7 @@
             .and_then(|key| self.owner.start(now, key, index, agent));
         let (Some(key), Some(order)) = (key, order) else {
             // The job was settled after it was queued: the grant goes back.
-            self.dispatcher
-                .ended(now, agent, job, index, Duration::ZERO, true);
+            self.dispatcher.dropped(now, agent, job, index);
             self.frame(agent).returned_grants += 1;
             return;
         };
--- a/hemlockhook-entry/src/engine/takeover.rs
+++ b/hemlockhook-entry/src/engine/takeover.rs
@@ -5,7 +5,6 @@
 
 use hemlockhook_inventory::admin::EventKind;
 use hemlockhook_ownership::{OwnerAction, Record};
-use hemlockhook_platform::FIRST_OFFSET;
 use hemlockhook_proto::v1;
 use hemlockhook_types::{Ballot, Incarnation, SHARD_COUNT, ShardId, StampTable};
 use spdlog::prelude::*;
@@ -28,9 +27,7 @@
         to_end: bool,
     ) {
         for (offset, age, record) in records {
-            // The owner counts the records of the stream from 0.
-            self.owner
-                .on_record(now, offset - FIRST_OFFSET, *age, record);
+            self.owner.on_record(now, *offset, *age, record);
             self.on_member(now, record);
         }
         self.members_read |= to_end;
--- a/hemlockhook-inventory/src/publish/reader.rs
+++ b/hemlockhook-inventory/src/publish/reader.rs
@@ -3,15 +3,13 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+use hemlockhook_types::FIRST_OFFSET;
 use serde::{Deserialize, Serialize};
 
 use crate::check::{Problem, check};
 use crate::model::Inventory;
 use crate::publish::record::ConfigRecord;
 
-/// Offset of the first record of a stream.
-const FIRST_OFFSET: u64 = 1;
-
 /// Changes whose outcome is remembered.
 const MAX_OUTCOMES: usize = 4096;
 
--- a/hemlockhook-ownership/src/history.rs
+++ b/hemlockhook-ownership/src/history.rs
@@ -2,12 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use hemlockhook_types::FIRST_OFFSET;
+
 /// Shift of [`LogTime`] against the process's clock: one year.
 const LOG_TIME_SHIFT: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
-/// Offset of the first record of a stream.
-const FIRST_OFFSET: u64 = 1;
-
 /// The time at which something was written to the log.
 ///
 /// Records may be older than the start of the process's clock, so these times are shifted and
--- a/hemlockhook-ownership/src/owner/settle.rs
+++ b/hemlockhook-ownership/src/owner/settle.rs
@@ -5,6 +5,7 @@
 use hemlockhook_types::{Answer, Incarnation, JobKey, Reason, ShardId, TaskIndex};
 
 use super::job::Refusing;
+use super::members::Agent;
 use super::{Owner, OwnerAction};
 use crate::order::{StartRefusal, Withdrawal};
 
@@ -227,10 +228,13 @@
         let Some(refusing) = &job.refusing else {
             return;
         };
+        // Where no agent ever ran the service, any one can keep the mark.
+        let runs = |agent: &Agent| agent.services.contains(&job.service);
+        let is_run = self.members.iter().any(|(_, agent)| runs(agent));
         let next = self
             .members
             .iter()
-            .filter(|(_, agent)| agent.up && agent.services.contains(&job.service))
+            .filter(|(_, agent)| agent.up && (runs(agent) || !is_run))
             .map(|(agent, _)| agent)
             .filter(|agent| *agent != refusing.agent && !refusing.tried.contains(agent))
             .min_by_key(|agent| agent ^ job.fingerprint);
--- a/hemlockhook-platform/src/lib.rs
+++ b/hemlockhook-platform/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use http_log::HttpLog;
 pub use http_workers::HttpWorkers;
-pub use log::{Batch, FIRST_OFFSET, Log, LogError, LogFuture, LogRecord, Offset};
+pub use log::{Batch, Log, LogError, LogFuture, LogRecord, Offset};
 pub use workers::{
     Lease, LeaseId, TaskUsage, ThrottlePercent, Usage, Workers, WorkersError, WorkersFuture,
 };
--- a/hemlockhook-platform/src/log.rs
+++ b/hemlockhook-platform/src/log.rs
@@ -8,9 +8,6 @@
 /// Position of a record in its stream. The first record has 1.
 pub type Offset = u64;
 
-/// Offset of the first record that a stream ever had.
-pub const FIRST_OFFSET: Offset = 1;
-
 /// What the operations of a [`Log`] return.
 pub type LogFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, LogError>> + Send + 'a>>;
 
--- a/hemlockhook-schedule/src/dispatcher.rs
+++ b/hemlockhook-schedule/src/dispatcher.rs
@@ -286,6 +286,15 @@
         }
     }
 
+    /// Forgets a placement that says nothing of its upstream: the task was not started there, or was
+    /// stopped.
+    pub fn dropped(&mut self, now: Instant, agent: Incarnation, job: JobId, index: TaskIndex) {
+        if self.forget_running(now, job, index).is_some() {
+            self.upstreams
+                .change(now, agent, |upstream| upstream.forget_exposure());
+        }
+    }
+
     /// Puts a task that the agent refused to start back into the queue.
     pub fn refused(&mut self, now: Instant, agent: Incarnation, job: JobId, index: TaskIndex) {
         let Some(running) = self.forget_running(now, job, index) else {
--- a/hemlockhook-types/src/id.rs
+++ b/hemlockhook-types/src/id.rs
@@ -4,6 +4,9 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Offset of the first record that a stream of the platform's log ever had.
+pub const FIRST_OFFSET: u64 = 1;
+
 /// Number of shards that submissions are spread over.
 pub const SHARD_COUNT: u16 = 64;
 
--- a/hemlockhook-types/src/lib.rs
+++ b/hemlockhook-types/src/lib.rs
@@ -11,8 +11,8 @@
 pub use ballot::{Ballot, ParseStampError, Stamp};
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use id::{
-    Incarnation, JobKey, SHARD_COUNT, ServiceName, ShardId, TaskIndex, TeamName, new_incarnation,
-    shard_of,
+    FIRST_OFFSET, Incarnation, JobKey, SHARD_COUNT, ServiceName, ShardId, TaskIndex, TeamName,
+    new_incarnation, shard_of,
 };
 pub use job::{Job, Task};
 pub use stamp::StampTable;
