--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -9,7 +9,7 @@
 use hemlockhook_proto::v1::{AgentFrame, AgentHello, EntryFrame};
 use hemlockhook_runtime::log;
 use hemlockhook_schedule::{Placement, UpstreamSpec};
-use hemlockhook_types::{Incarnation, JobKey, TaskEnd, TaskIndex, TaskResult};
+use hemlockhook_types::{Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of};
 
 use super::Engine;
 use crate::event::{Action, LinkEnd, Response, Waiter};
@@ -236,9 +236,15 @@
         let key = JobKey::from(done.key);
         let result: TaskResult = done.result.unwrap_or_default().into();
         if let Some((_, job)) = self.placed.remove(&(key.clone(), done.index)) {
-            let ok = matches!(result.end, TaskEnd::Ok(_) | TaskEnd::Cancelled);
-            self.dispatcher
-                .ended(now, agent, job, done.index, result.run_time, ok);
+            match result.end {
+                TaskEnd::Cancelled => self.dispatcher.dropped(now, agent, job, done.index),
+                _ => {
+                    let ok = matches!(result.end, TaskEnd::Ok(_));
+                    let run_time = result.run_time;
+                    self.dispatcher
+                        .ended(now, agent, job, done.index, run_time, ok);
+                }
+            }
         }
         self.owner.done(now, agent, &key, done.index, result);
     }
@@ -253,10 +259,7 @@
         log::task(&key, refusal.index).debug(&format!("start refused: {reason}"));
         match outcome {
             RefusedOutcome::Requeue => self.dispatcher.refused(now, agent, job, refusal.index),
-            RefusedOutcome::Nothing => {
-                self.dispatcher
-                    .ended(now, agent, job, refusal.index, Duration::ZERO, true);
-            }
+            RefusedOutcome::Nothing => self.dispatcher.dropped(now, agent, job, refusal.index),
         }
     }
 
@@ -291,6 +294,14 @@
             .on_withdrawn(now, agent, &withdrawn.key.into(), outcome);
     }
 
+    /// Forgets the tasks that run of a shard that was given up: their results go to its new owner.
+    pub(super) fn forget_placed(&mut self, now: Instant, shard: ShardId) {
+        let placed = self.placed.extract_if(|(key, _), _| shard_of(key) == shard);
+        for ((_, index), (agent, job)) in placed {
+            self.dispatcher.dropped(now, agent, job, index);
+        }
+    }
+
     /// Starts what the dispatcher has placed.
     pub(super) fn place_tasks(&mut self, now: Instant) {
         while let Some(placement) = self.dispatcher.next(now) {
@@ -314,8 +325,7 @@
             .and_then(|key| self.owner.start(now, key, index, agent));
         let (Some(key), Some(order)) = (key, order) else {
             // The job was settled after it was queued: the grant goes back.
-            self.dispatcher
-                .ended(now, agent, job, index, Duration::ZERO, true);
+            self.dispatcher.dropped(now, agent, job, index);
             self.frame(agent).returned_grants += 1;
             return;
         };
--- a/hemlockhook-inventory/src/publish/reader.rs
+++ b/hemlockhook-inventory/src/publish/reader.rs
@@ -3,15 +3,13 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+use hemlockhook_types::FIRST_OFFSET;
 use serde::{Deserialize, Serialize};
 
 use crate::check::{Problem, check};
 use crate::model::Inventory;
 use crate::publish::record::ConfigRecord;
 
-/// Offset of the first record of a stream.
-const FIRST_OFFSET: u64 = 1;
-
 /// Changes whose outcome is remembered.
 const MAX_OUTCOMES: usize = 4096;
 
@@ -69,6 +67,11 @@
 
         let record = ConfigRecord::from_bytes(body);
         match (&self.log.decided, record) {
+            (None, Some(record)) if record.restores_at(offset) => {
+                self.log.undecided.clear();
+                self.log.decided_since = offset;
+                self.decide(offset, record)
+            }
             (Some(_), Some(record)) => self.decide(offset, record),
             (Some(_), None) => Verdict::Ignored,
             (None, record) => {
@@ -161,6 +164,7 @@
             author: String::new(),
             version: Some(decided.version),
             read_to: Some(self.log.next),
+            restore: false,
         })
     }
 
@@ -173,7 +177,11 @@
             None => {}
         }
 
-        if record.base != in_force {
+        let is_accepted = match record.restore {
+            true => record.restores_at(offset),
+            false => record.base == in_force,
+        };
+        if !is_accepted {
             let refused = Verdict::Refused { in_force };
             self.outcomes.insert(&record.change_id, refused);
             return refused;
--- a/hemlockhook-ownership/src/history.rs
+++ b/hemlockhook-ownership/src/history.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use hemlockhook_types::FIRST_OFFSET;
+
 /// Shift of [`LogTime`] against the process's clock: one year.
 const LOG_TIME_SHIFT: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
@@ -39,6 +41,6 @@
     /// the stream.
     pub fn reaches_back(&self, at: LogTime, span: Duration) -> bool {
         self.first
-            .is_some_and(|first| first.offset == 0 || first.written + span <= at)
+            .is_some_and(|first| first.offset <= FIRST_OFFSET || first.written + span <= at)
     }
 }
