Ignore a refusal that answers a start under an earlier ballot

An owner that steps down and takes the shard again on the same link could take a late refusal of its earlier start for one of its new start of the same task, and start it once more. A refusal for a floor that is not above the own ballot, and one that arrives before the fence which was sent ahead of the start is answered, cannot be about the new start.

--- a/hemlockhook-ownership/src/owner/job.rs
+++ b/hemlockhook-ownership/src/owner/job.rs
@@ -20,6 +20,8 @@
         link: u64,
         /// When it was sent.
         at: Instant,
+        /// Whether a fence sent to the agent before it had not been answered.
+        fencing: bool,
     },
     /// An agent reported that it runs.
     Running {
--- a/hemlockhook-ownership/src/owner/run.rs
+++ b/hemlockhook-ownership/src/owner/run.rs
@@ -7,6 +7,7 @@
 
 use super::job::{JobState, TaskState};
 use super::{Owner, OwnerAction, RefusedOutcome};
+use crate::epoch::base;
 use crate::order::{FenceReport, StartOrder, StartRecord, StartRefusal, Withdrawal};
 
 impl Owner {
@@ -20,7 +21,9 @@
         agent: Incarnation,
     ) -> Option<StartOrder> {
         let job = self.jobs.get(key)?;
-        let ballot = self.serving(job.shard)?.ballot;
+        let takeover = self.serving(job.shard)?;
+        let ballot = takeover.ballot;
+        let fencing = takeover.awaited.contains(&agent);
         let job = self.jobs.get_mut(key)?;
         let is_stale = |at| now.saturating_duration_since(at) > self.cfg.window;
         if job.admitted.is_none_or(is_stale) || job.answer.is_some() || job.refusing.is_some() {
@@ -42,6 +45,7 @@
             agent,
             link,
             at: now,
+            fencing,
         };
         job.touched = now;
         Some(StartOrder {
@@ -69,9 +73,14 @@
             return RefusedOutcome::Nothing;
         };
         let shard = job.shard;
-        match job.tasks.get(index as usize) {
-            Some(TaskState::Sent { agent: at, .. }) if *at == agent => {}
+        let fencing = match job.tasks.get(index as usize) {
+            Some(TaskState::Sent {
+                agent: at, fencing, ..
+            }) if *at == agent => *fencing,
             _ => return RefusedOutcome::Nothing,
+        };
+        if self.is_of_earlier_start(agent, shard, fencing, refusal) {
+            return RefusedOutcome::Nothing;
         }
 
         match refusal {
@@ -128,6 +137,25 @@
         self.jobs.get(key).map(JobState::idle).unwrap_or_default()
     }
 
+    /// Returns whether a refusal answers a start that was sent under an earlier ballot of this owner:
+    /// a start under the own ballot is not refused for a floor that is not above it, nor before the
+    /// fence that was sent ahead of it is answered.
+    fn is_of_earlier_start(
+        &self,
+        agent: Incarnation,
+        shard: ShardId,
+        fencing: bool,
+        refusal: StartRefusal,
+    ) -> bool {
+        let Some((_, takeover)) = self.held(shard) else {
+            return true;
+        };
+        match refusal {
+            StartRefusal::StaleBallot(floor) if base(floor) <= takeover.ballot => true,
+            _ => fencing && takeover.awaited.contains(&agent),
+        }
+    }
+
     /// Takes in the starts that an agent reported for shards that are held.
     pub(super) fn merge(
         &mut self,
--- a/hemlockhook-ownership/tests/world/log.rs
+++ b/hemlockhook-ownership/tests/world/log.rs
@@ -1,6 +1,8 @@
 //! The log of the randomised tests.
 
 use super::ENTRIES;
+use hemlockhook_types::FIRST_OFFSET;
+
 use super::World;
 use super::steps::Outcome;
 
@@ -44,7 +46,7 @@
         let from = proc.read.max(self.first_retained);
         for (offset, (written, record)) in self.log.iter().enumerate().skip(from) {
             proc.owner
-                .on_record(now, offset as u64, now - *written, record);
+                .on_record(now, FIRST_OFFSET + offset as u64, now - *written, record);
         }
         proc.read = self.log.len();
         for takeover in std::mem::take(&mut proc.reading) {
--- a/hemlockhook-ownership/tests/world/procs.rs
+++ b/hemlockhook-ownership/tests/world/procs.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use hemlockhook_ownership::{Gate, GateConfig, Owner, OwnerConfig, Record, Rules};
-use hemlockhook_types::{Incarnation, JobKey, TaskIndex};
+use hemlockhook_types::{FIRST_OFFSET, Incarnation, JobKey, TaskIndex};
 
 use super::{Append, FENCE_TIMEOUT, INTERVAL, LEASE, WINDOW};
 
@@ -126,7 +126,7 @@
 
     /// Takes in records that were read, and joins at the end of the log.
     pub fn on_records(&mut self, now: Instant, from: usize, records: &[(Instant, Record)]) {
-        for (offset, (written, record)) in (from as u64..).zip(records) {
+        for (offset, (written, record)) in (FIRST_OFFSET + from as u64..).zip(records) {
             self.gate.on_record(now, offset, now - *written, record);
         }
         if self.announced.is_some() && self.gate.may_join(now) {
