Add mutants for lost tasks and for joining on a truncated log

Giving a lost agent's tasks to another one is caught by random runs; joining without the span of history starts a task twice in a scripted run.

--- a/hemlockhook-ownership/src/owner/run.rs
+++ b/hemlockhook-ownership/src/owner/run.rs
@@ -199,8 +199,11 @@
         };
         let lost = std::mem::take(&mut state.outstanding);
         let keys: BTreeSet<_> = lost.iter().map(|(key, _)| key.clone()).collect();
-        for (key, index) in &lost {
-            self.set_task(key, *index, TaskState::Lost);
+        for (key, index) in lost {
+            match self.cfg.rules.lost {
+                true => self.set_task(&key, index, TaskState::Lost),
+                false => self.put_back(agent, key, index),
+            }
         }
         for key in keys {
             self.conclude(now, &key);
@@ -226,6 +229,15 @@
         }
     }
 
+    /// Puts a task that was not started back into the queue.
+    fn put_back(&mut self, agent: Incarnation, key: JobKey, index: TaskIndex) {
+        self.set_task(&key, index, TaskState::Idle);
+        if self.jobs.get(&key).is_some_and(|job| job.answer.is_none()) {
+            self.actions
+                .push(OwnerAction::Requeue { agent, key, index });
+        }
+    }
+
     /// Takes in one reported start. Returns whether it changed anything.
     fn merge_record(&mut self, now: Instant, agent: Incarnation, record: &StartRecord) -> bool {
         let job = self
--- a/hemlockhook-ownership/src/rules.rs
+++ b/hemlockhook-ownership/src/rules.rs
@@ -28,6 +28,8 @@
     pub link_epoch: bool,
     /// A start whose marker may have been forgotten counts as lost.
     pub forgotten: bool,
+    /// A task whose agent was given up is never started again.
+    pub lost: bool,
     /// A refusal as not run is marked at an agent before it is given.
     pub withdraw: bool,
     /// A leaving agent that no other agent stands for counts as unaccounted.
@@ -53,6 +55,7 @@
             window: true,
             link_epoch: true,
             forgotten: true,
+            lost: true,
             withdraw: true,
             custody: true,
             history: true,
--- a/hemlockhook-ownership/tests/random.rs
+++ b/hemlockhook-ownership/tests/random.rs
@@ -136,6 +136,7 @@
     no_window_is_caught => window, seed 1;
     requeueing_forgotten_starts_is_caught => forgotten, seed 5;
     judging_starts_of_the_same_link_is_caught => link_epoch, seed 1;
+    starting_again_what_was_lost_is_caught => lost, seed 1;
     refusing_without_a_mark_is_caught => withdraw, seed 3;
     messages_of_old_links_are_caught => links, seed 6;
 }
@@ -231,6 +232,27 @@
     is_needed(|rules| rules.recorded = false, &steps.concat());
 }
 
+#[gtest]
+fn a_history_is_needed_to_join() {
+    let append = Step::Append {
+        append: 0,
+        outcome: Outcome::Done,
+    };
+    let steps = [
+        &PAUSED_WITH_A_JOB[..],
+        &RUN_AT_ENTRY_2[..],
+        &[
+            Step::Truncate(0),
+            Step::KillAgent(1, false),
+            Step::Advance(10),
+            append,
+            Step::ReadAgent(1),
+        ],
+        &START_AT_AGENT_1[..],
+    ];
+    is_needed(|rules| rules.history = false, &steps.concat());
+}
+
 #[gtest]
 fn the_lease_is_needed() {
     let steps = [
