--- a/hemlockhook-ownership/src/owner/settle.rs
+++ b/hemlockhook-ownership/src/owner/settle.rs
@@ -85,6 +85,8 @@
                 self.saw_ballot(now, shard, floor);
                 self.ask_next(now, key);
             }
+            // Somebody started it after all.
+            Err(StartRefusal::AlreadyStarted) => self.give_up_refusal(now, key),
             Err(_) => self.ask_next(now, key),
         }
     }
@@ -246,9 +248,7 @@
         let refusing = job.refusing.as_mut().expect("it is being refused");
         let reason = refusing.answer.reason().unwrap_or(Reason::Overloaded);
         let (Some(agent), Some(ballot)) = (next, ballot) else {
-            job.refusing = None;
-            let detail = "no agent could confirm that the job was not run".to_owned();
-            return self.answer(now, key, Answer::Unknown { reason, detail });
+            return self.give_up_refusal(now, key);
         };
 
         refusing.tried.push(refusing.agent);
@@ -268,6 +268,15 @@
         });
     }
 
+    /// Answers a job as unknown that no agent confirmed as not run.
+    fn give_up_refusal(&mut self, now: Instant, key: &JobKey) {
+        let job = self.jobs.get_mut(key).expect("it is known");
+        let refusing = job.refusing.take().expect("it is being refused");
+        let reason = refusing.answer.reason().unwrap_or(Reason::Overloaded);
+        let detail = "no agent could confirm that the job was not run".to_owned();
+        self.answer(now, key, Answer::Unknown { reason, detail });
+    }
+
     /// Drops the oldest complete answers until the rest fits its bound. The keys stay.
     fn evict(&mut self) {
         while self.answer_bytes > self.cfg.max_result_bytes {
--- a/hemlockhook-ownership/tests/world/heal.rs
+++ b/hemlockhook-ownership/tests/world/heal.rs
@@ -21,12 +21,20 @@
             }
         }
         self.connect_all();
-        for (job, entry) in
-            (0..self.submissions.len()).flat_map(|job| [(job, 0), (job, 1), (job, 2)])
+        for agent in 0..AGENTS {
+            while !self.agents[agent].running.is_empty() {
+                self.finish(agent, 0, true);
+            }
+        }
+        for (entry, agent) in (0..ENTRIES)
+            .flat_map(|entry| self.ended.iter().map(move |agent| (entry, *agent)))
+            .collect::<Vec<_>>()
         {
-            self.expire(entry, job);
+            self.entries[entry].owner.agent_gone(self.now, agent);
+            self.act(entry);
         }
         for round in 0..8 {
+            self.expire_all();
             self.advance(INTERVAL);
             self.calm();
             (0..ENTRIES).for_each(|entry| self.tell(entry));
@@ -44,6 +52,7 @@
             let owners = self.owners(shard);
             assert!(owners == 1, "shard {shard} has {owners} owners");
         }
+        self.check_answered();
         for _ in SHARDS {
             self.check_service();
         }
@@ -56,6 +65,24 @@
             .count()
     }
 
+    fn expire_all(&mut self) {
+        for entry in 0..ENTRIES {
+            (0..self.submissions.len()).for_each(|job| self.expire(entry, job));
+        }
+    }
+
+    /// Checks that no job waits for an answer that cannot come any more.
+    fn check_answered(&self) {
+        for (entry, submission) in self.entries.iter().flat_map(|entry| {
+            let submissions = self.submissions.iter();
+            submissions.map(move |submission| (entry, submission))
+        }) {
+            let key = &submission.job.key;
+            let found = entry.owner.look_up(key);
+            assert!(found != LookUp::Pending, "{key} is never answered");
+        }
+    }
+
     /// Checks that a fresh job completes.
     pub fn check_service(&mut self) {
         let number = self.make_job(1, 1);
--- a/hemlockhook-ownership/tests/world/mod.rs
+++ b/hemlockhook-ownership/tests/world/mod.rs
@@ -95,6 +95,8 @@
     /// Stamps that owners gave out.
     pub stamps: Vec<(ShardId, Stamp)>,
     pub gossip: Vec<(usize, ShardId, Ballot)>,
+    /// Agents that have ended.
+    pub ended: Vec<Incarnation>,
     starts: BTreeMap<(JobKey, TaskIndex), u32>,
     not_run: BTreeSet<JobKey>,
     pub answers: BTreeMap<&'static str, u32>,
@@ -118,6 +120,7 @@
             submissions: Vec::new(),
             stamps: Vec::new(),
             gossip: Vec::new(),
+            ended: Vec::new(),
             starts: BTreeMap::new(),
             not_run: BTreeSet::new(),
             answers: BTreeMap::new(),
--- a/hemlockhook-ownership/tests/world/steps.rs
+++ b/hemlockhook-ownership/tests/world/steps.rs
@@ -292,6 +292,7 @@
 
     pub fn kill_agent(&mut self, agent: usize) {
         (0..ENTRIES).for_each(|entry| self.break_link(entry, agent, true));
+        self.ended.push(self.agents[agent].incarnation);
         let incarnation = self.new_incarnation();
         self.agents[agent] = AgentProc::new(self.rules, incarnation, agent);
     }
