--- a/hemlockhook-entry/src/request.rs
+++ b/hemlockhook-entry/src/request.rs
@@ -1,5 +1,6 @@
 //! A caller's job as JSON, and its checks.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,8 +44,10 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct JobBody<'a> {
-    team: &'a str,
-    service: &'a str,
+    #[serde(borrow)]
+    team: Cow<'a, str>,
+    #[serde(borrow)]
+    service: Cow<'a, str>,
     #[serde(default)]
     idempotent: bool,
     deadline_ms: u64,
@@ -59,16 +62,16 @@
     payload: &'a RawValue,
     #[serde(default)]
     declared_ms: Option<u64>,
-    #[serde(default)]
-    class: Option<&'a str>,
+    #[serde(borrow, default)]
+    class: Cow<'a, str>,
 }
 
 /// Reads a job from the idempotency key and the body that a caller sent.
 pub fn parse_job(key: &str, body: &[u8], limits: &Limits) -> Result<Job, RequestError> {
     let body = parse_body(body)?;
     check_name("idempotency-key", key)?;
-    check_name("team", body.team)?;
-    check_name("service", body.service)?;
+    check_name("team", &body.team)?;
+    check_name("service", &body.service)?;
     check_range("deadline_ms", body.deadline_ms, limits.deadline_ms, "ms")?;
     check_range(
         "the number of tasks",
@@ -85,10 +88,10 @@
         .map(parse_task)
         .collect::<Result<Vec<_>, RequestError>>()?;
     Ok(Job {
-        key: job_key(body.team, key),
+        key: job_key(&body.team, key),
         fingerprint,
-        team: body.team.into(),
-        service: body.service.into(),
+        team: body.team.as_ref().into(),
+        service: body.service.as_ref().into(),
         idempotent: body.idempotent,
         deadline: Duration::from_millis(body.deadline_ms),
         tasks,
@@ -133,13 +136,13 @@
     if let Some(ms) = task.declared_ms {
         check_range(&format!("tasks[{index}].declared_ms"), ms, max_ms, "ms")?;
     }
-    if let Some(class) = task.class {
-        check_name("class", class)?;
+    if !task.class.is_empty() {
+        check_name("class", &task.class)?;
     }
     Ok(Task {
         payload: task.payload.get().as_bytes().into(),
         declared: task.declared_ms.map(Duration::from_millis),
-        class: Arc::from(task.class.unwrap_or_default()),
+        class: Arc::from(task.class.as_ref()),
     })
 }
 
@@ -164,7 +167,7 @@
     field(&[u8::from(body.idempotent)]);
     for task in &body.tasks {
         field(task.payload.get().as_bytes());
-        field(task.class.unwrap_or_default().as_bytes());
+        field(task.class.as_bytes());
     }
     hash.digest()
 }
--- a/hemlockhook-entry/src/response.rs
+++ b/hemlockhook-entry/src/response.rs
@@ -16,6 +16,9 @@
 /// Time after which a caller may ask again for a job that is still running.
 const PENDING_RETRY: Duration = Duration::from_secs(1);
 
+/// Time after which a job whose owner was not reached may be submitted again.
+const UNREACHABLE_RETRY: Duration = Duration::from_secs(1);
+
 /// A response whose body is complete.
 pub type HttpResponse = Response<Full<Bytes>>;
 
@@ -146,6 +149,10 @@
             retry_after,
             ..
         } => (detail.as_str(), None, *retry_after),
+        // The owner may be found when the same key is submitted again.
+        Answer::Unknown { reason: Reason::OwnerUnreachable, detail } => {
+            (detail.as_str(), None, Some(UNREACHABLE_RETRY))
+        }
         Answer::Unknown { detail, .. } => (detail.as_str(), None, None),
     };
     let status = status_of(answer, reason);
@@ -166,6 +173,7 @@
 /// Returns the HTTP status for an answer that is not complete.
 fn status_of(answer: &Answer, reason: Reason) -> StatusCode {
     match (answer, reason) {
+        (Answer::Unknown { .. }, Reason::OwnerUnreachable) => StatusCode::SERVICE_UNAVAILABLE,
         (Answer::Unknown { .. }, _) => StatusCode::INTERNAL_SERVER_ERROR,
         (_, Reason::NoSuchService | Reason::NoSuchTeam) => StatusCode::UNPROCESSABLE_ENTITY,
         (Answer::NotRun { .. }, Reason::Quota) => StatusCode::TOO_MANY_REQUESTS,
