Leave a slot with the entry that used it unless another's work is due

Cause: an entry tells each agent only of the backlog that no other agent was told of, so an entry that told of none often had work for the slot that it lost. Change: it takes part as if its work were due in a second; idle grants are recalled after 40 ms instead of 10.

--- a/hemlockhook-schedule/src/slots.rs
+++ b/hemlockhook-schedule/src/slots.rs
@@ -5,18 +5,22 @@
 
 use hemlockhook_types::Incarnation;
 
+use crate::backlog::URGENCY_OFFSET_MS;
 use crate::spec::Demand;
 
 /// A recall that was neither answered nor overtaken by starts is repeated after this time.
 const RECALL_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// A grant is not recalled for this time, in which it may be on its way or its start on the way back.
-const SETTLE_TIME: Duration = Duration::from_millis(10);
+const SETTLE_TIME: Duration = Duration::from_millis(40);
 
 /// A slot goes to another entry than the one that it was last used by, at the cost of a message, if
 /// that one's backlog is due earlier by this much.
 const SWITCH_MARGIN_MS: u64 = 300;
 
+/// Time until the backlog of an entry that told of none is taken to be due.
+const USUAL_SLACK_MS: u64 = 1000;
+
 /// What an agent has to tell an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotAction {
@@ -203,9 +207,10 @@
         if self.leaving {
             return;
         }
+        let now_ms = self.millis(now);
         while self.idle() > 0 {
             let known = preferred.filter(|entry| self.entries.contains_key(entry));
-            let Some(entry) = self.neediest(known).or(known).or_else(|| self.poorest()) else {
+            let Some(entry) = self.neediest(now_ms, known).or_else(|| self.poorest()) else {
                 break;
             };
             self.grant(now, entry);
@@ -215,12 +220,16 @@
 
     /// Returns the entry with the most urgent backlog. The preferred one is only passed over for an
     /// entry whose backlog is due much earlier, since a grant to another costs a message of its own.
-    fn neediest(&self, preferred: Option<Incarnation>) -> Option<Incarnation> {
-        let wanting = self
-            .entries
-            .iter()
-            .filter(|(_, state)| state.demand.queued > 0);
-        let due = |(entry, state): &(&Incarnation, &EntryState)| match Some(**entry) == preferred {
+    /// It takes part even if it told of no backlog: it tells each agent only of what no other was
+    /// told of, and it was the one to use the slot.
+    fn neediest(&self, now_ms: u64, preferred: Option<Incarnation>) -> Option<Incarnation> {
+        let is_preferred = |entry: &Incarnation| Some(*entry) == preferred;
+        let entries = self.entries.iter();
+        let wanting = entries.filter(|(e, state)| state.demand.queued > 0 || is_preferred(e));
+        let due = |(entry, state): &(&Incarnation, &EntryState)| match is_preferred(entry) {
+            true if state.demand.queued == 0 => {
+                (now_ms + URGENCY_OFFSET_MS + USUAL_SLACK_MS, false)
+            }
             true => (state.head_due_ms, false),
             false => (state.head_due_ms.saturating_add(SWITCH_MARGIN_MS), true),
         };
