--- a/hemlockhook/tests/support/caller.rs
+++ b/hemlockhook/tests/support/caller.rs
@@ -15,7 +15,7 @@
 /// Connections to one address, at most.
 const CONNECTIONS: usize = 512;
 
-/// Time for one submission, after which the job is submitted again through another entry.
+/// Longest time for one submission, after which the job is submitted again through another entry.
 const RESUBMIT_AFTER: Duration = Duration::from_secs(5);
 
 /// Pause before a submission is repeated.
@@ -120,7 +120,8 @@
     pub async fn call_with(&self, job: &Job, stamps: &str, rng: &mut fastrand::Rng) -> Outcome {
         for _ in 0..TRIES {
             let entry = rng.usize(..self.entries.len());
-            match self.submit(entry, job, stamps, RESUBMIT_AFTER).await {
+            let patience = RESUBMIT_AFTER.mul_f64(rng.f64().max(0.1));
+            match self.submit(entry, job, stamps, patience).await {
                 Some(outcome) => return outcome,
                 None => drop(Timer::after(RETRY_PAUSE).await),
             }
@@ -164,6 +165,11 @@
         self.outcome(job, &res)
     }
 
+    /// Returns the executor of its requests.
+    pub fn executor(&self) -> Arc<Executor> {
+        self.ex.clone()
+    }
+
     /// Returns the client of an address.
     pub fn client(&self, addr: SocketAddr) -> HttpClient {
         let mut clients = self.clients.lock().expect("no test thread panicked");
--- a/hemlockhook/tests/support/mod.rs
+++ b/hemlockhook/tests/support/mod.rs
@@ -7,7 +7,7 @@
 mod process;
 mod relay;
 
-pub use caller::{Job, Outcome};
+pub use caller::{Job, Outcome, Submitter};
 pub use cluster::{Cluster, Shape};
 
 use std::time::Duration;
