--- a/hemlockhook-entry/src/response.rs
+++ b/hemlockhook-entry/src/response.rs
@@ -150,9 +150,10 @@
             ..
         } => (detail.as_str(), None, *retry_after),
         // The owner may be found when the same key is submitted again.
-        Answer::Unknown { reason: Reason::OwnerUnreachable, detail } => {
-            (detail.as_str(), None, Some(UNREACHABLE_RETRY))
-        }
+        Answer::Unknown {
+            reason: Reason::OwnerUnreachable,
+            detail,
+        } => (detail.as_str(), None, Some(UNREACHABLE_RETRY)),
         Answer::Unknown { detail, .. } => (detail.as_str(), None, None),
     };
     let status = status_of(answer, reason);
