--- a/hemlockhook/tests/support/mod.rs
+++ b/hemlockhook/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Runs the real programs as processes on loopback, and submits jobs to them.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod caller;
 mod cluster;
