--- a/hemlockhook/tests/support/mod.rs
+++ b/hemlockhook/tests/support/mod.rs
@@ -1,13 +1,13 @@
 //! Runs the real programs as processes on loopback, and submits jobs to them.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod caller;
 mod cluster;
 mod process;
 mod relay;
 
-pub use caller::{Job, Outcome};
+pub use caller::{Job, Outcome, Submitter};
 pub use cluster::{Cluster, Shape};
 
 use std::time::Duration;
