Give up many shards in one pass, and tell an answer once

Giving up n shards walked all jobs n times; now once. An answer rebuilt from reports was returned by `admit` and told by `Settled` as well; it is returned only.

Tests of the bounds and of the records' form are added.

--- a/hemlockhook-ownership/src/owner/account.rs
+++ b/hemlockhook-ownership/src/owner/account.rs
@@ -1,6 +1,6 @@
 //! Takeovers: fences, records in the log, and accounts of what was started before.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use hemlockhook_types::{Ballot, Incarnation, JobKey, ServiceName, ShardId};
@@ -26,13 +26,13 @@
     }
 
     /// Gives shards up, for a planned hand-over.
-    pub fn release(&mut self, now: Instant, shards: &[ShardId]) {
-        self.step_down(now, shards);
+    pub fn release(&mut self, _now: Instant, shards: &[ShardId]) {
+        self.step_down(shards);
     }
 
     /// Takes in a ballot of a shard from a peer or a refusal. If it is above the own one, the
     /// shard is given up.
-    pub fn saw_ballot(&mut self, now: Instant, shard: ShardId, ballot: Ballot) {
+    pub fn saw_ballot(&mut self, _now: Instant, shard: ShardId, ballot: Ballot) {
         let ballot = base(ballot);
         let state = self.shards.entry(shard).or_default();
         let contender = ballot.owner != self.me && ballot >= state.seen;
@@ -43,7 +43,7 @@
             Role::Held(id) => self.takeovers[&id].ballot < ballot,
         };
         if lost {
-            self.step_down(now, &[shard]);
+            self.step_down(&[shard]);
         }
     }
 
@@ -179,7 +179,7 @@
                 used_up.extend(&takeover.shards);
             }
         }
-        self.step_down(now, &used_up);
+        self.step_down(&used_up);
     }
 
     /// Time after its last sign of life for which an agent may hold starts that matter.
@@ -267,6 +267,7 @@
     /// taken again later, with a random back-off so that one of two contenders goes first.
     fn on_refused_shards(&mut self, now: Instant, id: u64, refused: &[(ShardId, Ballot)]) {
         let mut lost = Vec::new();
+        let mut contended = Vec::new();
         for (shard, floor) in refused {
             self.see(*shard, *floor);
             let Some(takeover) = self.takeovers.get_mut(&id) else {
@@ -279,13 +280,16 @@
                 lost.push(*shard);
                 continue;
             }
-            let attempt = takeover.attempt + 1;
-            self.step_down_quietly(*shard);
+            contended.push((*shard, takeover.attempt + 1));
+        }
+        let shards: Vec<_> = contended.iter().map(|(shard, _)| *shard).collect();
+        self.leave(&shards);
+        for (shard, attempt) in contended {
             let at = now + self.back_off(attempt);
-            let state = self.shards.entry(*shard).or_default();
+            let state = self.shards.entry(shard).or_default();
             state.role = Role::Retry { at, attempt };
         }
-        self.step_down(now, &lost);
+        self.step_down(&lost);
     }
 
     fn back_off(&mut self, attempt: u32) -> Duration {
@@ -294,34 +298,35 @@
         longest.mul_f64(self.rng.f64())
     }
 
-    pub(super) fn step_down(&mut self, _now: Instant, shards: &[ShardId]) {
-        for shard in shards {
-            let Some(state) = self.shards.get(shard) else {
-                continue;
-            };
-            if state.role == Role::None {
-                continue;
-            }
-            let unfinished = self.step_down_quietly(*shard);
+    pub(super) fn step_down(&mut self, shards: &[ShardId]) {
+        let held: Vec<_> = shards
+            .iter()
+            .copied()
+            .filter(|shard| self.is_held(*shard))
+            .collect();
+        let mut unfinished = self.leave(&held);
+        for shard in held {
             self.actions.push(OwnerAction::StepDown {
-                shard: *shard,
-                unfinished,
+                shard,
+                unfinished: unfinished.remove(&shard).unwrap_or_default(),
             });
         }
     }
 
-    /// Gives a shard up and forgets its jobs. Returns those without an answer.
-    fn step_down_quietly(&mut self, shard: ShardId) -> Vec<JobKey> {
-        if let Some((id, _)) = self.held(shard) {
-            let takeover = self.takeovers.get_mut(&id).expect("it is held");
-            takeover.shards.remove(&shard);
-            if takeover.shards.is_empty() {
-                self.takeovers.remove(&id);
+    /// Gives shards up and forgets their jobs. Returns those without an answer.
+    fn leave(&mut self, shards: &[ShardId]) -> BTreeMap<ShardId, Vec<JobKey>> {
+        for shard in shards {
+            if let Some((id, _)) = self.held(*shard) {
+                let takeover = self.takeovers.get_mut(&id).expect("it is held");
+                takeover.shards.remove(shard);
+                if takeover.shards.is_empty() {
+                    self.takeovers.remove(&id);
+                }
+            }
+            if let Some(state) = self.shards.get_mut(shard) {
+                state.role = Role::None;
             }
         }
-        if let Some(state) = self.shards.get_mut(&shard) {
-            state.role = Role::None;
-        }
-        self.forget_shard(shard)
+        self.forget_shards(shards)
     }
 }
--- a/hemlockhook-ownership/src/owner/admit.rs
+++ b/hemlockhook-ownership/src/owner/admit.rs
@@ -90,7 +90,7 @@
         }
         if let Some(answer) = known.verdict() {
             known.admitted = Some(now);
-            self.answer(now, &job.key, answer.clone());
+            self.keep_answer(now, &job.key, &answer);
             return Admission::Answered(answer);
         }
 
--- a/hemlockhook-ownership/src/owner/settle.rs
+++ b/hemlockhook-ownership/src/owner/settle.rs
@@ -1,5 +1,6 @@
 //! Answers: given once, kept for the window.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use hemlockhook_types::{Answer, Incarnation, JobKey, Reason, ShardId, TaskIndex};
@@ -133,8 +134,17 @@
         }
     }
 
-    /// Gives a job its final answer.
+    /// Gives a job its final answer, and tells of it.
     pub(super) fn answer(&mut self, now: Instant, key: &JobKey, answer: Answer) {
+        self.keep_answer(now, key, &answer);
+        self.actions.push(OwnerAction::Settled {
+            key: key.clone(),
+            answer,
+        });
+    }
+
+    /// Keeps the final answer of a job.
+    pub(super) fn keep_answer(&mut self, now: Instant, key: &JobKey, answer: &Answer) {
         let job = self.jobs.get_mut(key).expect("it is known");
         assert!(job.answer.is_none(), "an answer is settled once");
         assert!(
@@ -148,15 +158,11 @@
         self.refusing.remove(key);
         self.expiry.push_back((now, key.clone()));
 
-        if let Answer::Complete(_) = &answer {
-            self.answer_bytes += answer_bytes(&answer);
+        if let Answer::Complete(_) = answer {
+            self.answer_bytes += answer_bytes(answer);
             self.kept.push_back(key.clone());
         }
         self.evict();
-        self.actions.push(OwnerAction::Settled {
-            key: key.clone(),
-            answer,
-        });
     }
 
     /// Forgets what has been settled longer ago than the window.
@@ -180,20 +186,29 @@
         }
     }
 
-    /// Forgets a shard's jobs. Returns those that were admitted and have no answer, in order.
-    pub(super) fn forget_shard(&mut self, shard: ShardId) -> Vec<JobKey> {
-        let mut keys: Vec<_> = self
+    /// Forgets the jobs of shards. Returns those that were admitted and have no answer, in order.
+    pub(super) fn forget_shards(&mut self, shards: &[ShardId]) -> BTreeMap<ShardId, Vec<JobKey>> {
+        if shards.is_empty() {
+            return BTreeMap::new();
+        }
+        let keys: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.shard == shard)
-            .map(|(key, job)| (key.clone(), job.admitted.is_some() && job.answer.is_none()))
+            .filter(|(_, job)| shards.contains(&job.shard))
+            .map(|(key, _)| key.clone())
             .collect();
-        keys.sort();
-        for (key, _) in &keys {
-            self.forget_job(key);
+        let mut unfinished = BTreeMap::<_, Vec<_>>::new();
+        for key in keys {
+            match self.jobs.get(&key) {
+                Some(job) if job.admitted.is_some() && job.answer.is_none() => {
+                    unfinished.entry(job.shard).or_default().push(key.clone());
+                }
+                _ => {}
+            }
+            self.forget_job(&key);
         }
-        keys.retain(|(_, unfinished)| *unfinished);
-        keys.into_iter().map(|(key, _)| key).collect()
+        unfinished.values_mut().for_each(|keys| keys.sort());
+        unfinished
     }
 
     fn forget_job(&mut self, key: &JobKey) {
--- /dev/null
+++ b/hemlockhook-ownership/tests/bounds.rs
@@ -0,0 +1,182 @@
+//! Tests of what is kept, for how long, and of the records' form.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use hemlockhook_ownership::{
+    Admission, Gate, GateConfig, Owner, OwnerConfig, Record, StartOrder, StartRefusal,
+};
+use hemlockhook_types::{Answer, Ballot, Job, Reason, Task, TaskEnd, TaskResult, shard_of};
+
+const WINDOW: Duration = Duration::from_secs(60);
+const BALLOT: Ballot = Ballot {
+    counter: 1 << 16,
+    owner: 21,
+};
+
+fn order(key: &str) -> StartOrder {
+    StartOrder {
+        key: key.into(),
+        index: 0,
+        job_tasks: 1,
+        fingerprint: 7,
+        shard: shard_of(key),
+        ballot: BALLOT,
+        service: "quote".into(),
+        idempotent: false,
+    }
+}
+
+fn result(body: &[u8]) -> TaskResult {
+    TaskResult {
+        end: TaskEnd::Ok(body.into()),
+        run_time: Duration::from_millis(50),
+    }
+}
+
+fn gate() -> Gate {
+    let cfg = GateConfig {
+        window: WINDOW,
+        max_starts: 2,
+        max_result_bytes: 8,
+        ..GateConfig::default()
+    };
+    let mut gate = Gate::new(cfg, 11);
+    gate.join();
+    gate
+}
+
+#[gtest]
+fn a_full_gate_refuses_rather_than_forgets() {
+    let now = Instant::now();
+    let mut gate = gate();
+    for key in ["farm/1", "farm/2"] {
+        expect_that!(gate.start(now, &order(key)), ok(anything()));
+        gate.finish(now, &key.into(), 0, result(b"123456"));
+    }
+    let late = now + WINDOW;
+    gate.expire(late);
+    expect_that!(
+        gate.start(late, &order("farm/3")),
+        err(eq(StartRefusal::Full))
+    );
+    expect_that!(
+        gate.start(late, &order("farm/1")),
+        err(eq(StartRefusal::AlreadyStarted))
+    );
+
+    let late = now + WINDOW * 2;
+    gate.expire(late);
+    expect_that!(gate.start(late, &order("farm/3")), ok(anything()));
+}
+
+#[gtest]
+fn results_go_before_markers() {
+    let now = Instant::now();
+    let mut gate = gate();
+    for key in ["farm/1", "farm/2"] {
+        gate.start(now, &order(key)).unwrap();
+        gate.finish(now, &key.into(), 0, result(b"123456"));
+    }
+    let shards = [shard_of("farm/1"), shard_of("farm/2")];
+    let mut records = gate.fence(now, &shards, BALLOT).records;
+    records.sort_by(|one, other| one.key.cmp(&other.key));
+    insta::assert_debug_snapshot!(records);
+}
+
+#[gtest]
+fn a_lapsed_lease_closes_the_gate_until_it_joins_again() {
+    let now = Instant::now();
+    let mut gate = gate();
+    gate.announced(now);
+    let late = now + GateConfig::default().lease + Duration::from_secs(1);
+    let refused = err(eq(StartRefusal::NotJoined));
+    expect_that!(gate.start(late, &order("farm/1")), refused);
+    gate.announced(late);
+    let refused = err(eq(StartRefusal::NotJoined));
+    expect_that!(gate.start(late, &order("farm/1")), refused);
+    gate.join();
+    expect_that!(gate.start(late, &order("farm/1")), ok(anything()));
+}
+
+fn job(key: &str, fingerprint: u64) -> Job {
+    Job {
+        key: key.into(),
+        fingerprint,
+        team: "farm".into(),
+        service: "quote".into(),
+        idempotent: false,
+        deadline: Duration::from_secs(5),
+        tasks: vec![Task {
+            payload: b"{}"[..].into(),
+            declared: None,
+            class: "".into(),
+        }],
+    }
+}
+
+#[gtest]
+fn an_owner_refuses_reused_keys_and_old_ones() {
+    let began = Instant::now();
+    let cfg = OwnerConfig {
+        window: WINDOW,
+        ..OwnerConfig::default()
+    };
+    let fence_timeout = cfg.fence_timeout;
+    let mut owner = Owner::new(cfg, 21);
+    let job_one = job("farm/1", 1);
+    owner.take(began, &[job_one.shard()]);
+    let now = began + fence_timeout;
+    owner.tick(now);
+    let stamp = owner.stamp(job_one.shard());
+    expect_that!(
+        owner.admit(now, &job_one, stamp),
+        eq(&Admission::Run(vec![0]))
+    );
+    expect_that!(
+        owner.admit(now, &job("farm/1", 2), stamp),
+        eq(&Admission::KeyReused)
+    );
+    owner.cancel(now, &job_one.key);
+
+    let late = began + WINDOW * 3;
+    owner.tick(late);
+    let Admission::Answered(Answer::Unknown { reason, .. }) = owner.admit(late, &job_one, stamp)
+    else {
+        panic!("an old key gets an answer");
+    };
+    expect_that!(reason, eq(Reason::KeyTooOld));
+    let stamp = owner.stamp(job_one.shard());
+    expect_that!(
+        owner.admit(late, &job("farm/1", 3), stamp),
+        eq(&Admission::Run(vec![0]))
+    );
+}
+
+#[gtest]
+fn records_keep_their_form() {
+    let records = [
+        Record::Entry {
+            incarnation: 21,
+            name: "entry-1".to_owned(),
+            address: "10.0.0.1:7000".to_owned(),
+            data_center: "osijek".to_owned(),
+        },
+        Record::Agent {
+            incarnation: 11,
+            name: "u1".to_owned(),
+            address: "10.0.1.1:7001".to_owned(),
+            services: vec!["quote".into()],
+            data_center: "osijek".to_owned(),
+        },
+        Record::Takeover {
+            shards: vec![0, 63],
+            ballot: BALLOT,
+        },
+        Record::Left {
+            incarnation: 11,
+            custodian: Some(12),
+        },
+    ];
+    insta::assert_json_snapshot!(records);
+}
