Let agents join only on a log that reaches back far enough

After an outage longer than the log's retention the newest takeover can be gone from the log, and an agent that joined then accepted an old owner. The span is measured between records by the log's own clock, so an agent needs no calendar clock: `Gate::on_record(offset, written, &record)` and `Gate::may_join()`, which the agent's engine now uses (two places in hemlockhook-agent/src/engine/log.rs). An agent that is held back tries again with its next announcement.

--- a/hemlockhook-agent/src/engine/log.rs
+++ b/hemlockhook-agent/src/engine/log.rs
@@ -212,7 +212,10 @@
     fn on_membership(&mut self, now: Instant, batch: &Batch) {
         for record in &batch.records {
             match serde_json::from_slice::<Record>(&record.body) {
-                Ok(record) => self.gate.observe(&record),
+                Ok(read) => {
+                    let written = Duration::from_millis(record.appended_ms);
+                    self.gate.on_record(record.offset, written, &read);
+                }
                 Err(_) => self.counters.bad_records += 1,
             }
         }
@@ -229,7 +232,7 @@
     /// Takes in that the log was read to its end after an announcement that was sent at `sent`.
     fn on_caught_up(&mut self, now: Instant, sent: Instant) {
         self.gate.announced(sent);
-        if !self.gate.is_joined() {
+        if !self.gate.is_joined() && self.gate.may_join() {
             self.gate.join();
             self.apply_config(now);
         }
--- a/hemlockhook-ownership/src/gate.rs
+++ b/hemlockhook-ownership/src/gate.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use hemlockhook_types::{Ballot, Incarnation, JobKey, ShardId, TaskIndex, TaskResult};
+use hemlockhook_types::{
+    Ballot, FIRST_OFFSET, Incarnation, JobKey, ShardId, TaskIndex, TaskResult,
+};
 
 use crate::epoch::{base, keep_time};
-use crate::history::{History, log_time};
 use crate::order::{Custody, FenceReport, StartOrder, StartRecord, StartRefusal, Withdrawal};
 use crate::record::Record;
 use crate::rules::Rules;
@@ -56,7 +57,10 @@
     me: Incarnation,
     floors: HashMap<ShardId, Ballot>,
     starts: Starts,
-    history: History,
+    /// Offset and time of the oldest record that was read.
+    first: Option<(u64, Duration)>,
+    /// Time of this agent's newest announcement that was read.
+    own_record: Option<Duration>,
     withdrawn: BTreeMap<JobKey, Withdrawal>,
     /// Withdrawals in order, for expiry.
     withdrawn_at: VecDeque<(Instant, JobKey)>,
@@ -77,7 +81,8 @@
             me,
             floors: HashMap::new(),
             starts: Starts::default(),
-            history: History::default(),
+            first: None,
+            own_record: None,
             withdrawn: BTreeMap::new(),
             withdrawn_at: VecDeque::new(),
             adopted: Vec::new(),
@@ -102,19 +107,32 @@
         }
     }
 
-    /// Takes in a record of the membership stream, in order, with its offset and its age by the
-    /// log's clock. Does what [`Gate::observe`] does, and keeps how far back the records reach.
-    pub fn on_record(&mut self, now: Instant, offset: u64, age: Duration, record: &Record) {
-        self.history.on_record(offset, log_time(now, age));
+    /// Takes in a record of the membership stream, in order, with its offset and the time by the
+    /// log's clock at which it was written. Does what [`Gate::observe`] does, and keeps how far
+    /// back the records reach.
+    pub fn on_record(&mut self, offset: u64, written: Duration, record: &Record) {
+        self.first.get_or_insert((offset, written));
+        match record {
+            Record::Agent { incarnation, .. } if *incarnation == self.me => {
+                self.own_record = Some(written);
+            }
+            _ => {}
+        }
         self.observe(record);
     }
 
-    /// Returns whether the records read reach back far enough to join: every owner that could have
-    /// started a task inside the window has appended its ballot since then.
-    pub fn may_join(&self, now: Instant) -> bool {
+    /// Returns whether the records read reach back far enough from this agent's announcement to
+    /// join: every owner that could have started a task inside the window has appended its ballot
+    /// since then.
+    pub fn may_join(&self) -> bool {
         let span = self.cfg.window + self.cfg.announce_interval;
-        let now = log_time(now, Duration::ZERO);
-        !self.cfg.rules.history || self.history.reaches_back(now, span)
+        match (self.first, self.own_record) {
+            _ if !self.cfg.rules.history => true,
+            (None, _) => true,
+            (Some((offset, _)), _) if offset <= FIRST_OFFSET => true,
+            (Some((_, first)), Some(own)) => first + span <= own,
+            _ => false,
+        }
     }
 
     /// Opens the gate. To be called once the announcement of this incarnation is in the log and
--- a/hemlockhook-ownership/tests/bounds.rs
+++ b/hemlockhook-ownership/tests/bounds.rs
@@ -180,3 +180,29 @@
     ];
     insta::assert_json_snapshot!(records);
 }
+
+#[gtest]
+fn an_agent_joins_only_on_a_log_that_reaches_back() {
+    let announcement = Record::Agent {
+        incarnation: 11,
+        name: "u1".to_owned(),
+        address: "10.0.1.1:7001".to_owned(),
+        services: vec!["quote".into()],
+        data_center: "osijek".to_owned(),
+    };
+    let span = WINDOW + GateConfig::default().announce_interval;
+    let written = Duration::from_secs(1_000_000);
+    let may_join = |first_offset, first_written| {
+        let mut gate = gate();
+        let takeover = Record::Takeover {
+            shards: vec![0],
+            ballot: BALLOT,
+        };
+        gate.on_record(first_offset, first_written, &takeover);
+        gate.on_record(first_offset + 1, written, &announcement);
+        gate.may_join()
+    };
+    expect_that!(may_join(1, written), eq(true));
+    expect_that!(may_join(90, written), eq(false));
+    expect_that!(may_join(90, written - span), eq(true));
+}
--- a/hemlockhook-ownership/tests/world/log.rs
+++ b/hemlockhook-ownership/tests/world/log.rs
@@ -65,7 +65,7 @@
             return;
         }
         let from = proc.read.max(self.first_retained);
-        proc.on_records(self.now, from, &self.log[from..]);
+        proc.on_records(self.began, from, &self.log[from..]);
         proc.read = self.log.len();
     }
 
--- a/hemlockhook-ownership/tests/world/mod.rs
+++ b/hemlockhook-ownership/tests/world/mod.rs
@@ -78,6 +78,7 @@
 /// Everything, with the record of what happened.
 pub struct World {
     pub rules: Rules,
+    pub began: Instant,
     pub now: Instant,
     pub entries: Vec<EntryProc>,
     pub agents: Vec<AgentProc>,
@@ -105,9 +106,11 @@
 
 impl World {
     pub fn new(rules: Rules) -> Self {
+        let began = Instant::now();
         let mut world = Self {
             rules,
-            now: Instant::now(),
+            began,
+            now: began,
             entries: Vec::new(),
             agents: Vec::new(),
             links: BTreeMap::new(),
--- a/hemlockhook-ownership/tests/world/procs.rs
+++ b/hemlockhook-ownership/tests/world/procs.rs
@@ -125,11 +125,11 @@
     }
 
     /// Takes in records that were read, and joins at the end of the log.
-    pub fn on_records(&mut self, now: Instant, from: usize, records: &[(Instant, Record)]) {
+    pub fn on_records(&mut self, began: Instant, from: usize, records: &[(Instant, Record)]) {
         for (offset, (written, record)) in (FIRST_OFFSET + from as u64..).zip(records) {
-            self.gate.on_record(now, offset, now - *written, record);
+            self.gate.on_record(offset, *written - began, record);
         }
-        if self.announced.is_some() && self.gate.may_join(now) {
+        if self.announced.is_some() && self.gate.may_join() {
             self.gate.join();
         }
     }
