--- /dev/null
+++ b/hemlockhook-bench/src/lib.rs
@@ -0,0 +1,11 @@
+//! The load and experiment tool: replays traces in virtual time under the system's scheduling policy
+//! and under baselines, and reports their figures.
+
+pub mod baseline;
+pub mod clairvoyant;
+pub mod compare;
+pub mod decisions;
+pub mod faults;
+pub mod replay;
+pub mod report;
+pub mod trace;
--- a/hemlockhook-bench/src/main.rs
+++ b/hemlockhook-bench/src/main.rs
@@ -1,18 +1,12 @@
 //! The load and experiment tool.
 
-mod baseline;
-mod clairvoyant;
-mod compare;
-mod replay;
-mod report;
-mod trace;
-
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
 
-use crate::compare::{Comparison, Output};
-use crate::trace::{DeploymentName, Trace};
+use hemlockhook_bench::compare::{Comparison, Output};
+use hemlockhook_bench::trace::{DURATION_US, DeploymentName, Trace};
+use hemlockhook_bench::{decisions, faults};
 
 /// Experiments with the scheduling policy of hemlockhook.
 #[derive(Clone, Debug, Bpaf)]
@@ -40,6 +34,16 @@
         #[bpaf(long, argument("FILE"), optional)]
         chart: Option<PathBuf>,
     },
+    /// Replays traces with faults and compares what happens with what is stated.
+    #[bpaf(command)]
+    Faults {
+        /// Seed of the traces.
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+    },
+    /// Prints the time that one decision takes, by the number of upstreams and of queued tasks.
+    #[bpaf(command)]
+    Decisions,
     /// Writes the trace of a deployment to a file, as JSON Lines.
     #[bpaf(command)]
     Export {
@@ -72,7 +76,7 @@
                     only,
                 },
                 (None, Some(name)) => Comparison {
-                    trace: Trace::generate(name, seed),
+                    trace: Trace::generate(name, seed, DURATION_US),
                     seed: Some(seed),
                     only,
                 },
@@ -80,10 +84,12 @@
             };
             comparison.run(output, chart.as_deref())
         }
+        Command::Faults { seed } => faults::print(seed),
+        Command::Decisions => decisions::print(),
         Command::Export {
             deployment,
             seed,
             file,
-        } => Trace::generate(deployment, seed).write(&file),
+        } => Trace::generate(deployment, seed, DURATION_US).write(&file),
     }
 }
--- a/hemlockhook-bench/src/trace.rs
+++ b/hemlockhook-bench/src/trace.rs
@@ -20,7 +20,8 @@
 const SLOTS: u32 = 8;
 const UPSTREAMS_PER_RACK: usize = 3;
 const DATA_CENTERS: usize = 3;
-const DURATION_US: u64 = 600_000_000;
+/// Length of a trace of the comparison.
+pub const DURATION_US: u64 = 600_000_000;
 const SWING_US: u64 = 20_000_000;
 const CREST_US: u64 = 4_000_000;
 const MEAN_LOAD: f64 = 0.7;
@@ -156,8 +157,8 @@
     }
 
     /// Makes the trace of a deployment, which is the same for the same seed.
-    pub fn generate(name: DeploymentName, seed: u64) -> Self {
-        let deployment = deployment(name);
+    pub fn generate(name: DeploymentName, seed: u64, duration_us: u64) -> Self {
+        let deployment = deployment(name, duration_us);
         let workload = Workload::of(name);
         let mut rng = fastrand::Rng::with_seed(seed);
         let capacity: f64 = deployment
@@ -168,7 +169,7 @@
         let mut jobs = Vec::new();
         let mut at_us = 0.0;
         // Work arrives at `load(t) * capacity`: the gap to the next job is exponential.
-        while at_us < DURATION_US as f64 {
+        while at_us < duration_us as f64 {
             let job = workload.job(&mut rng, at_us as u64);
             let rate = load_at(at_us as u64, &deployment.crests_us) * capacity;
             let gap = -(1.0 - rng.f64()).ln() * workload.mean_work_us / rate;
@@ -347,7 +348,7 @@
     }
 }
 
-fn deployment(name: DeploymentName) -> Deployment {
+fn deployment(name: DeploymentName, duration_us: u64) -> Deployment {
     let services = Workload::services(name);
     let upstream = |(index, speed): (usize, &f64)| Upstream {
         speed: *speed,
@@ -368,7 +369,7 @@
         DeploymentName::Tunelpokrov => (1500, 1000),
         DeploymentName::Asante => (1000, 3000),
     };
-    let starts = (0..DURATION_US / SWING_US).map(|n| n * SWING_US + SWING_US / 2);
+    let starts = (0..duration_us / SWING_US).map(|n| n * SWING_US + SWING_US / 2);
     Deployment {
         name: name.to_string(),
         entries: 3,
--- /dev/null
+++ b/hemlockhook-bench/tests/faults.rs
@@ -0,0 +1,68 @@
+//! Replays with faults, against their stated outcomes.
+
+use googletest::prelude::*;
+use hemlockhook_bench::faults::{Scenario, verdict};
+use hemlockhook_bench::replay::{Chooser, replay};
+use hemlockhook_bench::trace::{DeploymentName, Trace};
+
+const SEED: u64 = 1;
+
+fn check(scenario: Scenario) {
+    let verdict = verdict(scenario, SEED);
+    assert_that!(
+        verdict.holds,
+        is_true(),
+        "{}: {}",
+        verdict.stated,
+        verdict.measured
+    );
+}
+
+#[gtest]
+fn upstream_that_fails_everything_is_given_little() {
+    check(Scenario::FailsEverything);
+}
+
+#[gtest]
+fn upstream_at_a_tenth_of_its_speed_is_given_little() {
+    check(Scenario::TenthOfSpeed);
+}
+
+#[gtest]
+fn lost_rack_fails_only_what_ran_there() {
+    check(Scenario::RackLost);
+}
+
+#[gtest]
+fn wrong_declarations_cost_little() {
+    check(Scenario::DeclaredWrong);
+}
+
+#[gtest]
+fn cancellation_wave_leaves_no_residue() {
+    check(Scenario::CancellationWave);
+}
+
+#[gtest]
+fn burst_of_one_team_leaves_the_others_their_part() {
+    check(Scenario::TeamBurst);
+}
+
+#[gtest]
+fn same_trace_gives_the_same_outcome() {
+    let trace = Trace::generate(DeploymentName::Asante, SEED, 20_000_000);
+    let run = || replay(&trace, Chooser::System(Box::default()));
+    let (first, second) = (run(), run());
+    expect_that!(first.jobs, eq(&second.jobs));
+    expect_that!(first.messages, eq(second.messages));
+}
+
+#[gtest]
+fn written_trace_reads_the_same() -> googletest::Result<()> {
+    let trace = Trace::generate(DeploymentName::Tunelpokrov, SEED, 2_000_000);
+    let path = std::env::temp_dir().join(format!("hemlockhook-trace-{}.jsonl", std::process::id()));
+    trace.write(&path).or_fail()?;
+    let read = Trace::read(&path);
+    std::fs::remove_file(&path).or_fail()?;
+    verify_that!(read.or_fail()?, eq(&trace))
+}
--- a/hemlockhook-schedule/src/admission.rs
+++ b/hemlockhook-schedule/src/admission.rs
@@ -5,6 +5,7 @@
 use hemlockhook_types::Reason;
 
 use crate::dispatcher::{Dispatcher, QueuedTask};
+use crate::queue::Urgency;
 use crate::spec::{JobSpec, Policy, Rejection};
 
 /// Suggested pause after a rejection that may pass.
@@ -17,6 +18,7 @@
         now: Instant,
         spec: &JobSpec,
         queued: &[QueuedTask],
+        urgency: Urgency,
     ) -> Result<(), Rejection> {
         let Policy {
             teams,
@@ -26,7 +28,7 @@
         } = &self.policy;
         let left = spec.deadline.saturating_duration_since(now);
         let longest = queued.last().map_or(0.0, |task| task.work_secs);
-        let wait = self.expected_wait(longest >= self.policy.long_threshold.as_secs_f64());
+        let wait = self.expected_wait(longest >= self.policy.long_threshold.as_secs_f64(), urgency);
         let run = Duration::from_secs_f64(longest / self.upstreams.fastest_speed(&spec.service));
         match () {
             () if !teams.is_empty() && !teams.iter().any(|(team, _)| *team == spec.team) => reject(
@@ -50,7 +52,7 @@
                 reject(Reason::Overloaded, detail, Some(wait.max(RETRY_AFTER)))
             }
             () if wait > left => {
-                let detail = format!("the queue alone takes {} ms", wait.as_millis());
+                let detail = format!("the work queued ahead takes {} ms", wait.as_millis());
                 reject(
                     Reason::Deadline,
                     detail,
@@ -72,13 +74,13 @@
         })
     }
 
-    /// Returns the time that the queued work ahead of a job takes at the rate at which this entry is
+    /// Returns the time that the work takes that goes before a job, at the rate at which this entry is
     /// served: long work waits for its part of the slots, short work does not wait for long work.
-    fn expected_wait(&self, long: bool) -> Duration {
+    fn expected_wait(&self, long: bool, urgency: Urgency) -> Duration {
         let slots = (self.running_tasks() + self.upstreams.grants() as usize).max(1);
         let wait_secs = match long {
-            true => self.queued_work.long_secs / f64::from(self.long_ceiling()),
-            false => self.queued_work.short_secs / slots as f64,
+            true => self.queued_work.ahead_secs(true, urgency) / f64::from(self.long_ceiling()),
+            false => self.queued_work.ahead_secs(false, urgency) / slots as f64,
         };
         Duration::from_secs_f64(wait_secs.clamp(0.0, 1e6))
     }
--- a/hemlockhook-schedule/src/dispatcher.rs
+++ b/hemlockhook-schedule/src/dispatcher.rs
@@ -9,7 +9,7 @@
 use crate::backlog::Backlogs;
 use crate::estimate::Estimates;
 use crate::fleet::flow_rate;
-use crate::queue::{LaneKey, Queue, Urgency};
+use crate::queue::{LaneKey, Queue, QueuedWork, Urgency};
 use crate::share::Shares;
 use crate::spec::{
     Demand, Intervention, InterventionKind, JobId, JobSpec, Placement, Policy, Rejection, Snapshot,
@@ -44,13 +44,6 @@
     backlogs: Backlogs,
 }
 
-/// Work that is queued, in seconds on an upstream of mean speed.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct QueuedWork {
-    pub short_secs: f64,
-    pub long_secs: f64,
-}
-
 /// A job that was not yet answered.
 #[derive(Debug)]
 pub(crate) struct JobState {
@@ -63,15 +56,6 @@
     deadline: Instant,
 }
 
-impl QueuedWork {
-    fn add(&mut self, long: bool, work_secs: f64) {
-        match long {
-            true => self.long_secs += work_secs,
-            false => self.short_secs += work_secs,
-        }
-    }
-}
-
 /// A task that waits for a slot.
 #[derive(Clone, Debug)]
 pub(crate) struct QueuedTask {
@@ -161,34 +145,39 @@
             spec.tasks.iter().map(|t| self.expect(&spec, t)).collect();
         queued.sort_by(|a, b| a.work_secs.total_cmp(&b.work_secs));
         let work_secs: f64 = queued.iter().map(|task| task.work_secs).sum();
-        self.check(now, &spec, &queued)?;
         let longest = queued.last().map_or(0.0, |task| task.work_secs);
         let long = longest >= self.policy.long_threshold.as_secs_f64();
+        let ideal_us = (longest / self.upstreams.fastest_speed(&spec.service) * 1e6) as u64;
+        let slots = self.upstreams.slots();
+        // A job of many tasks is due later: all upstreams together take that long for it.
+        let span_us = ideal_us + (work_secs / f64::from(slots.max(1)) * 1e6) as u64;
         let now_us = self.micros(now);
+        let start_us = self.shares.start_us(now_us, &spec.team);
+        let urgency = start_us + span_us * u64::from(self.policy.ageing_percent) / 100;
+        self.check(now, &spec, &queued, urgency)?;
         let lane = LaneKey {
             service: spec.service,
             long,
             team: spec.team,
         };
-        let ideal_us = (longest / self.upstreams.fastest_speed(&lane.service) * 1e6) as u64;
-        let slots = self.upstreams.slots();
         let charged_secs = if long { 0.0 } else { work_secs };
-        let start_us = self.shares.charge(now_us, &lane.team, charged_secs, slots);
-        // A job of many tasks is due later: all upstreams together take that long for it.
-        let span_us = ideal_us + (work_secs / f64::from(slots.max(1)) * 1e6) as u64;
-        let urgency = start_us + span_us * u64::from(self.policy.ageing_percent) / 100;
+        self.shares.charge(now_us, &lane.team, charged_secs, slots);
         let (tasks, deadline) = (queued.len(), spec.deadline);
-        let job = self.jobs.insert(JobState {
+        self.shares.count_queued(&lane.team, tasks as i64);
+        queued
+            .iter()
+            .for_each(|task| self.queued_work.add(long, urgency, task.work_secs));
+        let expected_end = now_us + ideal_us;
+        let state = JobState {
             lane: lane.clone(),
             urgency,
-            expected_end: now_us + ideal_us,
+            expected_end,
             queued,
             deadline,
-        });
+        };
+        let job = self.jobs.insert(state);
         if tasks > 0 {
             self.queue.insert(&lane, urgency, job, tasks);
-            self.shares.count_queued(&lane.team, tasks as i64);
-            self.queued_work.add(long, work_secs);
             self.deadlines.insert((deadline, job));
         }
         Ok(job)
@@ -231,7 +220,8 @@
             self.deadlines.remove(&(state.deadline, job));
         }
         self.queue.remove(&lane, urgency, job, 1, last);
-        self.count_dequeued(&lane, 1, task.work_secs);
+        self.shares.count_queued(&lane.team, -1);
+        self.queued_work.remove(lane.long, urgency, task.work_secs);
         self.shares.count_running(&lane.team, 1);
         let index = task.spec.index;
         let long = self.place(now, agent, job, lane, task, run_secs);
@@ -303,7 +293,8 @@
         state.queued.insert(position, running.task);
         self.queue.insert(&state.lane, state.urgency, job, 1);
         self.shares.count_queued(&state.lane.team, 1);
-        self.queued_work.add(state.lane.long, work_secs);
+        self.queued_work
+            .add(state.lane.long, state.urgency, work_secs);
         self.deadlines.insert((state.deadline, job));
     }
 
@@ -443,14 +434,6 @@
         long
     }
 
-    fn count_dequeued(&mut self, lane: &LaneKey, tasks: usize, work_secs: f64) {
-        self.shares.count_queued(&lane.team, -(tasks as i64));
-        match self.queue.tasks() {
-            0 => self.queued_work = QueuedWork::default(),
-            _ => self.queued_work.add(lane.long, -work_secs),
-        }
-    }
-
     fn drop_queued(&mut self, job: JobId) {
         let Some(state) = self
             .jobs
@@ -468,7 +451,11 @@
         let (lane, urgency) = (state.lane.clone(), state.urgency);
         self.deadlines.remove(&(state.deadline, job));
         self.queue.remove(&lane, urgency, job, dropped.len(), true);
-        self.count_dequeued(&lane, dropped.len(), work_secs);
+        self.shares
+            .count_queued(&lane.team, -(dropped.len() as i64));
+        dropped
+            .iter()
+            .for_each(|task| self.queued_work.remove(lane.long, urgency, task.work_secs));
     }
 
     fn forget_running(&mut self, now: Instant, job: JobId, index: TaskIndex) -> Option<Running> {
--- a/hemlockhook-schedule/src/queue.rs
+++ b/hemlockhook-schedule/src/queue.rs
@@ -34,6 +34,46 @@
     tasks: usize,
 }
 
+/// Work that is queued, by whether it is long and by the second in which it is due.
+#[derive(Debug, Default)]
+pub struct QueuedWork {
+    due: BTreeMap<(bool, u64), Due>,
+}
+
+/// Queued work that is due in the same second. Microseconds, so that what is added can be taken away
+/// exactly.
+#[derive(Debug, Default)]
+struct Due {
+    work_us: u64,
+    tasks: usize,
+}
+
+impl QueuedWork {
+    /// Adds a task.
+    pub fn add(&mut self, long: bool, urgency: Urgency, work_secs: f64) {
+        let due = self.due.entry((long, urgency / 1_000_000)).or_default();
+        due.work_us += (work_secs * 1e6) as u64;
+        due.tasks += 1;
+    }
+
+    /// Takes a task away.
+    pub fn remove(&mut self, long: bool, urgency: Urgency, work_secs: f64) {
+        let key = (long, urgency / 1_000_000);
+        let due = self.due.get_mut(&key).expect("queued work is counted");
+        due.work_us -= (work_secs * 1e6) as u64;
+        due.tasks -= 1;
+        if due.tasks == 0 {
+            self.due.remove(&key);
+        }
+    }
+
+    /// Returns the seconds of work that go before a job.
+    pub fn ahead_secs(&self, long: bool, urgency: Urgency) -> f64 {
+        let ahead = self.due.range((long, 0)..(long, urgency / 1_000_000));
+        ahead.map(|(_, due)| due.work_us).sum::<u64>() as f64 / 1e6
+    }
+}
+
 impl Queue {
     /// Adds a job with a number of tasks.
     pub fn insert(&mut self, key: &LaneKey, urgency: Urgency, job: JobId, tasks: usize) {
--- a/hemlockhook-schedule/src/share.rs
+++ b/hemlockhook-schedule/src/share.rs
@@ -8,10 +8,10 @@
 const ALLOWANCE: f64 = 1.25;
 
 /// Microseconds of its fair part that a team may save up for a burst.
-const CREDIT_US: u64 = 6_000_000;
+const CREDIT_US: u64 = 4_000_000;
 
 /// Furthest, in microseconds, that a team's jobs are put off in favour of other teams.
-const MAX_DEBT_US: u64 = 30_000_000;
+const MAX_DEBT_US: u64 = 300_000_000;
 
 /// The running work of teams, at this entry and as its peers report it.
 #[derive(Debug, Default)]
@@ -73,15 +73,22 @@
         self.drop_idle(team);
     }
 
-    /// Charges a team for a job and returns when the job counts as arrived: now, or later for a team
-    /// that asks for more than its fair part of the slots, so that the others' jobs go first.
-    pub fn charge(&mut self, now_us: u64, team: &TeamName, work_secs: f64, slots: u32) -> u64 {
-        let rate = self.fair_slots(team, slots);
+    /// Returns when a team's next job counts as arrived: now, or later for a team that asked for more
+    /// than its fair part of the slots, so that the others' jobs go first.
+    pub fn start_us(&self, now_us: u64, team: &TeamName) -> u64 {
+        let charged_until_us = self
+            .usage
+            .get(team)
+            .map_or(0, |usage| usage.charged_until_us);
+        charged_until_us.max(now_us)
+    }
+
+    /// Charges a team for a job.
+    pub fn charge(&mut self, now_us: u64, team: &TeamName, work_secs: f64, slots: u32) {
+        let charge_us = (work_secs / self.fair_slots(team, slots) * 1e6) as u64;
         let usage = self.usage.entry(team.clone()).or_default();
-        let start_us = usage.charged_until_us.max(now_us.saturating_sub(CREDIT_US));
-        let until_us = start_us + (work_secs / rate * 1e6) as u64;
-        usage.charged_until_us = until_us.min(now_us + MAX_DEBT_US);
-        start_us.max(now_us)
+        let since_us = usage.charged_until_us.max(now_us.saturating_sub(CREDIT_US));
+        usage.charged_until_us = (since_us + charge_us).min(now_us + MAX_DEBT_US);
     }
 
     /// Gives back the charge for work that was dropped.
