--- /dev/null
+++ b/hemlockhook-bench/src/capacity/messages.rs
@@ -0,0 +1,161 @@
+//! Bytes of the messages between the processes, as they are encoded: without the 5 bytes of gRPC, the
+//! 9 of an HTTP/2 frame and the headers of TCP and IP.
+
+use hemlockhook_proto::v1;
+use prost::Message;
+
+use super::Slope;
+
+const KEY: &str = "sales-desk/0190f5a0-0000-7000-8000-000000000000";
+
+/// Measures the messages.
+pub fn slopes() -> Vec<Slope> {
+    vec![
+        Slope {
+            name: "b_start",
+            what: "bytes of a frame to an agent without payloads, by starts",
+            unit: "B",
+            points: points(&[1, 2, 4, 8, 16], |n| starts(n).encoded_len()),
+        },
+        Slope {
+            name: "b_done",
+            what: "bytes of a frame to an entry without results' bodies, by results",
+            unit: "B",
+            points: points(&[1, 2, 4, 8, 16], |n| results(n).encoded_len()),
+        },
+        Slope {
+            name: "b_report",
+            what: "bytes of a fence's report without results' bodies, by starts",
+            unit: "B",
+            points: points(&[10, 100, 1_000], |n| report(n).encoded_len()),
+        },
+        Slope {
+            name: "b_peer, shards",
+            what: "bytes of a heartbeat between entries, without teams, by shards owned",
+            unit: "B",
+            points: points(&[1, 8, 32, 64], |n| peer(n, 0).encoded_len()),
+        },
+        Slope {
+            name: "b_peer, teams",
+            what: "bytes of a heartbeat between entries, of 3 shards, by teams at work",
+            unit: "B",
+            points: points(&[1, 8, 16, 31], |n| peer(3, n).encoded_len()),
+        },
+        Slope {
+            name: "b_ping",
+            what: "bytes of a ping to an agent (1) and of its answer (2)",
+            unit: "B",
+            points: vec![
+                (1.0, ping().encoded_len() as f64),
+                (2.0, pong().encoded_len() as f64),
+            ],
+        },
+    ]
+}
+
+fn points<F>(sizes: &[usize], bytes: F) -> Vec<(f64, f64)>
+where
+    F: Fn(usize) -> usize,
+{
+    sizes
+        .iter()
+        .map(|n| (*n as f64, bytes(*n) as f64))
+        .collect()
+}
+
+fn starts(count: usize) -> v1::EntryFrame {
+    let start = v1::Start {
+        key: KEY.to_owned(),
+        index: 100,
+        job_tasks: 110,
+        fingerprint: u64::MAX,
+        shard: 40,
+        ballot: 1 << 20,
+        service: "stock-check".to_owned(),
+        timeout_ms: 10_000,
+        ..v1::Start::default()
+    };
+    v1::EntryFrame {
+        starts: vec![start; count],
+        config_version: 100_000,
+        ..v1::EntryFrame::default()
+    }
+}
+
+fn result() -> v1::TaskResult {
+    v1::TaskResult {
+        kind: v1::task_result::Kind::Ok.into(),
+        run_time_us: 200_000,
+        ..v1::TaskResult::default()
+    }
+}
+
+fn results(count: usize) -> v1::AgentFrame {
+    let done = v1::TaskDone {
+        key: KEY.to_owned(),
+        index: 100,
+        result: Some(result()),
+    };
+    v1::AgentFrame {
+        grants: count as u32,
+        done: vec![done; count],
+        config_version: 100_000,
+        ..v1::AgentFrame::default()
+    }
+}
+
+fn report(count: usize) -> v1::FenceReport {
+    let record = v1::StartRecord {
+        shard: 40,
+        key: KEY.to_owned(),
+        index: 100,
+        job_tasks: 110,
+        fingerprint: u64::MAX,
+        service: "stock-check".to_owned(),
+        idempotent: false,
+        result: Some(result()),
+    };
+    v1::FenceReport {
+        takeover: 1_000,
+        records: vec![record; count],
+        ..v1::FenceReport::default()
+    }
+}
+
+fn peer(shards: usize, teams: usize) -> v1::PeerStatus {
+    let owned = |n| v1::OwnedShard {
+        shard: n as u32,
+        ballot: 1 << 20,
+    };
+    let team = |n| v1::TeamUsage {
+        team: format!("sales-desk-{n}"),
+        running: 200,
+        queued: 200,
+    };
+    v1::PeerStatus {
+        incarnation: u64::MAX,
+        name: "entry-osijek-1".to_owned(),
+        address: "10.100.100.100:7002".to_owned(),
+        data_center: "osijek".to_owned(),
+        config_version: 100_000,
+        owned: (0..shards).map(owned).collect(),
+        teams: (0..teams).map(team).collect(),
+        ..v1::PeerStatus::default()
+    }
+}
+
+fn ping() -> v1::EntryFrame {
+    v1::EntryFrame {
+        ping: true,
+        config_version: 100_000,
+        ..v1::EntryFrame::default()
+    }
+}
+
+fn pong() -> v1::AgentFrame {
+    v1::AgentFrame {
+        pong: true,
+        config_version: 100_000,
+        ..v1::AgentFrame::default()
+    }
+}
--- a/hemlockhook-bench/src/main.rs
+++ b/hemlockhook-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! The load and experiment tool.
 
 mod baseline;
+mod capacity;
 mod clairvoyant;
 mod compare;
 mod replay;
@@ -44,6 +45,9 @@
     /// Measures tasks a second through one entry and the CPU time that a task takes.
     #[bpaf(command)]
     Throughput(#[bpaf(external(throughput::throughput_args))] throughput::ThroughputArgs),
+    /// Measures the slopes of docs/CAPACITY.md and prints them as a table.
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity::capacity_args))] capacity::CapacityArgs),
     /// Writes the trace of a deployment to a file, as JSON Lines.
     #[bpaf(command)]
     Export {
@@ -85,6 +89,7 @@
             comparison.run(output, chart.as_deref())
         }
         Command::Throughput(args) => throughput::run(&args),
+        Command::Capacity(args) => capacity::run(&args),
         Command::Export {
             deployment,
             seed,
--- a/hemlockhook-bench/src/throughput.rs
+++ b/hemlockhook-bench/src/throughput.rs
@@ -185,7 +185,7 @@
 
 /// Returns the CPU time of this process's threads by the role that their names begin with, in
 /// seconds.
-fn cpu_times() -> eyre::Result<BTreeMap<String, f64>> {
+pub fn cpu_times() -> eyre::Result<BTreeMap<String, f64>> {
     let mut times = BTreeMap::new();
     for task in fs::read_dir("/proc/self/task").wrap_err("/proc/self/task")? {
         let dir = task?.path();
