--- a/hemlockhook-bench/src/lib.rs
+++ b/hemlockhook-bench/src/lib.rs
@@ -2,6 +2,7 @@
 //! and under baselines, and reports their figures.
 
 pub mod baseline;
+pub mod capacity;
 pub mod clairvoyant;
 pub mod compare;
 pub mod decisions;
