--- a/hemlockhook-ownership/src/owner/settle.rs
+++ b/hemlockhook-ownership/src/owner/settle.rs
@@ -1,5 +1,6 @@
 //! Answers: given once, kept for the window.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use hemlockhook_types::{Answer, Incarnation, JobKey, Reason, ShardId, TaskIndex};
@@ -85,6 +86,8 @@
                 self.saw_ballot(now, shard, floor);
                 self.ask_next(now, key);
             }
+            // Somebody started it after all.
+            Err(StartRefusal::AlreadyStarted) => self.give_up_refusal(now, key),
             Err(_) => self.ask_next(now, key),
         }
     }
@@ -131,8 +134,17 @@
         }
     }
 
-    /// Gives a job its final answer.
+    /// Gives a job its final answer, and tells of it.
     pub(super) fn answer(&mut self, now: Instant, key: &JobKey, answer: Answer) {
+        self.keep_answer(now, key, &answer);
+        self.actions.push(OwnerAction::Settled {
+            key: key.clone(),
+            answer,
+        });
+    }
+
+    /// Keeps the final answer of a job.
+    pub(super) fn keep_answer(&mut self, now: Instant, key: &JobKey, answer: &Answer) {
         let job = self.jobs.get_mut(key).expect("it is known");
         assert!(job.answer.is_none(), "an answer is settled once");
         assert!(
@@ -146,15 +158,11 @@
         self.refusing.remove(key);
         self.expiry.push_back((now, key.clone()));
 
-        if let Answer::Complete(_) = &answer {
-            self.answer_bytes += answer_bytes(&answer);
+        if let Answer::Complete(_) = answer {
+            self.answer_bytes += answer_bytes(answer);
             self.kept.push_back(key.clone());
         }
         self.evict();
-        self.actions.push(OwnerAction::Settled {
-            key: key.clone(),
-            answer,
-        });
     }
 
     /// Forgets what has been settled longer ago than the window.
@@ -178,20 +186,29 @@
         }
     }
 
-    /// Forgets a shard's jobs. Returns those that were admitted and have no answer, in order.
-    pub(super) fn forget_shard(&mut self, shard: ShardId) -> Vec<JobKey> {
-        let mut keys: Vec<_> = self
+    /// Forgets the jobs of shards. Returns those that were admitted and have no answer, in order.
+    pub(super) fn forget_shards(&mut self, shards: &[ShardId]) -> BTreeMap<ShardId, Vec<JobKey>> {
+        if shards.is_empty() {
+            return BTreeMap::new();
+        }
+        let keys: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.shard == shard)
-            .map(|(key, job)| (key.clone(), job.admitted.is_some() && job.answer.is_none()))
+            .filter(|(_, job)| shards.contains(&job.shard))
+            .map(|(key, _)| key.clone())
             .collect();
-        keys.sort();
-        for (key, _) in &keys {
-            self.forget_job(key);
+        let mut unfinished = BTreeMap::<_, Vec<_>>::new();
+        for key in keys {
+            match self.jobs.get(&key) {
+                Some(job) if job.admitted.is_some() && job.answer.is_none() => {
+                    unfinished.entry(job.shard).or_default().push(key.clone());
+                }
+                _ => {}
+            }
+            self.forget_job(&key);
         }
-        keys.retain(|(_, unfinished)| *unfinished);
-        keys.into_iter().map(|(key, _)| key).collect()
+        unfinished.values_mut().for_each(|keys| keys.sort());
+        unfinished
     }
 
     fn forget_job(&mut self, key: &JobKey) {
@@ -246,9 +263,7 @@
         let refusing = job.refusing.as_mut().expect("it is being refused");
         let reason = refusing.answer.reason().unwrap_or(Reason::Overloaded);
         let (Some(agent), Some(ballot)) = (next, ballot) else {
-            job.refusing = None;
-            let detail = "no agent could confirm that the job was not run".to_owned();
-            return self.answer(now, key, Answer::Unknown { reason, detail });
+            return self.give_up_refusal(now, key);
         };
 
         refusing.tried.push(refusing.agent);
@@ -268,6 +283,15 @@
         });
     }
 
+    /// Answers a job as unknown that no agent confirmed as not run.
+    fn give_up_refusal(&mut self, now: Instant, key: &JobKey) {
+        let job = self.jobs.get_mut(key).expect("it is known");
+        let refusing = job.refusing.take().expect("it is being refused");
+        let reason = refusing.answer.reason().unwrap_or(Reason::Overloaded);
+        let detail = "no agent could confirm that the job was not run".to_owned();
+        self.answer(now, key, Answer::Unknown { reason, detail });
+    }
+
     /// Drops the oldest complete answers until the rest fits its bound. The keys stay.
     fn evict(&mut self) {
         while self.answer_bytes > self.cfg.max_result_bytes {
