--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -8,7 +8,7 @@
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::{AgentFrame, AgentHello, EntryFrame};
 use hemlockhook_runtime::log;
-use hemlockhook_schedule::{Placement, UpstreamSpec};
+use hemlockhook_schedule::{Intervention, Placement, UpstreamSpec};
 use hemlockhook_types::{Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of};
 
 use super::Engine;
@@ -356,6 +356,25 @@
         allowed.as_millis().clamp(1, u128::from(u32::MAX)) as u32
     }
 
+    /// Asks the platform to hold back long work that was declared short while short work waits.
+    pub(super) fn intervene(&mut self, now: Instant) {
+        for Intervention {
+            agent,
+            job,
+            index,
+            kind,
+        } in self.dispatcher.interventions(now)
+        {
+            let (Some(link), Some(key)) = (self.links.get(&agent), self.scheduled.get(&job)) else {
+                continue;
+            };
+            let worker = link.hello.worker.clone();
+            let task = format!("{key}/{index}");
+            log::task(key, index).info(&format!("asking the platform to {kind} it"));
+            self.actions.push(Action::Intervene { worker, task, kind });
+        }
+    }
+
     /// Stops a task that runs, or is about to, at an agent.
     pub(super) fn stop_task(&mut self, agent: Incarnation, key: &JobKey, index: TaskIndex) {
         let frame = self.frame(agent);
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -224,6 +224,7 @@
         self.balance_shards(now);
         self.retry_held(now);
         self.refresh_stamps(now);
+        self.intervene(now);
     }
 
     fn on_drain(&mut self, now: Instant) {
--- a/hemlockhook-entry/src/engine/peers.rs
+++ b/hemlockhook-entry/src/engine/peers.rs
@@ -85,6 +85,7 @@
         }
         for (peer, name) in before.iter().filter(|peer| !alive.contains(peer)) {
             self.note(EventKind::PeerDown, name, "the entry does not answer");
+            self.dispatcher.forget_peer(*peer);
             self.abandon_calls(*peer);
         }
     }
--- a/hemlockhook-entry/src/event.rs
+++ b/hemlockhook-entry/src/event.rs
@@ -9,6 +9,7 @@
 use hemlockhook_ownership::Record;
 use hemlockhook_proto::convert::Reply;
 use hemlockhook_proto::v1::{AgentFrame, AgentHello, EntryFrame, PeerStatus};
+use hemlockhook_schedule::InterventionKind;
 use hemlockhook_types::{Incarnation, Job, JobKey, Stamp, StampTable};
 
 /// Where the reply to a request goes; it is sent at most one.
@@ -233,6 +234,15 @@
         /// Our state.
         status: Box<PeerStatus>,
     },
+    /// Ask the platform to hold back a running task.
+    Intervene {
+        /// The worker that it runs on.
+        worker: String,
+        /// Its name at the platform: `key/index`.
+        task: String,
+        /// What to ask for.
+        kind: InterventionKind,
+    },
     /// Append a record to the log's `membership` stream; ends in [`Event::Appended`].
     Append {
         /// The takeover that it belongs to.
--- a/hemlockhook-entry/src/process.rs
+++ b/hemlockhook-entry/src/process.rs
@@ -11,7 +11,7 @@
 use eyre::WrapErr;
 use futures_lite::FutureExt;
 use hemlockhook_ownership::Record;
-use hemlockhook_platform::{HttpLog, Log};
+use hemlockhook_platform::{HttpLog, HttpWorkers, Log, Workers};
 use hemlockhook_proto::v1::EntryHello;
 use hemlockhook_proto::v1::entry_server::EntryServer;
 use hemlockhook_runtime::executor::{Executor, Threads};
@@ -33,6 +33,9 @@
 /// Time for a request to the log.
 const LOG_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for a request to the workers' service.
+const WORKERS_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Largest message taken from another entry, in bytes.
 const MAX_MESSAGE_BYTES: usize = 64 << 20;
 
@@ -98,10 +101,15 @@
 
         let (control, inputs) = Control::new();
         let (to_end_tx, to_end_rx) = async_channel::unbounded();
+        let workers = settings.workers_address.map(|address| {
+            let workers = HttpWorkers::new(traffic.clone(), address, WORKERS_TIMEOUT);
+            Arc::new(workers) as Arc<dyn Workers>
+        });
         let shell = Shell::new(
             traffic.clone(),
             control.clone(),
             log.clone(),
+            workers,
             hello,
             to_end_tx,
         );
--- a/hemlockhook-entry/src/settings.rs
+++ b/hemlockhook-entry/src/settings.rs
@@ -35,6 +35,12 @@
     #[garde(skip)]
     pub log_address: SocketAddr,
 
+    /// The platform's workers' service, asked to throttle or checkpoint long work that was declared
+    /// short; without it such work is only counted as long.
+    #[garde(skip)]
+    #[serde(default)]
+    pub workers_address: Option<SocketAddr>,
+
     /// Peer addresses of other entries, asked for the members when the log is down at start.
     #[garde(length(max = 64))]
     #[serde(default)]
--- a/hemlockhook-entry/src/shell.rs
+++ b/hemlockhook-entry/src/shell.rs
@@ -9,9 +9,10 @@
 use async_executor::Task;
 use async_io::Timer;
 use hemlockhook_ownership::Record;
-use hemlockhook_platform::Log;
+use hemlockhook_platform::{Log, ThrottlePercent, Workers};
 use hemlockhook_proto::v1::{EntryFrame, EntryHello};
 use hemlockhook_runtime::executor::Executor;
+use hemlockhook_schedule::InterventionKind;
 use hemlockhook_types::Incarnation;
 
 use crate::calls::Calls;
@@ -23,11 +24,15 @@
 /// Frames that wait for a slow agent; one that falls further behind is hung up on.
 const LINK_QUEUE: usize = 4_096;
 
+/// Share of its full speed that a throttled task runs at.
+const THROTTLE_PERCENT: ThrottlePercent = 25;
+
 /// The control thread's connections with the rest of the process.
 pub struct Shell {
     ex: Arc<Executor>,
     control: Control,
     log: Arc<dyn Log>,
+    workers: Option<Arc<dyn Workers>>,
     calls: Calls,
     hello: EntryHello,
     /// The links that are up or being made; dropping one closes it.
@@ -42,6 +47,7 @@
         ex: Arc<Executor>,
         control: Control,
         log: Arc<dyn Log>,
+        workers: Option<Arc<dyn Workers>>,
         hello: EntryHello,
         read_to_end: Sender<u64>,
     ) -> Self {
@@ -50,6 +56,7 @@
             ex,
             control,
             log,
+            workers,
             calls,
             hello,
             links: HashMap::new(),
@@ -87,6 +94,7 @@
                 self.calls.ask(address, key, question, waiter, stamps);
             }
             Action::Heartbeat { address, status } => self.calls.heartbeat(address, *status),
+            Action::Intervene { worker, task, kind } => self.intervene(worker, task, kind),
             Action::Append { takeover, record } => self.append(takeover, record),
             Action::ReadToEnd { takeover } => {
                 // The follower ends with the process only.
@@ -122,6 +130,24 @@
         }
     }
 
+    fn intervene(&self, worker: String, task: String, kind: InterventionKind) {
+        let Some(workers) = self.workers.clone() else {
+            return;
+        };
+        let ask = async move {
+            let asked = match kind {
+                InterventionKind::Throttle => {
+                    workers.throttle(&worker, &task, THROTTLE_PERCENT).await
+                }
+                InterventionKind::Checkpoint => workers.checkpoint(&worker, &task).await,
+            };
+            if let Err(err) = asked {
+                spdlog::warn!("the platform did not hold a task back: {err}", kv: { task });
+            }
+        };
+        self.ex.spawn(ask).detach();
+    }
+
     fn append(&self, takeover: u64, record: Record) {
         let log = self.log.clone();
         let control = self.control.clone();
--- a/hemlockhook/src/fleet.rs
+++ b/hemlockhook/src/fleet.rs
@@ -353,6 +353,7 @@
             peers_address: loopback(),
             admin_address: loopback(),
             log_address: self.log_address,
+            workers_address: None,
             known_peers: Vec::new(),
             traffic_threads: 1,
             log_level: Default::default(),
