Answer unknown late and for good

The randomised end-to-end run on main told one caller "unknown" and a later one "complete" for the same key. A submission whose outcome cannot be told now waits (`Admission::Fencing`) until `OwnerConfig.account_wait` (2 s) after the takeover began; then an agent marks the key as closed by the withdrawal message, with the reason `AccountIncomplete`, and the answer comes by `Settled`. Whoever serves the shard later learns of the mark by the reports, answers unknown too and starts nothing of it.

--- a/hemlockhook-ownership/src/gate.rs
+++ b/hemlockhook-ownership/src/gate.rs
@@ -195,7 +195,7 @@
         Ok(())
     }
 
-    /// Marks a job as not run, so that its owner may refuse it: whoever takes the shard over later
+    /// Marks a job as not run or as closed, so that its owner may refuse it: whoever takes the shard over later
     /// learns of it.
     pub fn withdraw(
         &mut self,
@@ -207,7 +207,7 @@
         if base(ballot) < floor {
             return Err(StartRefusal::StaleBallot(floor));
         }
-        if self.starts.has_job(&withdrawal.key) {
+        if self.starts.has_job(&withdrawal.key) && !withdrawal.is_closed() {
             return Err(StartRefusal::AlreadyStarted);
         }
         if !self.joined || self.lease_lapsed(now) {
--- a/hemlockhook-ownership/src/order.rs
+++ b/hemlockhook-ownership/src/order.rs
@@ -1,7 +1,7 @@
 //! What owners and agents tell each other about starts.
 
 use hemlockhook_types::{
-    Ballot, Incarnation, JobKey, Reason, ServiceName, ShardId, TaskIndex, TaskResult,
+    Answer, Ballot, Incarnation, JobKey, Reason, ServiceName, ShardId, TaskIndex, TaskResult,
 };
 use thiserror::Error;
 
@@ -80,8 +80,8 @@
     pub adopted: Vec<Incarnation>,
 }
 
-/// A job that its owner refuses as not run. An agent marks it before the refusal is given, so that
-/// no later owner starts it.
+/// A job that its owner refuses as not run, or closes as unknown. An agent marks it before the
+/// answer is given, so that no later owner starts it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Withdrawal {
     /// The job's key.
@@ -96,6 +96,27 @@
     pub reason: Reason,
 }
 
+impl Withdrawal {
+    /// Returns whether the job was closed as unknown, rather than refused as not run.
+    pub fn is_closed(&self) -> bool {
+        self.reason == Reason::AccountIncomplete
+    }
+
+    /// Returns what an owner answers that learns of the job by this.
+    pub(crate) fn answer(&self) -> Answer {
+        let reason = self.reason;
+        let detail = "an earlier owner of the shard answered so".to_owned();
+        match self.is_closed() {
+            true => Answer::Unknown { reason, detail },
+            false => Answer::NotRun {
+                reason,
+                detail,
+                retry_after: None,
+            },
+        }
+    }
+}
+
 /// What a leaving agent hands to another one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Custody {
--- a/hemlockhook-ownership/src/owner.rs
+++ b/hemlockhook-ownership/src/owner.rs
@@ -34,6 +34,9 @@
     pub max_result_bytes: usize,
     /// Time after which shards are served although not every agent has reported.
     pub fence_timeout: Duration,
+    /// Time after the beginning of a takeover for which submissions wait for its account to become
+    /// complete, before they are answered as unknown.
+    pub account_wait: Duration,
     /// Time for which an agent takes starts after its announcement was last appended. All
     /// processes must have the same, and the log must keep records for longer than this and two
     /// windows.
@@ -52,6 +55,7 @@
             max_jobs: 1_000_000,
             max_result_bytes: 64 << 20,
             fence_timeout: Duration::from_millis(500),
+            account_wait: Duration::from_secs(2),
             lease: LEASE,
             announce_interval: ANNOUNCE_INTERVAL,
             rules: Rules::default(),
--- a/hemlockhook-ownership/src/owner/admit.rs
+++ b/hemlockhook-ownership/src/owner/admit.rs
@@ -10,6 +10,9 @@
 use crate::epoch::{MAX_COUNTER_JUMP, base, epoch_length, epoch_of};
 use crate::history::log_time;
 
+/// Refused jobs are noted until this many times the bound of jobs are held.
+const REFUSED_JOBS_FACTOR: usize = 2;
+
 /// What a submission's stamp says of a key that is not known here.
 enum Age {
     /// Only this owner can have started it, and would know.
@@ -63,6 +66,7 @@
             return LookUp::NotFound;
         };
         match job.answer.clone().or_else(|| job.verdict()) {
+            _ if job.refusing.is_some() => LookUp::Pending,
             Some(answer) => LookUp::Answered(answer),
             None if job.admitted.is_some() || job.idle().is_empty() => LookUp::Pending,
             None => LookUp::Unknown,
@@ -96,7 +100,7 @@
 
         let idle = known.idle();
         match doubt {
-            Some(doubt) if !idle.is_empty() => return Admission::Answered(doubt),
+            Some(doubt) if !idle.is_empty() => return self.close(now, job, doubt),
             _ => {}
         }
         known.admitted = Some(now);
@@ -126,27 +130,16 @@
 
     fn admit_new(&mut self, now: Instant, job: &Job, stamp: Option<Stamp>) -> Admission {
         if let Some(doubt) = self.doubt(now, job, stamp) {
-            return Admission::Answered(doubt);
-        }
-
-        let state = JobState {
-            shard: job.shard(),
-            fingerprint: job.fingerprint,
-            service: job.service.clone(),
-            idempotent: job.idempotent,
-            job_tasks: job.tasks.len() as u32,
-            tasks: vec![TaskState::Idle; job.tasks.len()],
-            admitted: Some(now),
-            refusing: None,
-            answer: None,
-            touched: now,
-        };
+            return self.close(now, job, doubt);
+        }
+
+        let state = new_state(now, job);
         match self.jobs.len() {
             held if held < self.cfg.max_jobs => {
                 self.jobs.insert(job.key.clone(), state);
                 Admission::Run(state_indexes(job))
             }
-            held if held < self.cfg.max_jobs * 2 => {
+            _ if self.has_room_to_refuse() => {
                 self.jobs.insert(job.key.clone(), state);
                 self.settle(now, &job.key, overloaded());
                 Admission::Pending
@@ -158,6 +151,30 @@
         }
     }
 
+    /// Answers a job as unknown: late, as an agent may still report, and for good, so that no owner
+    /// says otherwise afterwards.
+    fn close(&mut self, now: Instant, job: &Job, doubt: Answer) -> Admission {
+        let takeover = self.serving(job.shard()).expect("it is served");
+        let may_wait = now < takeover.began + self.cfg.account_wait;
+        let is_known = self.jobs.contains_key(&job.key);
+        match doubt.reason() {
+            Some(Reason::AccountIncomplete) if may_wait => Admission::Fencing,
+            Some(Reason::AccountIncomplete) if is_known || self.has_room_to_refuse() => {
+                let state = self.jobs.entry(job.key.clone());
+                let state = state.or_insert_with(|| new_state(now, job));
+                state.admitted = Some(now);
+                state.touched = now;
+                self.refuse(now, &job.key, doubt);
+                Admission::Pending
+            }
+            _ => Admission::Answered(doubt),
+        }
+    }
+
+    fn has_room_to_refuse(&self) -> bool {
+        self.jobs.len() < self.cfg.max_jobs * REFUSED_JOBS_FACTOR
+    }
+
     fn age(&self, now: Instant, shard: ShardId, stamp: Option<Stamp>) -> Age {
         let rules = self.cfg.rules;
         let takeover = self.serving(shard).expect("it is served");
@@ -203,6 +220,21 @@
     }
 }
 
+fn new_state(now: Instant, job: &Job) -> JobState {
+    JobState {
+        shard: job.shard(),
+        fingerprint: job.fingerprint,
+        service: job.service.clone(),
+        idempotent: job.idempotent,
+        job_tasks: job.tasks.len() as u32,
+        tasks: vec![TaskState::Idle; job.tasks.len()],
+        admitted: Some(now),
+        refusing: None,
+        answer: None,
+        touched: now,
+    }
+}
+
 fn state_indexes(job: &Job) -> Vec<u32> {
     (0..job.tasks.len() as u32).collect()
 }
--- a/hemlockhook-ownership/src/owner/run.rs
+++ b/hemlockhook-ownership/src/owner/run.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
-use hemlockhook_types::{Answer, Incarnation, JobKey, ShardId, TaskIndex, TaskResult};
+use hemlockhook_types::{Incarnation, JobKey, ShardId, TaskIndex, TaskResult};
 
 use super::job::{JobState, TaskState};
 use super::{Owner, OwnerAction, RefusedOutcome};
@@ -269,16 +269,17 @@
         true
     }
 
-    /// Takes in that an earlier owner may have refused a job as not run.
+    /// Takes in that an earlier owner may have refused a job as not run, or closed it as unknown.
     fn merge_withdrawal(&mut self, now: Instant, withdrawal: &Withdrawal) {
-        if self.jobs.contains_key(&withdrawal.key) {
+        let answer = withdrawal.answer();
+        if let Some(known) = self.jobs.get_mut(&withdrawal.key) {
+            let is_open = known.admitted.is_none() && known.answer.is_none();
+            if withdrawal.is_closed() && is_open {
+                known.admitted = Some(now);
+                self.keep_answer(now, &withdrawal.key, &answer);
+            }
             return;
         }
-        let answer = Answer::NotRun {
-            reason: withdrawal.reason,
-            detail: "an earlier owner of the shard refused the job".to_owned(),
-            retry_after: None,
-        };
         let state = JobState {
             shard: withdrawal.shard,
             fingerprint: withdrawal.fingerprint,
--- a/hemlockhook-ownership/src/owner/settle.rs
+++ b/hemlockhook-ownership/src/owner/settle.rs
@@ -126,7 +126,7 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        if job.answer.is_some() {
+        if job.answer.is_some() || job.refusing.is_some() {
             return;
         }
         if let Some(answer) = job.verdict() {
@@ -224,12 +224,12 @@
         self.answer_bytes -= job.answer.as_ref().map_or(0, answer_bytes);
     }
 
-    /// Starts to refuse a job as not run.
+    /// Starts to refuse a job as not run, or to close it as unknown.
     ///
     /// Another entry may own the shard by now. Any that would start the job needs the reports of
     /// all agents of its service, so that one agent which marks the job while its floor is still
     /// the own ballot keeps every later owner from starting it.
-    fn refuse(&mut self, now: Instant, key: &JobKey, answer: Answer) {
+    pub(super) fn refuse(&mut self, now: Instant, key: &JobKey, answer: Answer) {
         let job = self.jobs.get_mut(key).expect("it is known");
         job.refusing = Some(Refusing {
             answer,
@@ -289,7 +289,11 @@
         let refusing = job.refusing.take().expect("it is being refused");
         let reason = refusing.answer.reason().unwrap_or(Reason::Overloaded);
         let detail = "no agent could confirm that the job was not run".to_owned();
-        self.answer(now, key, Answer::Unknown { reason, detail });
+        let answer = match refusing.answer {
+            Answer::NotRun { .. } => Answer::Unknown { reason, detail },
+            answer => answer,
+        };
+        self.answer(now, key, answer);
     }
 
     /// Drops the oldest complete answers until the rest fits its bound. The keys stay.
--- a/hemlockhook-ownership/tests/world/procs.rs
+++ b/hemlockhook-ownership/tests/world/procs.rs
@@ -30,6 +30,7 @@
             max_jobs: 12,
             max_result_bytes: 250,
             fence_timeout: FENCE_TIMEOUT,
+            account_wait: FENCE_TIMEOUT,
             lease: LEASE,
             announce_interval: INTERVAL,
             rules,
