Let an entry record that an agent's process has ended

`Record::Left` for another process is honoured already: the agent is forgotten 5/4 of a window after it instead of after its lease. The gate of an agent that reads its own now closes for good. `Owner::unaccounted(now)` counts the agents that a takeover could not account for.

--- a/hemlockhook-ownership/src/gate.rs
+++ b/hemlockhook-ownership/src/gate.rs
@@ -98,12 +98,17 @@
         self.me
     }
 
-    /// Takes in a record of the membership stream.
+    /// Takes in a record of the membership stream. One that says that this agent left closes the
+    /// gate for good: owners forget its starts.
     pub fn observe(&mut self, record: &Record) {
-        if let Record::Takeover { shards, ballot } = record {
-            for shard in shards {
-                self.raise(*shard, *ballot);
+        match record {
+            Record::Takeover { shards, ballot } => {
+                for shard in shards {
+                    self.raise(*shard, *ballot);
+                }
             }
+            Record::Left { incarnation, .. } if *incarnation == self.me => self.sealed = true,
+            Record::Left { .. } | Record::Agent { .. } | Record::Entry { .. } => {}
         }
     }
 
--- a/hemlockhook-ownership/src/owner.rs
+++ b/hemlockhook-ownership/src/owner.rs
@@ -16,6 +16,7 @@
 
 use crate::epoch::{base, with_epoch};
 use crate::gate::{ANNOUNCE_INTERVAL, LEASE};
+use crate::history::log_time;
 use crate::order::Withdrawal;
 use crate::record::Record;
 use crate::rules::Rules;
@@ -262,6 +263,11 @@
             .is_some_and(|takeover| self.accounts_for(now, takeover, None))
     }
 
+    /// Returns the number of agents that a takeover begun now could not account for.
+    pub fn unaccounted(&self, now: Instant) -> usize {
+        self.members.silent(log_time(now, Duration::ZERO)).count()
+    }
+
     /// Returns whether a shard is held, being taken or about to be.
     pub fn is_held(&self, shard: ShardId) -> bool {
         let role = self.shards.get(&shard).map(|state| state.role);
--- a/hemlockhook-ownership/src/owner/log.rs
+++ b/hemlockhook-ownership/src/owner/log.rs
@@ -161,6 +161,7 @@
     fn on_left(&mut self, written: LogTime, agent: Incarnation, custodian: Option<Incarnation>) {
         let state = self.members.entry(agent);
         state.left = true;
+        state.custodian = custodian.or(state.custodian);
         state.forget_at = Some(written + keep_time(self.cfg.window));
         if let Some(custodian) = custodian
             && self.members.get(custodian).is_some_and(|agent| agent.up)
--- a/hemlockhook-ownership/src/owner/members.rs
+++ b/hemlockhook-ownership/src/owner/members.rs
@@ -21,6 +21,8 @@
     pub forget_at: Option<LogTime>,
     /// Whether it announced that it left.
     pub left: bool,
+    /// The agent that holds its records since it left, if any.
+    pub custodian: Option<Incarnation>,
     /// Whether a link to it is up.
     pub up: bool,
     /// Number of links that there have been.
@@ -128,6 +130,16 @@
         self.agents.iter().map(|(id, agent)| (*id, agent))
     }
 
+    /// Returns the agents that hold starts inside the window, as far as is known, and that neither
+    /// report themselves now nor have a custodian that does.
+    pub fn silent(&self, log_now: LogTime) -> impl Iterator<Item = &Agent> {
+        let is_up = |id: Incarnation| self.agents.get(&id).is_some_and(|agent| agent.up);
+        self.agents
+            .values()
+            .filter(move |agent| agent.offset.is_some() && agent.may_hold_starts(log_now))
+            .filter(move |agent| !agent.up && !agent.custodian.is_some_and(is_up))
+    }
+
     /// Forgets agents that cannot hold a start inside the window any more.
     pub fn expire(&mut self, now: Instant) {
         let now = log_time(now, Duration::ZERO);
--- a/hemlockhook-ownership/tests/world/faults.rs
+++ b/hemlockhook-ownership/tests/world/faults.rs
@@ -141,3 +141,42 @@
     run(&mut world, &[Step::Advance(3000), Step::Calm]);
     world.heal();
 }
+
+#[gtest]
+fn what_was_answered_as_unknown_stays_unknown() {
+    let mut world = busy();
+    let steps = [
+        Step::Log(false),
+        Step::KillEntry(0, false),
+        TAKE,
+        Step::Calm,
+    ];
+    run(&mut world, &steps);
+    run(&mut world, &[Step::Advance(600), resubmit(4), Step::Calm]);
+    run(&mut world, &[Step::Log(true), Step::KillEntry(2, true)]);
+    run(
+        &mut world,
+        &[Step::Advance(600), Step::Calm, TAKE, Step::Calm],
+    );
+    run(
+        &mut world,
+        &[Step::Advance(600), resubmit(4), Step::Work(2)],
+    );
+    insta::assert_debug_snapshot!(world.answers);
+}
+
+#[gtest]
+fn a_submission_waits_for_an_agent_that_reports_late() {
+    let mut world = busy();
+    let cut = Step::Break {
+        entry: 2,
+        agent: 1,
+        noticed: true,
+    };
+    let connect = Step::Connect { entry: 2, agent: 1 };
+    let steps = [Step::KillEntry(0, false), cut, TAKE, Step::Calm];
+    run(&mut world, &steps);
+    run(&mut world, &[Step::Advance(300), resubmit(4), connect]);
+    run(&mut world, &[Step::Calm, Step::Work(2), Step::Calm]);
+    insta::assert_debug_snapshot!(world.answers);
+}
--- a/hemlockhook-ownership/tests/world/steps.rs
+++ b/hemlockhook-ownership/tests/world/steps.rs
@@ -244,6 +244,9 @@
                 if !self.entries[entry].paused {
                     self.entries[entry].owner.tick(now);
                     self.act(entry);
+                    for number in std::mem::take(&mut self.entries[entry].waiting) {
+                        self.submit(entry, number);
+                    }
                     self.note_stamps(entry);
                 }
             }
