Leave the sockets to the traffic threads

The control thread waited for sockets too when it was idle, and woke a traffic thread for each event.

--- a/hemlockhook-runtime/src/executor.rs
+++ b/hemlockhook-runtime/src/executor.rs
@@ -5,6 +5,7 @@
 use std::thread::{self, JoinHandle};
 
 use async_channel::{Receiver, Sender};
+use futures_lite::future;
 
 /// The executor that every task of a process runs on.
 pub type Executor = async_executor::Executor<'static>;
@@ -34,10 +35,10 @@
         };
 
         let control = threads.control.clone();
-        threads.spawn(format!("{name}-control"), control, stopped.clone());
+        threads.spawn(format!("{name}-control"), work(control, stopped.clone()));
         for index in 0..traffic {
-            let traffic = threads.traffic.clone();
-            threads.spawn(format!("{name}-traffic-{index}"), traffic, stopped.clone());
+            let run = drive(threads.traffic.clone(), stopped.clone());
+            threads.spawn(format!("{name}-traffic-{index}"), run);
         }
         threads
     }
@@ -57,11 +58,10 @@
         drop(self);
     }
 
-    fn spawn(&mut self, name: String, ex: Arc<Executor>, stopped: Receiver<()>) {
-        let run = move || {
-            // An error says that the sender is gone, which is the signal to stop.
-            let _ = async_io::block_on(ex.run(stopped.recv()));
-        };
+    fn spawn<F>(&mut self, name: String, run: F)
+    where
+        F: FnOnce() + Send + 'static,
+    {
         let handle = thread::Builder::new()
             .name(name)
             .spawn(run)
@@ -70,6 +70,22 @@
     }
 }
 
+/// Returns what a thread does that runs tasks and, between them, waits for sockets and timers.
+fn drive(ex: Arc<Executor>, stopped: Receiver<()>) -> impl FnOnce() + Send {
+    // An error says that the sender is gone, which is the signal to stop.
+    move || {
+        let _ = async_io::block_on(ex.run(stopped.recv()));
+    }
+}
+
+/// Returns what a thread does that runs tasks only. The control thread leaves the sockets to those
+/// that read them: each event that it took would cost the wake-up of another thread.
+fn work(ex: Arc<Executor>, stopped: Receiver<()>) -> impl FnOnce() + Send {
+    move || {
+        let _ = future::block_on(ex.run(stopped.recv()));
+    }
+}
+
 impl Drop for Threads {
     fn drop(&mut self) {
         self.stop.close();
