--- a/hemlockhook-runtime/src/log.rs
+++ b/hemlockhook-runtime/src/log.rs
@@ -45,14 +45,7 @@
 where
     W: Write + Send + 'static,
 {
-    let filter = match level {
-        "off" => LevelFilter::Off,
-        name => match name.parse::<Level>() {
-            Ok(level) => LevelFilter::MoreSevereEqual(level),
-            Err(_) => return Err(LogError::UnknownLevel(level.to_owned())),
-        },
-    };
-
+    let filter = parse_level(level)?;
     let sink: Arc<dyn Sink> = Arc::new(
         WriteSink::builder()
             .target(writer)
@@ -64,6 +57,22 @@
     Ok(())
 }
 
+/// Checks the name of a level in settings: `#[garde(custom(log::check_level))]`.
+pub fn check_level(level: &str, _: &()) -> garde::Result {
+    match parse_level(level) {
+        Ok(_) => Ok(()),
+        Err(err) => Err(garde::Error::new(err)),
+    }
+}
+
+fn parse_level(level: &str) -> Result<LevelFilter, LogError> {
+    match level.parse::<Level>() {
+        Ok(level) => Ok(LevelFilter::MoreSevereEqual(level)),
+        Err(_) if level == "off" => Ok(LevelFilter::Off),
+        Err(_) => Err(LogError::UnknownLevel(level.to_owned())),
+    }
+}
+
 fn log_panic(info: &PanicHookInfo<'_>) {
     let message = info.payload_as_str().unwrap_or("no message");
     let place = info.location().map(ToString::to_string);
--- a/hemlockhook-standin/src/daemon.rs
+++ b/hemlockhook-standin/src/daemon.rs
@@ -10,7 +10,7 @@
 use futures_lite::FutureExt;
 use garde::Validate;
 use hemlockhook_runtime::executor::{Executor, Threads};
-use hemlockhook_runtime::signal;
+use hemlockhook_runtime::{log, signal};
 use hemlockhook_types::{Clock, SystemClock};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -29,7 +29,7 @@
 pub struct Settings {
     /// Lowest level of its own log: trace, debug, info, warn, error, critical or off.
     #[serde(default = "default_log_level")]
-    #[garde(skip)]
+    #[garde(custom(log::check_level))]
     pub log_level: String,
     /// Threads for traffic.
     #[serde(default = "default_threads")]
