--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! moves their results to one another. It does no I/O and runs on the control thread.
 
 mod agents;
+mod job_report;
 mod jobs;
 mod peers;
 mod report;
@@ -223,6 +224,7 @@
         self.balance_shards(now);
         self.retry_held(now);
         self.refresh_stamps(now);
+        self.intervene(now);
     }
 
     fn on_drain(&mut self, now: Instant) {
--- a/hemlockhook-ownership/src/owner/run.rs
+++ b/hemlockhook-ownership/src/owner/run.rs
@@ -7,6 +7,7 @@
 
 use super::job::{JobState, TaskState};
 use super::{Owner, OwnerAction, RefusedOutcome};
+use crate::epoch::base;
 use crate::order::{FenceReport, StartOrder, StartRecord, StartRefusal, Withdrawal};
 
 impl Owner {
@@ -20,7 +21,9 @@
         agent: Incarnation,
     ) -> Option<StartOrder> {
         let job = self.jobs.get(key)?;
-        let ballot = self.serving(job.shard)?.ballot;
+        let takeover = self.serving(job.shard)?;
+        let ballot = takeover.ballot;
+        let fencing = takeover.awaited.contains(&agent);
         let job = self.jobs.get_mut(key)?;
         let is_stale = |at| now.saturating_duration_since(at) > self.cfg.window;
         if job.admitted.is_none_or(is_stale) || job.answer.is_some() || job.refusing.is_some() {
@@ -42,6 +45,7 @@
             agent,
             link,
             at: now,
+            fencing,
         };
         job.touched = now;
         Some(StartOrder {
@@ -69,9 +73,14 @@
             return RefusedOutcome::Nothing;
         };
         let shard = job.shard;
-        match job.tasks.get(index as usize) {
-            Some(TaskState::Sent { agent: at, .. }) if *at == agent => {}
+        let fencing = match job.tasks.get(index as usize) {
+            Some(TaskState::Sent {
+                agent: at, fencing, ..
+            }) if *at == agent => *fencing,
             _ => return RefusedOutcome::Nothing,
+        };
+        if self.is_of_earlier_start(agent, shard, fencing, refusal) {
+            return RefusedOutcome::Nothing;
         }
 
         match refusal {
@@ -123,6 +132,30 @@
             .unwrap_or_default()
     }
 
+    /// Returns the tasks of a job that are known not to have been started.
+    pub fn not_started(&self, key: &JobKey) -> Vec<TaskIndex> {
+        self.jobs.get(key).map(JobState::idle).unwrap_or_default()
+    }
+
+    /// Returns whether a refusal answers a start that was sent under an earlier ballot of this owner:
+    /// a start under the own ballot is not refused for a floor that is not above it, nor before the
+    /// fence that was sent ahead of it is answered.
+    fn is_of_earlier_start(
+        &self,
+        agent: Incarnation,
+        shard: ShardId,
+        fencing: bool,
+        refusal: StartRefusal,
+    ) -> bool {
+        let Some((_, takeover)) = self.held(shard) else {
+            return true;
+        };
+        match refusal {
+            StartRefusal::StaleBallot(floor) if base(floor) <= takeover.ballot => true,
+            _ => fencing && takeover.awaited.contains(&agent),
+        }
+    }
+
     /// Takes in the starts that an agent reported for shards that are held.
     pub(super) fn merge(
         &mut self,
@@ -166,8 +199,11 @@
         };
         let lost = std::mem::take(&mut state.outstanding);
         let keys: BTreeSet<_> = lost.iter().map(|(key, _)| key.clone()).collect();
-        for (key, index) in &lost {
-            self.set_task(key, *index, TaskState::Lost);
+        for (key, index) in lost {
+            match self.cfg.rules.lost {
+                true => self.set_task(&key, index, TaskState::Lost),
+                false => self.put_back(agent, key, index),
+            }
         }
         for key in keys {
             self.conclude(now, &key);
@@ -193,6 +229,15 @@
         }
     }
 
+    /// Puts a task that was not started back into the queue.
+    fn put_back(&mut self, agent: Incarnation, key: JobKey, index: TaskIndex) {
+        self.set_task(&key, index, TaskState::Idle);
+        if self.jobs.get(&key).is_some_and(|job| job.answer.is_none()) {
+            self.actions
+                .push(OwnerAction::Requeue { agent, key, index });
+        }
+    }
+
     /// Takes in one reported start. Returns whether it changed anything.
     fn merge_record(&mut self, now: Instant, agent: Incarnation, record: &StartRecord) -> bool {
         let job = self
--- a/hemlockhook-ownership/src/rules.rs
+++ b/hemlockhook-ownership/src/rules.rs
@@ -10,6 +10,8 @@
     pub join: bool,
     /// An agent takes no start once its lease has lapsed.
     pub lease: bool,
+    /// An agent whose lease lapsed joins again before it takes starts.
+    pub rejoin: bool,
     /// An agent refuses a task that it has started before.
     pub marker: bool,
     /// A key is fresh only if owner and counter of its stamp are those of the ballot.
@@ -26,6 +28,8 @@
     pub link_epoch: bool,
     /// A start whose marker may have been forgotten counts as lost.
     pub forgotten: bool,
+    /// A task whose agent was given up is never started again.
+    pub lost: bool,
     /// A refusal as not run is marked at an agent before it is given.
     pub withdraw: bool,
     /// A leaving agent that no other agent stands for counts as unaccounted.
@@ -42,6 +46,7 @@
             floor: true,
             join: true,
             lease: true,
+            rejoin: true,
             marker: true,
             stamp_owner: true,
             stamp_above: true,
@@ -50,6 +55,7 @@
             window: true,
             link_epoch: true,
             forgotten: true,
+            lost: true,
             withdraw: true,
             custody: true,
             history: true,
--- a/hemlockhook-schedule/src/dispatcher.rs
+++ b/hemlockhook-schedule/src/dispatcher.rs
@@ -9,7 +9,7 @@
 use crate::backlog::Backlogs;
 use crate::estimate::Estimates;
 use crate::fleet::flow_rate;
-use crate::queue::{LaneKey, Queue, Urgency};
+use crate::queue::{LaneKey, Queue, QueuedWork, Urgency};
 use crate::share::Shares;
 use crate::spec::{
     Demand, Intervention, InterventionKind, JobId, JobSpec, Placement, Policy, Rejection, Snapshot,
@@ -32,9 +32,11 @@
     pub(crate) queue: Queue,
     pub(crate) shares: Shares,
     pub(crate) estimates: Estimates,
-    pub(crate) queued_work_secs: f64,
+    pub(crate) queued_work: QueuedWork,
     pub(crate) running_long: u32,
     epoch: Option<Instant>,
+    /// The latest time seen, in microseconds since the first event.
+    latest_us: u64,
     running: HashMap<(JobId, TaskIndex), Running>,
     deadlines: BTreeSet<(Instant, JobId)>,
     overdue: BTreeSet<(Instant, JobId, TaskIndex)>,
@@ -98,9 +100,10 @@
             queue: Queue::default(),
             shares,
             estimates: Estimates::default(),
-            queued_work_secs: 0.0,
+            queued_work: QueuedWork::default(),
             running_long: 0,
             epoch: None,
+            latest_us: 0,
             running: HashMap::new(),
             deadlines: BTreeSet::new(),
             overdue: BTreeSet::new(),
@@ -142,29 +145,39 @@
             spec.tasks.iter().map(|t| self.expect(&spec, t)).collect();
         queued.sort_by(|a, b| a.work_secs.total_cmp(&b.work_secs));
         let work_secs: f64 = queued.iter().map(|task| task.work_secs).sum();
-        self.check(now, &spec, &queued)?;
         let longest = queued.last().map_or(0.0, |task| task.work_secs);
         let long = longest >= self.policy.long_threshold.as_secs_f64();
+        let ideal_us = (longest / self.upstreams.fastest_speed(&spec.service) * 1e6) as u64;
+        let slots = self.upstreams.slots();
+        // A job of many tasks is due later: all upstreams together take that long for it.
+        let span_us = ideal_us + (work_secs / f64::from(slots.max(1)) * 1e6) as u64;
         let now_us = self.micros(now);
+        let start_us = self.shares.start_us(now_us, &spec.team);
+        let urgency = start_us + span_us * u64::from(self.policy.ageing_percent) / 100;
+        self.check(now, &spec, &queued, urgency)?;
         let lane = LaneKey {
             service: spec.service,
             long,
             team: spec.team,
         };
-        let ideal_us = (longest / self.upstreams.fastest_speed(&lane.service) * 1e6) as u64;
-        let urgency = now_us + ideal_us * u64::from(self.policy.ageing_percent) / 100;
+        let charged_secs = if long { 0.0 } else { work_secs };
+        self.shares.charge(now_us, &lane.team, charged_secs, slots);
         let (tasks, deadline) = (queued.len(), spec.deadline);
-        let job = self.jobs.insert(JobState {
+        self.shares.count_queued(&lane.team, tasks as i64);
+        queued
+            .iter()
+            .for_each(|task| self.queued_work.add(long, urgency, task.work_secs));
+        let expected_end = now_us + ideal_us;
+        let state = JobState {
             lane: lane.clone(),
             urgency,
-            expected_end: now_us + ideal_us,
+            expected_end,
             queued,
             deadline,
-        });
+        };
+        let job = self.jobs.insert(state);
         if tasks > 0 {
             self.queue.insert(&lane, urgency, job, tasks);
-            self.shares.count_queued(&lane.team, tasks as i64);
-            self.queued_work_secs += work_secs;
             self.deadlines.insert((deadline, job));
         }
         Ok(job)
@@ -207,7 +220,8 @@
             self.deadlines.remove(&(state.deadline, job));
         }
         self.queue.remove(&lane, urgency, job, 1, last);
-        self.count_dequeued(&lane.team, 1, task.work_secs);
+        self.shares.count_queued(&lane.team, -1);
+        self.queued_work.remove(lane.long, urgency, task.work_secs);
         self.shares.count_running(&lane.team, 1);
         let index = task.spec.index;
         let long = self.place(now, agent, job, lane, task, run_secs);
@@ -262,6 +276,15 @@
         }
     }
 
+    /// Forgets a placement that says nothing of its upstream: the task was not started there, or was
+    /// stopped.
+    pub fn dropped(&mut self, now: Instant, agent: Incarnation, job: JobId, index: TaskIndex) {
+        if self.forget_running(now, job, index).is_some() {
+            self.upstreams
+                .change(now, agent, |upstream| upstream.forget_exposure());
+        }
+    }
+
     /// Puts a task that the agent refused to start back into the queue.
     pub fn refused(&mut self, now: Instant, agent: Incarnation, job: JobId, index: TaskIndex) {
         let Some(running) = self.forget_running(now, job, index) else {
@@ -279,7 +302,8 @@
         state.queued.insert(position, running.task);
         self.queue.insert(&state.lane, state.urgency, job, 1);
         self.shares.count_queued(&state.lane.team, 1);
-        self.queued_work_secs += work_secs;
+        self.queued_work
+            .add(state.lane.long, state.urgency, work_secs);
         self.deadlines.insert((state.deadline, job));
     }
 
@@ -366,7 +390,8 @@
 
     fn micros(&mut self, now: Instant) -> u64 {
         let epoch = *self.epoch.get_or_insert(now);
-        now.saturating_duration_since(epoch).as_micros() as u64
+        self.latest_us = now.saturating_duration_since(epoch).as_micros() as u64;
+        self.latest_us
     }
 
     fn expect(&self, spec: &JobSpec, task: &TaskSpec) -> QueuedTask {
@@ -418,14 +443,6 @@
         long
     }
 
-    fn count_dequeued(&mut self, team: &TeamName, tasks: usize, work_secs: f64) {
-        self.shares.count_queued(team, -(tasks as i64));
-        self.queued_work_secs = match self.queue.tasks() {
-            0 => 0.0,
-            _ => self.queued_work_secs - work_secs,
-        };
-    }
-
     fn drop_queued(&mut self, job: JobId) {
         let Some(state) = self
             .jobs
@@ -436,10 +453,18 @@
         };
         let dropped = std::mem::take(&mut state.queued);
         let work_secs = dropped.iter().map(|task| task.work_secs).sum();
+        if !state.lane.long {
+            self.shares
+                .refund(&state.lane.team, work_secs, self.upstreams.slots());
+        }
         let (lane, urgency) = (state.lane.clone(), state.urgency);
         self.deadlines.remove(&(state.deadline, job));
         self.queue.remove(&lane, urgency, job, dropped.len(), true);
-        self.count_dequeued(&lane.team, dropped.len(), work_secs);
+        self.shares
+            .count_queued(&lane.team, -(dropped.len() as i64));
+        dropped
+            .iter()
+            .for_each(|task| self.queued_work.remove(lane.long, urgency, task.work_secs));
     }
 
     fn forget_running(&mut self, now: Instant, job: JobId, index: TaskIndex) -> Option<Running> {
