Take grants back from entries that are silent, and check that none is lost

An entry that was paused held every grant that it had been given, so that whole upstreams stood idle while other entries queued. An entry that does not answer for a second when grants are asked back has its link closed; it links again and accounts for what it started. The run with random faults now ends with a check that agents and entries agree on the grants held.

--- a/hemlockhook-agent/src/admin.rs
+++ b/hemlockhook-agent/src/admin.rs
@@ -144,6 +144,9 @@
         c.frames_received
     });
     counter("agent_frames_sent", "Frames to entries", |c| c.frames_sent);
+    counter("agent_silent_links", "Links closed for silence", |c| {
+        c.silent_links
+    });
     counter("agent_bad_frames", "Frames that were refused", |c| {
         c.bad_frames
     });
--- a/hemlockhook-agent/src/engine/links.rs
+++ b/hemlockhook-agent/src/engine/links.rs
@@ -1,7 +1,7 @@
 //! Links with entries: greeting, configuration, demand and grants.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hemlockhook_proto::v1;
 use hemlockhook_schedule::{Demand, SlotAction};
@@ -12,6 +12,10 @@
 /// Bytes of results after which a further frame is begun.
 const FRAME_BYTES: usize = 512 * 1024;
 
+/// Time for an entry that holds grants to answer when they are asked back. One that says nothing is
+/// paused or cut off: its link is closed, so that its grants are of use to others.
+const RECALL_SILENCE: Duration = Duration::from_secs(1);
+
 /// A link whose entry has introduced itself.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -22,6 +26,8 @@
     out_bytes: usize,
     /// Highest configuration version that the entry is known to have.
     entry_version: u64,
+    /// When grants were first asked back since the entry was last heard of.
+    recalled_at: Option<Instant>,
 }
 
 impl Link {
@@ -31,9 +37,15 @@
             out: Vec::new(),
             out_bytes: 0,
             entry_version: 0,
+            recalled_at: None,
         }
     }
 
+    /// Returns when the entry counts as silent.
+    fn silent_from(&self) -> Option<Instant> {
+        self.recalled_at.map(|at| at + RECALL_SILENCE)
+    }
+
     /// Returns the frame to add to. Nothing is added to a frame after a fence report, so that an
     /// entry sees results in the order of the reports whatever order it reads a frame in.
     fn frame(&mut self) -> &mut v1::AgentFrame {
@@ -89,11 +101,13 @@
         if let Some(hello) = frame.hello.take() {
             self.on_hello(now, id, &hello);
         }
-        let Some(entry) = self.links.get(&id).map(|link| link.entry) else {
-            // The link was replaced, or never introduced itself.
+        let Some(link) = self.links.get_mut(&id) else {
+            // The link was replaced or closed, or never introduced itself.
             self.actions.push(Action::Close { link: id });
             return;
         };
+        link.recalled_at = None;
+        let entry = link.entry;
         if !is_well_formed(&frame) {
             self.counters.bad_frames += 1;
             self.drop_link(now, id);
@@ -233,6 +247,22 @@
         }
     }
 
+    /// Closes the links of entries that hold grants and do not answer when these are asked back.
+    pub(super) fn close_silent_links(&mut self, now: Instant) {
+        let is_due = |link: &Link| link.silent_from().is_some_and(|at| at <= now);
+        let silent = self.links.iter().filter(|(_, link)| is_due(link));
+        let silent: Vec<LinkId> = silent.map(|(id, _)| *id).collect();
+        for id in silent {
+            self.counters.silent_links += 1;
+            self.drop_link(now, id);
+            self.actions.push(Action::Close { link: id });
+        }
+    }
+
+    pub(super) fn next_silence(&self) -> Option<Instant> {
+        self.links.values().filter_map(Link::silent_from).min()
+    }
+
     pub(super) fn flush_grants(&mut self, now: Instant) {
         for action in self.slots.actions(now) {
             match action {
@@ -243,6 +273,7 @@
                 }
                 SlotAction::Recall { entry, count } => {
                     if let Some(link) = self.link_of(entry) {
+                        link.recalled_at.get_or_insert(now);
                         link.recall(count);
                     }
                 }
--- a/hemlockhook-agent/src/engine/mod.rs
+++ b/hemlockhook-agent/src/engine/mod.rs
@@ -229,6 +229,7 @@
         self.gate.expire(now);
         self.upkeep(now);
         self.progress_leaving(now);
+        self.close_silent_links(now);
         self.flush_grants(now);
         self.flush_links();
         std::mem::take(&mut self.actions)
@@ -242,6 +243,7 @@
             self.membership.next_wakeup(),
             self.config_log.next_wakeup(),
             self.leaving.next_wakeup(),
+            self.next_silence(),
         ];
         times.into_iter().flatten().min()
     }
--- a/hemlockhook-agent/src/status.rs
+++ b/hemlockhook-agent/src/status.rs
@@ -62,6 +62,8 @@
     pub frames_sent: u64,
     /// Frames that no correct entry sends. Their links were closed.
     pub bad_frames: u64,
+    /// Links closed because their entry did not answer when grants were asked back.
+    pub silent_links: u64,
     /// Records of the membership stream that could not be read.
     pub bad_records: u64,
 }
--- a/hemlockhook-agent/tests/starting.rs
+++ b/hemlockhook-agent/tests/starting.rs
@@ -203,6 +203,32 @@
     expect_that!(agent.take_runs(), len(eq(1)));
 }
 
+#[gtest]
+fn grants_of_an_entry_that_is_silent_are_taken_back() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    agent.link(2, 6);
+    let demand = v1::EntryFrame {
+        demand: Some(v1::Demand {
+            queued: 8,
+            head_urgency: 1,
+            queued_long: 0,
+        }),
+        ..v1::EntryFrame::default()
+    };
+    agent.frame(2, demand);
+    for _ in 0..30 {
+        agent.advance(std::time::Duration::from_millis(50));
+    }
+    expect_that!(agent.actions, contains(eq(&Action::Close { link: 1 })));
+    let frames = agent.take_frames(2);
+    expect_that!(frames.iter().map(|f| f.grants).sum::<u32>(), ge(1));
+    // What the silent entry still sends on its old link starts nothing.
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    expect_that!(agent.take_runs(), is_empty());
+    expect_that!(agent.engine.status().links, eq(1));
+}
+
 #[gtest]
 fn a_frame_that_no_correct_entry_sends_closes_its_link() {
     let bad = [
--- a/hemlockhook/tests/endurance.rs
+++ b/hemlockhook/tests/endurance.rs
@@ -87,6 +87,7 @@
         }
         expect_that!(unknown.count(), lt(outcomes.len() / 2));
 
+        cluster.wait_grants_agree().await;
         let last = Job::new("last", &[20]);
         let outcome = cluster
             .call(&last, &mut fastrand::Rng::with_seed(SEED))
--- a/hemlockhook/tests/support/caller.rs
+++ b/hemlockhook/tests/support/caller.rs
@@ -82,6 +82,8 @@
 pub struct Outcome {
     pub answer: String,
     pub reason: String,
+    /// For people.
+    pub detail: String,
     /// Whether the results are those of the job's own tasks, in order.
     pub whole: bool,
 }
@@ -187,6 +189,7 @@
         let outcome = Outcome {
             answer: text("answer"),
             reason: text("reason"),
+            detail: text("detail"),
             whole: body["results"] == job.results(),
         };
         let is_final = res.status() != StatusCode::ACCEPTED
--- a/hemlockhook/tests/support/cluster.rs
+++ b/hemlockhook/tests/support/cluster.rs
@@ -187,6 +187,30 @@
         self.wait_for(&member.name, ready).await;
     }
 
+    /// Waits until agents and entries agree on the grants that entries hold: none is lost.
+    pub async fn wait_grants_agree(&self) {
+        let agree = async || {
+            let mut held = BTreeMap::<String, u64>::new();
+            for entry in &self.entries {
+                let agents = self.get(entry.admin, "/v1/agents").await;
+                for agent in agents.as_array().into_iter().flatten() {
+                    let name = agent["name"].as_str().unwrap_or_default();
+                    *held.entry(name.to_owned()).or_default() +=
+                        agent["grants"].as_u64().unwrap_or_default();
+                }
+            }
+            for agent in &self.agents {
+                let status = self.get(agent.admin, "/v1/status").await;
+                if status["grants"].as_u64() != held.get(&agent.name).copied() {
+                    return false;
+                }
+            }
+            true
+        };
+        self.wait_for("agents and entries agree on grants", agree)
+            .await;
+    }
+
     /// Waits for a condition, for a generous time.
     pub async fn wait_for<C>(&self, what: &str, condition: C)
     where
