--- a/hemlockhook/tests/failures.rs
+++ b/hemlockhook/tests/failures.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
-use std::time::Duration;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use googletest::prelude::*;
+use hemlockhook_types::{SHARD_COUNT, shard_of};
 use serde_json::json;
 use support::{Cluster, Job, Outcome, Shape};
 
@@ -89,6 +91,36 @@
     });
 }
 
+/// A shard is served again once a fresh job of it, made under new stamps, is complete.
+#[gtest]
+fn the_shards_of_a_killed_entry_are_soon_served_by_the_others() {
+    async_io::block_on(async {
+        let mut cluster = Cluster::start("takeover", Shape::default()).await;
+        cluster.entries[0].process.kill();
+        let killed = Instant::now();
+        let mut served = BTreeSet::new();
+        let mut number = 0;
+        while served.len() < usize::from(SHARD_COUNT) {
+            number += 1;
+            let job = Job::new(&format!("fresh-{number}"), &[1]);
+            let shard = shard_of(&format!("farms/{}", job.key));
+            if served.contains(&shard) {
+                continue;
+            }
+            let stamps = cluster.stamps();
+            let outcome = cluster.submit(1, &job, &stamps, support::LONG).await;
+            if outcome.is_some_and(|outcome| outcome.is_complete()) {
+                served.insert(shard);
+            }
+        }
+        println!(
+            "all shards are served {:?} after the kill",
+            killed.elapsed()
+        );
+        expect_nothing_doubled(&cluster).await;
+    });
+}
+
 #[gtest]
 fn a_graceful_stop_of_an_agent_and_an_entry_under_load_cuts_nothing_off() {
     async_io::block_on(async {
