--- a/hemlockhook-agent/src/engine/log.rs
+++ b/hemlockhook-agent/src/engine/log.rs
@@ -231,10 +231,14 @@
 
     /// Takes in that the log was read to its end after an announcement that was sent at `sent`.
     fn on_caught_up(&mut self, now: Instant, sent: Instant) {
+        let was_joined = self.gate.is_joined();
         self.gate.announced(sent);
         if !self.gate.is_joined() && self.gate.may_join() {
             self.gate.join();
-            self.apply_config(now);
+        }
+        match self.gate.is_joined() {
+            is_joined if is_joined != was_joined => self.apply_config(now),
+            _ => self.slots.set_slots(now, self.slots_in_force()),
         }
     }
 
--- a/hemlockhook-agent/src/engine/tasks.rs
+++ b/hemlockhook-agent/src/engine/tasks.rs
@@ -36,7 +36,13 @@
         let order = frames::order(entry, &start);
         let granted = self.slots.start(now, entry, start.long);
         let refusal = match self.gate.check(now, &order) {
-            Err(why) => Some(frames::refusal(&order, why)),
+            Err(why) => {
+                if why == StartRefusal::NotJoined {
+                    // The announcement has lapsed: grants come again with the next one.
+                    self.slots.set_slots(now, 0);
+                }
+                Some(frames::refusal(&order, why))
+            }
             Ok(()) if !granted => Some(frames::refusal_for(&order, Reason::NoGrant, None)),
             Ok(()) if !self.serves(&order) => {
                 Some(frames::refusal(&order, StartRefusal::NotJoined))
--- a/hemlockhook-agent/tests/joining.rs
+++ b/hemlockhook-agent/tests/joining.rs
@@ -127,6 +127,31 @@
     expect_that!(agent.take_appends(), len(eq(1)));
 }
 
+#[gtest]
+fn grants_nothing_once_its_announcement_has_lapsed() {
+    let mut agent = Agent::joined();
+    agent.link(1, 5);
+    // The log is down for longer than the lease.
+    agent.advance(Duration::from_secs(60));
+    for _ in 0..5_000 {
+        agent.handle(Event::AppendFailed);
+        agent.advance(Duration::from_secs(5));
+    }
+    agent.actions.clear();
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    let frames = agent.take_frames(1);
+    expect_that!(frames[0].refusals[0].reason(), eq(Reason::NotJoined));
+    expect_that!(frames[0].grants, eq(0));
+
+    agent.advance(Duration::from_secs(5));
+    agent.handle(Event::Appended);
+    agent.read(Stream::Membership, 1, vec![]);
+    agent.read(Stream::Membership, 1, vec![]);
+    expect_true!(agent.engine.status().joined);
+    agent.frame(1, starts(vec![start(KEY, 0)]));
+    expect_that!(agent.take_runs(), len(eq(1)));
+}
+
 #[gtest]
 fn goes_on_at_the_first_retained_record() {
     let mut agent = Agent::new();
