--- a/hemlockhook-agent/src/settings.rs
+++ b/hemlockhook-agent/src/settings.rs
@@ -8,6 +8,7 @@
 use hemlockhook_ownership::GateConfig;
 use hemlockhook_types::Incarnation;
 use serde::Deserialize;
+use strum::IntoStaticStr;
 
 use crate::engine::EngineConfig;
 
@@ -37,16 +38,34 @@
     /// Address of the platform's log.
     #[garde(skip)]
     pub log_address: SocketAddr,
-    /// Lowest level that is logged: trace, debug, info, warn, error, critical or off.
-    #[garde(length(min = 1))]
-    #[serde(default = "default_log_level")]
-    pub log_level: String,
+    /// Lowest level of the log lines that are written.
+    #[garde(skip)]
+    #[serde(default)]
+    pub log_level: LogLevel,
     /// Bounds and times.
     #[garde(dive)]
     #[serde(default)]
     pub limits: Limits,
 }
 
+/// Levels of log lines, from the most to the least talkative.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, IntoStaticStr)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum LogLevel {
+    /// Every detail.
+    Trace,
+    /// What helps to find a fault.
+    Debug,
+    /// What an operator may want to know.
+    #[default]
+    Info,
+    /// What an operator should look at.
+    Warn,
+    /// What went wrong.
+    Error,
+}
+
 /// Bounds and times of an agent.
 #[derive(Clone, Debug, Deserialize, Validate)]
 #[serde(deny_unknown_fields, default)]
@@ -126,7 +145,3 @@
         }
     }
 }
-
-fn default_log_level() -> String {
-    "info".to_owned()
-}
--- a/hemlockhook/src/bin/hemlockhook-agent.rs
+++ b/hemlockhook/src/bin/hemlockhook-agent.rs
@@ -1,6 +1,7 @@
 //! The hemlockhook-agent daemon.
 
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use bpaf::Bpaf;
 use eyre::WrapErr;
@@ -30,14 +31,22 @@
     check: bool,
 }
 
-fn main() -> eyre::Result<()> {
+fn main() -> eyre::Result<ExitCode> {
     let args = args().run();
-    let settings: Settings = settings::load(&args.settings)?;
+    let settings: Settings = match settings::load(&args.settings) {
+        Ok(settings) => settings,
+        Err(err) => {
+            // An operator wants the problems, not where they were found in the program.
+            eprintln!("{err}");
+            return Ok(ExitCode::FAILURE);
+        }
+    };
     if args.check {
         println!("{}: valid", args.settings.display());
-        return Ok(());
+        return Ok(ExitCode::SUCCESS);
     }
 
-    log::init(&settings.log_level).wrap_err("log_level")?;
-    hemlockhook_agent::run(&settings)
+    log::init(settings.log_level.into()).wrap_err("log_level")?;
+    hemlockhook_agent::run(&settings)?;
+    Ok(ExitCode::SUCCESS)
 }
--- a/hemlockhook/src/fleet.rs
+++ b/hemlockhook/src/fleet.rs
@@ -336,7 +336,7 @@
             admin_address: loopback(),
             upstream_address: self.upstreams[index].1,
             log_address: self.log_address,
-            log_level: "warn".to_owned(),
+            log_level: hemlockhook_agent::settings::LogLevel::Warn,
             limits: Default::default(),
         };
         let Executors { control, traffic } = self.agent_ex.clone();
--- a/hemlockhook/tests/outcomes.rs
+++ b/hemlockhook/tests/outcomes.rs
@@ -74,7 +74,10 @@
         // Its tasks fill the slots of both upstreams.
         let wide = cluster.call(&Job::new("wide", &[300; 8]), &mut rng()).await;
         let told = (wide.answer.as_str(), wide.reason.as_str());
-        expect_that!(told, (eq("failed"), any!(eq("upstream_failed"), eq("timed_out"))));
+        expect_that!(
+            told,
+            (eq("failed"), any!(eq("upstream_failed"), eq("timed_out")))
+        );
 
         let mut answers = Vec::new();
         for number in 0..12 {
