Recall grants that are not used, whatever their holder told

Cause, found by the random test: an entry that held a grant without using it and had told of more backlog than it still had was never asked for it, and a backlog told to a leaving or quarantined upstream was told to no other: a task could wait for ever. Change: a grant that was not used for 50 ms is taken as not needed, a recall clears the backlog on both sides, and what was told to an upstream that gives nothing no longer counts.

--- a/hemlockhook-schedule/src/backlog.rs
+++ b/hemlockhook-schedule/src/backlog.rs
@@ -120,7 +120,7 @@
             continue;
         }
         // What other agents were told of is not told to this one as well.
-        let told_others = (fleet.told - u64::from(upstream.told.queued)) as u32;
+        let told_others = (fleet.told - u64::from(upstream.expected_grants())) as u32;
         demand.queued += total.queued.saturating_sub(told_others);
         demand.queued_long += total.queued_long;
         demand.head_urgency = demand.head_urgency.min(relative_ms(total.head, now_us));
--- a/hemlockhook-schedule/src/dispatcher.rs
+++ b/hemlockhook-schedule/src/dispatcher.rs
@@ -198,6 +198,9 @@
 
     /// Gives up grants that an agent asks back, and returns how many.
     pub fn recalled(&mut self, now: Instant, agent: Incarnation, count: u32) -> u32 {
+        // The agent takes it that the backlog is gone: it is to be told again of what there is.
+        self.upstreams
+            .change(now, agent, |upstream| upstream.told = Demand::default());
         self.upstreams.take_grants(now, agent, count)
     }
 
--- a/hemlockhook-schedule/src/slots.rs
+++ b/hemlockhook-schedule/src/slots.rs
@@ -12,7 +12,7 @@
 const RECALL_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// A grant is not recalled for this time, in which it may be on its way or its start on the way back.
-const SETTLE_TIME: Duration = Duration::from_millis(40);
+const SETTLE_TIME: Duration = Duration::from_millis(50);
 
 /// A slot goes to another entry than the one that it was last used by, at the cost of a message, if
 /// that one's backlog is due earlier by this much.
@@ -266,7 +266,7 @@
         }
     }
 
-    /// Asks for idle grants of entries without a backlog, as many as the others lack.
+    /// Asks for grants that entries have not used for a while, as many as others lack.
     fn recall(&mut self, now: Instant) {
         self.recall_at = None;
         for state in self.entries.values_mut() {
@@ -276,15 +276,16 @@
         let coming: u32 = self.entries.values().map(|state| state.recalling).sum();
         let mut missing = wanted.saturating_sub(coming);
         for (entry, state) in &mut self.entries {
-            let count = state.spare(now).min(missing);
-            if count == 0 {
-                continue;
-            }
-            match state.granted_at.map(|at| at + SETTLE_TIME) {
-                Some(settled) if settled > now => {
-                    self.recall_at = Some(self.recall_at.map_or(settled, |at| at.min(settled)));
-                }
-                _ => {
+            let settled = state
+                .granted_at
+                .map(|at| at + SETTLE_TIME)
+                .filter(|at| *at > now);
+            let others = wanted - state.demand.queued.min(wanted);
+            let count = (state.held - state.recalling).min(missing).min(others);
+            match settled {
+                _ if count == 0 => continue,
+                Some(at) => self.recall_at = Some(self.recall_at.map_or(at, |first| first.min(at))),
+                None => {
                     state.recall(now, count);
                     self.actions.push(SlotAction::Recall {
                         entry: *entry,
@@ -304,16 +305,10 @@
         recalled.map_or(0, |_| self.recalling)
     }
 
-    /// Returns the grants that the entry has no use for, as far as is known.
-    fn spare(&self, now: Instant) -> u32 {
-        match self.demand.queued {
-            0 => self.held - self.recalling(now),
-            _ => 0,
-        }
-    }
-
     fn recall(&mut self, now: Instant, count: u32) {
-        self.recalling = self.recalling(now) + count;
+        self.recalling += count;
+        // It would have used them if it still had the backlog that it told of.
+        self.demand.queued = 0;
         self.recalled_at = Some(now);
     }
 }
--- a/hemlockhook-schedule/src/upstream.rs
+++ b/hemlockhook-schedule/src/upstream.rs
@@ -117,6 +117,14 @@
         !self.leaving && self.quarantine.is_none() && self.running + self.grants < self.limit
     }
 
+    /// Returns the grants that its agent may be expected to give for the backlog that it was told.
+    pub fn expected_grants(&self) -> u32 {
+        match self.leaving || self.quarantine.is_some() {
+            true => 0,
+            false => self.told.queued,
+        }
+    }
+
     /// Returns when a quarantined upstream may be probed.
     pub fn next_probe(&self) -> Option<Instant> {
         self.quarantine
--- a/hemlockhook-schedule/src/upstreams.rs
+++ b/hemlockhook-schedule/src/upstreams.rs
@@ -202,7 +202,7 @@
             useless: upstream.leaving && upstream.grants > 0,
             grants: upstream.grants,
             slots: upstream.spec.slots,
-            told: upstream.told.queued,
+            told: upstream.expected_grants(),
             flow: upstream.flow,
             probe: next_probe.filter(|at| *at > now),
         }
