--- a/hemlockhook-schedule/src/share.rs
+++ b/hemlockhook-schedule/src/share.rs
@@ -11,7 +11,7 @@
 const CREDIT_US: u64 = 4_000_000;
 
 /// Furthest, in microseconds, that a team's jobs are put off in favour of other teams.
-const MAX_DEBT_US: u64 = 300_000_000;
+const MAX_DEBT_US: u64 = 60_000_000;
 
 /// The running work of teams, at this entry and as its peers report it.
 #[derive(Debug, Default)]
@@ -100,19 +100,22 @@
         }
     }
 
-    /// Returns the slots that a team may count on at this entry: its part among the teams that have
-    /// work, of the entry's part among its peers.
+    /// Returns the slots that a team may count on at this entry: its part among the teams of the
+    /// policy (without any, among those that have work), of the entry's part among its peers.
     fn fair_slots(&self, team: &TeamName, slots: u32) -> f64 {
         let weight = |team: &TeamName| f64::from(*self.weights.get(team).unwrap_or(&1));
-        let others = self.usage.keys().filter(|other| *other != team);
-        let weights = weight(team) + others.map(weight).sum::<f64>();
-        let entries = 1 + self
+        let others = |other: &&TeamName| *other != team;
+        let weights = match self.weights.is_empty() {
+            true => self.usage.keys().filter(others).map(weight).sum::<f64>(),
+            false => self.weights.keys().filter(others).map(weight).sum(),
+        };
+        let peers = self
             .usage
             .values()
             .map(|usage| usage.peers.len())
             .max()
             .unwrap_or(0);
-        let part = weight(team) / weights / entries as f64;
+        let part = weight(team) / (weight(team) + weights) / (1.0 + peers as f64);
         (f64::from(slots) * part * ALLOWANCE).max(0.1)
     }
 
