--- /dev/null
+++ b/hemlockhook-bench/src/replay/agent.rs
@@ -0,0 +1,284 @@
+//! The agents and upstreams of a replay.
+
+use std::time::Instant;
+
+use hemlockhook_schedule::{Demand, SlotAction};
+
+use super::{Chooser, Event, Replay, Running, Start, TaskWait, entry_id};
+use crate::trace::{FaultKind, LONG_US};
+
+const FAST_FAILURE_US: u64 = 1_000;
+
+impl Replay<'_> {
+    /// Sends what an agent decides. `riding` names the entry that is sent a frame anyway.
+    pub(super) fn flush_agent(&mut self, agent: usize, riding: Option<usize>) {
+        if let Chooser::Push(_) = self.chooser {
+            return;
+        }
+        let now = self.now();
+        let started = Instant::now();
+        let actions = self.agents[agent].slots.actions(now);
+        let wakeup = self.agents[agent].slots.next_wakeup();
+        self.out.decision_time += started.elapsed();
+        for action in actions {
+            let (entry, granted, recalled) = match action {
+                SlotAction::Grant { entry, count } => (entry as usize - 1000, count, 0),
+                SlotAction::Recall { entry, count } => (entry as usize - 1000, 0, count),
+            };
+            if riding != Some(entry) {
+                self.out.messages.grants += u64::from(granted > 0);
+                self.out.messages.recalls += u64::from(recalled > 0);
+            }
+            self.send(
+                agent,
+                entry,
+                Event::Grants {
+                    agent,
+                    entry,
+                    granted,
+                    recalled,
+                },
+            );
+        }
+        if let Some(at) = wakeup {
+            let at_us = (at.saturating_duration_since(self.base).as_micros() as u64 + 1)
+                .max(self.now_us + 1);
+            if self.agents[agent].wakeup.is_none_or(|set| at_us < set) {
+                self.agents[agent].wakeup = Some(at_us);
+                self.push(at_us, Event::WakeAgent(agent));
+            }
+        }
+    }
+
+    pub(super) fn start(&mut self, agent: usize, entry: usize, start: Start) {
+        if self.agents[agent].lost {
+            let ended = Event::Ended {
+                agent,
+                start,
+                entry,
+                ran_us: 0,
+                ok: false,
+                load: 0,
+            };
+            return self.send(agent, entry, ended);
+        }
+        let now = self.now();
+        match self.chooser {
+            Chooser::System(_)
+                if !self.agents[agent]
+                    .slots
+                    .start(now, entry_id(entry), start.long) =>
+            {
+                self.send(
+                    agent,
+                    entry,
+                    Event::Refused {
+                        agent,
+                        entry,
+                        start,
+                    },
+                );
+            }
+            Chooser::System(_) => self.begin(agent, entry, start),
+            Chooser::Push(_) => {
+                self.agents[agent].queue.push_back((entry, start));
+                self.start_queued(agent);
+            }
+        }
+    }
+
+    fn start_queued(&mut self, agent: usize) {
+        let slots = self.trace.deployment.upstreams[agent].slots as usize;
+        while self.agents[agent].running.len() < slots {
+            let Some((entry, start)) = self.agents[agent].queue.pop_front() else {
+                return;
+            };
+            self.begin(agent, entry, start);
+        }
+    }
+
+    fn begin(&mut self, agent: usize, entry: usize, start: Start) {
+        let task = &self.trace.jobs[start.job].tasks[start.task];
+        let state = &self.agents[agent];
+        let ran_us = match state.failing {
+            true => FAST_FAILURE_US,
+            false => (task.run_us as f64 / state.speed) as u64,
+        };
+        self.note_wait(agent, start, ran_us);
+        let truly_long = self.trace.jobs[start.job].tasks[start.task].run_us >= LONG_US;
+        let run = self.next_run;
+        self.next_run += 1;
+        let running = Running {
+            entry,
+            start,
+            started_us: self.now_us,
+            truly_long,
+        };
+        self.agents[agent].running.insert(run, running);
+        self.count_long(agent, truly_long, 1);
+        self.push(self.now_us + ran_us, Event::End { agent, run });
+    }
+
+    fn note_wait(&mut self, agent: usize, start: Start, ran_us: u64) {
+        let service = self.service(start.job);
+        let now_us = self.now_us;
+        let progress = self.progress[start.job]
+            .as_ref()
+            .expect("the job was submitted");
+        let (due, beside) = match progress.per_agent.get(agent) {
+            Some((share, held)) => {
+                let a = &self.agents[agent];
+                (
+                    a.long_share.at(now_us) - share,
+                    a.long_held.at(now_us) - held,
+                )
+            }
+            None => (
+                self.service_share[service].at(now_us) - progress.long_share_at,
+                self.service_held[service].at(now_us) - progress.long_held_at,
+            ),
+        };
+        self.out.waits.push(TaskWait {
+            job: start.job,
+            run_us: self.trace.jobs[start.job].tasks[start.task].run_us,
+            ran_us: ran_us as f64,
+            wait_us: now_us - progress.arrived_us,
+            due_to_long_us: due,
+            beside_long_us: beside,
+            upstream: agent,
+        });
+    }
+
+    /// Updates the integrals of the slots that long work holds.
+    fn count_long(&mut self, agent: usize, truly_long: bool, change: i32) {
+        if !truly_long {
+            return;
+        }
+        let now_us = self.now_us;
+        let slots = f64::from(self.trace.deployment.upstreams[agent].slots);
+        let state = &mut self.agents[agent];
+        state.long_running = state
+            .long_running
+            .checked_add_signed(change)
+            .expect("long work ended twice");
+        let long = f64::from(state.long_running);
+        state.long_share.set(now_us, long / slots);
+        state
+            .long_held
+            .set(now_us, if long > 0.0 { 1.0 } else { 0.0 });
+        for service in 0..self.service_names.len() {
+            let upstreams = self.trace.deployment.upstreams.iter().zip(&self.agents);
+            let suitable = upstreams.filter(|(u, _)| u.runs(&self.service_names[service]));
+            let (long, slots) =
+                suitable.fold((0, 0), |(l, s), (u, a)| (l + a.long_running, s + u.slots));
+            self.service_share[service].set(now_us, f64::from(long) / f64::from(slots));
+            self.service_held[service].set(now_us, if long > 0 { 1.0 } else { 0.0 });
+        }
+    }
+
+    pub(super) fn end(&mut self, agent: usize, run: u64, tell: bool) {
+        let Some(running) = self.agents[agent].running.remove(&run) else {
+            return;
+        };
+        let Running {
+            entry,
+            start,
+            started_us,
+            truly_long,
+        } = running;
+        self.count_long(agent, truly_long, -1);
+        let now = self.now();
+        let ok = !self.agents[agent].failing;
+        let ran_us = self.now_us - started_us;
+        let riding = tell.then_some(entry);
+        if let Chooser::System(_) = self.chooser {
+            match riding {
+                Some(entry) => self.agents[agent]
+                    .slots
+                    .end_for(now, entry_id(entry), start.long),
+                None => self.agents[agent].slots.end(now, start.long),
+            }
+        }
+        self.start_queued(agent);
+        let load = (self.agents[agent].running.len() + self.agents[agent].queue.len()) as u32;
+        self.out.messages.ends += 1;
+        self.out.messages.late_ends += u64::from(self.progress_mut(start.job).settled);
+        self.send(
+            agent,
+            entry,
+            Event::Ended {
+                agent,
+                start,
+                entry,
+                ran_us,
+                ok,
+                load,
+            },
+        );
+        self.flush_agent(agent, riding);
+    }
+
+    pub(super) fn stop_tasks(&mut self, agent: usize, job: usize) {
+        self.agents[agent]
+            .queue
+            .retain(|(_, start)| start.job != job);
+        let state = &self.agents[agent];
+        let runs = state.running.iter().filter(|(_, r)| r.start.job == job);
+        let mut runs: Vec<u64> = runs.map(|(run, _)| *run).collect();
+        runs.sort_unstable();
+        runs.into_iter().for_each(|run| self.end(agent, run, true));
+    }
+
+    pub(super) fn control(
+        &mut self,
+        agent: usize,
+        entry: usize,
+        demand: Option<Demand>,
+        returned: u32,
+    ) {
+        if self.agents[agent].lost {
+            return;
+        }
+        let now = self.now();
+        let slots = &mut self.agents[agent].slots;
+        if returned > 0 {
+            slots.returned(now, entry_id(entry), returned);
+        }
+        if let Some(demand) = demand {
+            slots.demand(now, entry_id(entry), demand);
+        }
+        self.flush_agent(agent, None);
+    }
+
+    pub(super) fn fault(&mut self, index: usize) {
+        let fault = self.trace.deployment.faults[index].clone();
+        let agent = &mut self.agents[fault.upstream];
+        match fault.kind {
+            FaultKind::FailFast => agent.failing = true,
+            FaultKind::Speed(factor) => agent.speed *= factor,
+            FaultKind::Lost => self.lose(fault.upstream),
+        }
+    }
+
+    fn lose(&mut self, agent: usize) {
+        self.agents[agent].lost = true;
+        let mut running: Vec<(u64, Running)> = self.agents[agent].running.drain().collect();
+        running.sort_unstable_by_key(|(run, _)| *run);
+        for (_, run) in &running {
+            self.count_long(agent, run.truly_long, -1);
+        }
+        let queued: Vec<_> = self.agents[agent].queue.drain(..).collect();
+        for entry in 0..self.entries.len() {
+            let lost = running
+                .iter()
+                .filter(|(_, r)| r.entry == entry)
+                .map(|(_, r)| r.start);
+            let queued = queued
+                .iter()
+                .filter(|(e, _)| *e == entry)
+                .map(|(_, start)| *start);
+            let lost = lost.chain(queued).collect();
+            self.send(agent, entry, Event::LinkLost { agent, entry, lost });
+        }
+    }
+}
