--- a/hemlockhook-bench/src/lib.rs
+++ b/hemlockhook-bench/src/lib.rs
@@ -2,10 +2,12 @@
 //! and under baselines, and reports their figures.
 
 pub mod baseline;
+pub mod capacity;
 pub mod clairvoyant;
 pub mod compare;
 pub mod decisions;
 pub mod faults;
 pub mod replay;
 pub mod report;
+pub mod throughput;
 pub mod trace;
--- a/hemlockhook-bench/src/main.rs
+++ b/hemlockhook-bench/src/main.rs
@@ -6,7 +6,7 @@
 
 use hemlockhook_bench::compare::{Comparison, Output};
 use hemlockhook_bench::trace::{DURATION_US, DeploymentName, Trace};
-use hemlockhook_bench::{decisions, faults};
+use hemlockhook_bench::{capacity, decisions, faults, throughput};
 
 /// Experiments with the scheduling policy of hemlockhook.
 #[derive(Clone, Debug, Bpaf)]
@@ -34,6 +34,9 @@
         #[bpaf(long, argument("FILE"), optional)]
         chart: Option<PathBuf>,
     },
+    /// Measures tasks a second through one entry and the CPU time that a task takes.
+    #[bpaf(command)]
+    Throughput(#[bpaf(external(throughput::throughput_args))] throughput::ThroughputArgs),
     /// Replays traces with faults and compares what happens with what is stated.
     #[bpaf(command)]
     Faults {
@@ -44,6 +47,9 @@
     /// Prints the time that one decision takes, by the number of upstreams and of queued tasks.
     #[bpaf(command)]
     Decisions,
+    /// Measures the slopes of docs/CAPACITY.md and prints them as a table.
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity::capacity_args))] capacity::CapacityArgs),
     /// Writes the trace of a deployment to a file, as JSON Lines.
     #[bpaf(command)]
     Export {
@@ -84,8 +90,10 @@
             };
             comparison.run(output, chart.as_deref())
         }
+        Command::Throughput(args) => throughput::run(&args),
         Command::Faults { seed } => faults::print(seed),
         Command::Decisions => decisions::print(),
+        Command::Capacity(args) => capacity::run(&args),
         Command::Export {
             deployment,
             seed,
--- /dev/null
+++ b/hemlockhook-ownership/tests/random.rs
@@ -0,0 +1,373 @@
+//! Randomised runs of several owners, agents and clients over a faulty network and log.
+//!
+//! `HEMLOCKHOOK_OWNERSHIP_CASES` sets the number of cases and `HEMLOCKHOOK_OWNERSHIP_SEED` the
+//! seed: `HEMLOCKHOOK_OWNERSHIP_CASES=100000 cargo test -p hemlockhook-ownership --release --test
+//! random -- --nocapture holds`.
+
+mod world;
+
+use std::collections::BTreeMap;
+use std::env;
+use std::sync::Mutex;
+
+use googletest::prelude::*;
+use hemlockhook_ownership::Rules;
+use proptest::strategy::{BoxedStrategy, Just, Strategy};
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+use world::World;
+use world::steps::{Outcome, Step, step};
+
+const CASES: u32 = 3000;
+const MUTANT_CASES: u32 = 20_000;
+const STEPS: usize = 160;
+
+thread_local! {
+    static STEPS_STRATEGY: BoxedStrategy<Step> = step().boxed();
+}
+
+/// The state that is generated with the steps: only the rules in force.
+struct Plan;
+
+impl ReferenceStateMachine for Plan {
+    type State = Rules;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Rules> {
+        Just(Rules::default()).boxed()
+    }
+
+    fn transitions(_: &Rules) -> BoxedStrategy<Step> {
+        STEPS_STRATEGY.with(BoxedStrategy::clone)
+    }
+
+    fn apply(state: Rules, _: &Step) -> Rules {
+        state
+    }
+}
+
+struct Run;
+
+impl StateMachineTest for Run {
+    type SystemUnderTest = World;
+    type Reference = Plan;
+
+    fn init_test(rules: &Rules) -> World {
+        World::new(*rules)
+    }
+
+    fn apply(mut world: World, _: &Rules, step: Step) -> World {
+        world.step(&step);
+        world
+    }
+
+    fn teardown(mut world: World, _: Rules) {
+        world.heal();
+        let mut answers = ANSWERS.lock().unwrap();
+        for (kind, count) in world.answers {
+            *answers.entry(kind).or_default() += count;
+        }
+    }
+}
+
+static ANSWERS: Mutex<BTreeMap<&str, u32>> = Mutex::new(BTreeMap::new());
+
+fn setting(name: &str, default: u64) -> u64 {
+    let set = env::var(name).ok();
+    set.map_or(default, |text| text.parse().expect("it is a number"))
+}
+
+fn check(rules: Rules, cases: u32, seed: u64, shrink: u32) -> std::result::Result<(), String> {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: shrink,
+        ..Config::default()
+    };
+    let mut bytes = [1; 16];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::XorShift, &bytes);
+    let strategy = Plan::sequential_strategy(STEPS / 2..STEPS);
+    TestRunner::new_with_rng(config.clone(), rng)
+        .run(&strategy, |(_, steps, seen)| {
+            let seen = seen.filter(|_| shrink > 0);
+            Run::test_sequential(config.clone(), rules, steps, seen);
+            Ok::<(), TestCaseError>(())
+        })
+        .map_err(|error| error.to_string())
+}
+
+#[gtest]
+fn holds() {
+    let cases = setting("HEMLOCKHOOK_OWNERSHIP_CASES", CASES.into()) as u32;
+    let seed = setting("HEMLOCKHOOK_OWNERSHIP_SEED", 1);
+    println!("{cases} cases with seed {seed}");
+    if let Err(error) = check(Rules::default(), cases, seed, 20_000) {
+        panic!("seed {seed}: {error}");
+    }
+    println!("answers: {:?}", ANSWERS.lock().unwrap());
+}
+
+/// Checks that random runs notice the absence of a rule.
+fn is_caught(seed: u64, change: fn(&mut Rules)) {
+    let seed = setting("HEMLOCKHOOK_OWNERSHIP_SEED", seed);
+    let mut rules = Rules::default();
+    change(&mut rules);
+    let outcome = check(rules, MUTANT_CASES, seed, 0);
+    expect_that!(outcome, err(anything()));
+}
+
+macro_rules! mutants {
+    ($($name:ident => $rule:ident, seed $seed:literal;)*) => {
+        $(#[gtest]
+        fn $name() {
+            is_caught($seed, |rules| rules.$rule = false);
+        })*
+    };
+}
+
+mutants! {
+    no_floor_is_caught => floor, seed 2;
+    no_marker_is_caught => marker, seed 1;
+    a_stamp_of_the_counter_alone_is_caught => stamp_owner, seed 8;
+    serving_a_higher_stamp_is_caught => stamp_above, seed 6;
+    an_account_without_all_reports_is_caught => reports, seed 1;
+    no_window_is_caught => window, seed 1;
+    requeueing_forgotten_starts_is_caught => forgotten, seed 5;
+    judging_starts_of_the_same_link_is_caught => link_epoch, seed 1;
+    starting_again_what_was_lost_is_caught => lost, seed 1;
+    refusing_without_a_mark_is_caught => withdraw, seed 3;
+    messages_of_old_links_are_caught => links, seed 6;
+}
+
+/// Checks that a run of steps starts a task twice without a rule, and does not with it.
+fn is_needed(change: fn(&mut Rules), steps: &[Step]) {
+    let run = |rules| {
+        let mut world = World::new(rules);
+        steps.iter().for_each(|step| world.step(step));
+        world.heal();
+    };
+    run(Rules::default());
+    let mut rules = Rules::default();
+    change(&mut rules);
+    let outcome = std::panic::catch_unwind(|| run(rules));
+    let message = outcome.unwrap_err();
+    let message = message.downcast_ref::<String>().expect("it is a text");
+    expect_that!(message, ends_with("started twice"));
+}
+
+/// Entry 0 owns the shard of job 0. It has taken the job in and is paused before it starts it.
+const PAUSED_WITH_A_JOB: [Step; 4] = [
+    Step::Advance(10),
+    Step::Make {
+        stamp: 1,
+        tasks: 1,
+        entry: 0,
+    },
+    Step::PauseEntry(0, true),
+    Step::Advance(10),
+];
+
+/// Entry 0 goes on and starts the job at agent 1.
+const START_AT_AGENT_1: [Step; 6] = [
+    Step::PauseEntry(0, false),
+    Step::Connect { entry: 0, agent: 1 },
+    Step::Dispatch {
+        entry: 0,
+        task: 0,
+        agent: 1,
+    },
+    Step::Deliver {
+        message: 0,
+        count: 4,
+    },
+    Step::Deliver {
+        message: 1,
+        count: 4,
+    },
+    Step::Calm,
+];
+
+/// Entry 2 takes the shard over and runs the job at agent 0.
+const RUN_AT_ENTRY_2: [Step; 4] = [
+    Step::Take {
+        entry: 2,
+        shards: 1,
+    },
+    Step::Calm,
+    Step::Resubmit { job: 0, entry: 2 },
+    Step::Work(2),
+];
+
+#[gtest]
+fn the_join_rule_is_needed() {
+    let steps = [
+        &PAUSED_WITH_A_JOB[..],
+        &RUN_AT_ENTRY_2[..],
+        &[Step::KillAgent(1, false)],
+        &START_AT_AGENT_1[..],
+    ];
+    is_needed(|rules| rules.join = false, &steps.concat());
+}
+
+#[gtest]
+fn the_record_of_a_takeover_is_needed() {
+    let steps = [
+        &PAUSED_WITH_A_JOB[..],
+        &[Step::Log(false)],
+        &RUN_AT_ENTRY_2[..],
+        &[
+            Step::Log(true),
+            Step::KillAgent(1, false),
+            Step::Advance(10),
+            Step::Append {
+                append: 0,
+                outcome: Outcome::Done,
+            },
+            Step::ReadAgent(1),
+        ],
+        &START_AT_AGENT_1[..],
+    ];
+    is_needed(|rules| rules.recorded = false, &steps.concat());
+}
+
+#[gtest]
+fn a_history_is_needed_to_join() {
+    let append = Step::Append {
+        append: 0,
+        outcome: Outcome::Done,
+    };
+    let steps = [
+        &PAUSED_WITH_A_JOB[..],
+        &RUN_AT_ENTRY_2[..],
+        &[
+            Step::Truncate(0),
+            Step::KillAgent(1, false),
+            Step::Advance(10),
+            append,
+            Step::ReadAgent(1),
+        ],
+        &START_AT_AGENT_1[..],
+    ];
+    is_needed(|rules| rules.history = false, &steps.concat());
+}
+
+#[gtest]
+fn the_lease_is_needed() {
+    let steps = [
+        &[
+            Step::Island {
+                entries: 1,
+                agents: 1,
+            },
+            Step::Take {
+                entry: 2,
+                shards: 1,
+            },
+        ],
+        &[Step::Advance(3000), Step::Calm].repeat(4)[..],
+        &[
+            Step::Make {
+                stamp: 5,
+                tasks: 1,
+                entry: 0,
+            },
+            Step::Dispatch {
+                entry: 0,
+                task: 0,
+                agent: 0,
+            },
+            Step::Calm,
+            Step::Resubmit { job: 0, entry: 2 },
+            Step::Work(2),
+        ],
+    ];
+    is_needed(|rules| rules.lease = false, &steps.concat());
+}
+
+#[gtest]
+fn joining_again_is_needed() {
+    let steps = [
+        &[
+            Step::Island {
+                entries: 1,
+                agents: 1,
+            },
+            Step::Take {
+                entry: 2,
+                shards: 1,
+            },
+        ],
+        &[Step::Advance(3000), Step::Calm].repeat(4)[..],
+        &[
+            Step::Make {
+                stamp: 5,
+                tasks: 1,
+                entry: 0,
+            },
+            Step::Resubmit { job: 0, entry: 2 },
+            Step::Work(2),
+            Step::Island {
+                entries: 0,
+                agents: 0,
+            },
+            Step::Advance(700),
+            Step::Dispatch {
+                entry: 0,
+                task: 0,
+                agent: 0,
+            },
+            Step::Deliver {
+                message: 0,
+                count: 4,
+            },
+            Step::Calm,
+        ],
+    ];
+    is_needed(|rules| rules.rejoin = false, &steps.concat());
+}
+
+/// Job 0 has run at agent 0 under entry 0, and entry 0 has ended.
+const RUN_AND_KILL: [Step; 4] = [
+    Step::Advance(10),
+    Step::Make {
+        stamp: 1,
+        tasks: 1,
+        entry: 0,
+    },
+    Step::Work(0),
+    Step::KillEntry(0, false),
+];
+
+#[gtest]
+fn custody_is_needed() {
+    let steps = [
+        &RUN_AND_KILL[..],
+        &[
+            Step::Leave {
+                agent: 0,
+                custodian: None,
+            },
+            Step::Calm,
+            Step::KillAgent(0, false),
+        ],
+        &RUN_AT_ENTRY_2[..],
+    ];
+    is_needed(|rules| rules.custody = false, &steps.concat());
+}
+
+#[gtest]
+fn a_history_is_needed() {
+    let steps = [
+        &RUN_AND_KILL[..],
+        &[
+            Step::Truncate(2),
+            Step::KillAgent(0, false),
+            Step::KillEntry(2, true),
+            Step::ReadEntry(2),
+        ],
+        &RUN_AT_ENTRY_2[..],
+    ];
+    is_needed(|rules| rules.history = false, &steps.concat());
+}
