--- a/hemlockhook-bench/src/capacity/memory.rs
+++ b/hemlockhook-bench/src/capacity/memory.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::time::{Duration, Instant};
 
-use hemlockhook_inventory::check;
+use hemlockhook_inventory::{Inventory, check};
 use hemlockhook_ownership::{Gate, GateConfig, StartOrder};
 use hemlockhook_types::{Ballot, JobKey, TaskEnd, TaskResult, shard_of};
 
@@ -27,6 +27,9 @@
 /// Bytes of a page of memory.
 const PAGE: f64 = 4_096.0;
 
+/// A document as processes keep it.
+type Kept = (Option<Inventory>, String);
+
 /// Measures everything that is kept.
 pub fn slopes() -> Vec<Slope> {
     let documents: Vec<(f64, String)> = UPSTREAMS
@@ -34,7 +37,7 @@
         .map(|n| (*n as f64, document(*n)))
         .collect();
     // First, for what else is measured here leaves memory to be used again.
-    let kept_documents = document_memory(&documents);
+    let (document_points, _kept) = document_memory(&documents);
     let markers = Slope {
         name: "m_marker",
         what: "memory of start markers whose results are dropped, by markers",
@@ -64,7 +67,7 @@
             name: "m_document",
             what: "memory of a document as text and checked, by upstreams",
             unit: "B",
-            points: kept_documents,
+            points: document_points,
         },
         markers,
     ]
@@ -84,21 +87,19 @@
     cpu_times().map_or(0.0, |times| times.values().sum())
 }
 
-/// Measures documents that are kept as processes keep them: as text and checked.
-fn document_memory(documents: &[(f64, String)]) -> Vec<(f64, f64)> {
+/// Measures documents that are kept as processes keep them: as text and checked. They are handed
+/// back, so that what is measured later does not get their memory.
+fn document_memory(documents: &[(f64, String)]) -> (Vec<(f64, f64)>, Vec<Kept>) {
     let mut kept = Vec::new();
-    documents
+    let points = documents
         .iter()
         .map(|(upstreams, text)| {
             let before = resident();
-            kept.push(
-                (0..COPIES)
-                    .map(|_| (check(text), text.clone()))
-                    .collect::<Vec<_>>(),
-            );
+            kept.extend((0..COPIES).map(|_| (check(text).ok(), text.clone())));
             (*upstreams, (resident() - before) / COPIES as f64)
         })
-        .collect()
+        .collect();
+    (points, kept)
 }
 
 /// Measures gates that hold so many markers. They are kept together, so that none gets memory that
