Let nothing be due at an agent that leaves

A recall that was under way when an agent began to leave stayed due for ever, since a leaving agent shares nothing; its control thread then looped without yielding, and in one process starved every other engine. Found with a debugger on the running process; ruled out: the log's replies and the hand-over of records, which move on by time. Change: nothing is due once an agent leaves. The test fails before (a time in the past is due) and passes after.

--- a/hemlockhook-schedule/src/slots.rs
+++ b/hemlockhook-schedule/src/slots.rs
@@ -169,6 +169,10 @@
 
     /// Returns when `actions` has to be called again, if no event comes first.
     pub fn next_wakeup(&self) -> Option<Instant> {
+        // Nothing is shared any more, so nothing becomes due.
+        if self.leaving {
+            return None;
+        }
         let recalls = self.entries.values().filter(|state| state.recalling > 0);
         let repeat = recalls.filter_map(|state| state.recalled_at).min();
         let repeat = repeat.map(|at| at + RECALL_TIMEOUT);
--- a/hemlockhook-schedule/tests/announcements.rs
+++ b/hemlockhook-schedule/tests/announcements.rs
@@ -1,9 +1,11 @@
-//! Tests of upstreams that are announced again while they work.
+//! Tests of upstreams that are announced again while they work, and of agents that leave.
 
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use hemlockhook_schedule::{Dispatcher, JobSpec, Policy, TaskSpec, UpstreamSpec};
+use hemlockhook_schedule::{
+    Demand, Dispatcher, JobSpec, Policy, SlotTable, TaskSpec, UpstreamSpec,
+};
 
 const AGENT: u64 = 7;
 
@@ -61,3 +63,25 @@
     expect_that!(upstreams[0].running, eq(1));
     expect_that!(upstreams[0].grants, eq(0));
 }
+
+#[gtest]
+fn an_agent_that_leaves_with_a_recall_under_way_has_nothing_due() {
+    let now = Instant::now();
+    let mut slots = SlotTable::new(2);
+    slots.entry_up(now, 1);
+    slots.entry_up(now, 2);
+    slots.actions(now);
+    let backlog = Demand {
+        queued: 5,
+        ..Demand::default()
+    };
+    let later = now + Duration::from_secs(1);
+    slots.demand(later, 2, backlog);
+    slots.actions(later);
+    expect_that!(slots.next_wakeup(), some(gt(later)));
+
+    slots.set_leaving(later, true);
+    let much_later = later + Duration::from_secs(1);
+    slots.actions(much_later);
+    expect_that!(slots.next_wakeup(), none());
+}
