--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -8,7 +8,7 @@
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::{AgentFrame, AgentHello, EntryFrame};
 use hemlockhook_runtime::log;
-use hemlockhook_schedule::{Placement, UpstreamSpec};
+use hemlockhook_schedule::{Intervention, Placement, UpstreamSpec};
 use hemlockhook_types::{Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of};
 
 use super::Engine;
@@ -236,9 +236,15 @@
         let key = JobKey::from(done.key);
         let result: TaskResult = done.result.unwrap_or_default().into();
         if let Some((_, job)) = self.placed.remove(&(key.clone(), done.index)) {
-            let ok = matches!(result.end, TaskEnd::Ok(_) | TaskEnd::Cancelled);
-            self.dispatcher
-                .ended(now, agent, job, done.index, result.run_time, ok);
+            match result.end {
+                TaskEnd::Cancelled => self.dispatcher.dropped(now, agent, job, done.index),
+                _ => {
+                    let ok = matches!(result.end, TaskEnd::Ok(_));
+                    let run_time = result.run_time;
+                    self.dispatcher
+                        .ended(now, agent, job, done.index, run_time, ok);
+                }
+            }
         }
         self.owner.done(now, agent, &key, done.index, result);
     }
@@ -253,10 +259,7 @@
         log::task(&key, refusal.index).debug(&format!("start refused: {reason}"));
         match outcome {
             RefusedOutcome::Requeue => self.dispatcher.refused(now, agent, job, refusal.index),
-            RefusedOutcome::Nothing => {
-                self.dispatcher
-                    .ended(now, agent, job, refusal.index, Duration::ZERO, true);
-            }
+            RefusedOutcome::Nothing => self.dispatcher.dropped(now, agent, job, refusal.index),
         }
     }
 
@@ -295,8 +298,7 @@
     pub(super) fn forget_placed(&mut self, now: Instant, shard: ShardId) {
         let placed = self.placed.extract_if(|(key, _), _| shard_of(key) == shard);
         for ((_, index), (agent, job)) in placed {
-            self.dispatcher
-                .ended(now, agent, job, index, Duration::ZERO, false);
+            self.dispatcher.dropped(now, agent, job, index);
         }
     }
 
@@ -323,8 +325,7 @@
             .and_then(|key| self.owner.start(now, key, index, agent));
         let (Some(key), Some(order)) = (key, order) else {
             // The job was settled after it was queued: the grant goes back.
-            self.dispatcher
-                .ended(now, agent, job, index, Duration::ZERO, true);
+            self.dispatcher.dropped(now, agent, job, index);
             self.frame(agent).returned_grants += 1;
             return;
         };
@@ -355,6 +356,25 @@
         allowed.as_millis().clamp(1, u128::from(u32::MAX)) as u32
     }
 
+    /// Asks the platform to hold back long work that was declared short while short work waits.
+    pub(super) fn intervene(&mut self, now: Instant) {
+        for Intervention {
+            agent,
+            job,
+            index,
+            kind,
+        } in self.dispatcher.interventions(now)
+        {
+            let (Some(link), Some(key)) = (self.links.get(&agent), self.scheduled.get(&job)) else {
+                continue;
+            };
+            let worker = link.hello.worker.clone();
+            let task = format!("{key}/{index}");
+            log::task(key, index).info(&format!("asking the platform to {kind} it"));
+            self.actions.push(Action::Intervene { worker, task, kind });
+        }
+    }
+
     /// Stops a task that runs, or is about to, at an agent.
     pub(super) fn stop_task(&mut self, agent: Incarnation, key: &JobKey, index: TaskIndex) {
         let frame = self.frame(agent);
--- a/hemlockhook-ownership/src/owner/settle.rs
+++ b/hemlockhook-ownership/src/owner/settle.rs
@@ -1,13 +1,18 @@
 //! Answers: given once, kept for the window.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use hemlockhook_types::{Answer, Incarnation, JobKey, Reason, ShardId, TaskIndex};
 
 use super::job::Refusing;
+use super::members::Agent;
 use super::{Owner, OwnerAction};
 use crate::order::{StartRefusal, Withdrawal};
 
+/// Bytes that a kept result takes besides its body.
+const RESULT_OVERHEAD_BYTES: usize = 48;
+
 impl Owner {
     /// Settles a job with an answer other than its tasks' results: its deadline passed, it was
     /// rejected. An answer that the job has already stands.
@@ -81,6 +86,8 @@
                 self.saw_ballot(now, shard, floor);
                 self.ask_next(now, key);
             }
+            // Somebody started it after all.
+            Err(StartRefusal::AlreadyStarted) => self.give_up_refusal(now, key),
             Err(_) => self.ask_next(now, key),
         }
     }
@@ -119,7 +126,7 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        if job.answer.is_some() {
+        if job.answer.is_some() || job.refusing.is_some() {
             return;
         }
         if let Some(answer) = job.verdict() {
@@ -127,8 +134,17 @@
         }
     }
 
-    /// Gives a job its final answer.
+    /// Gives a job its final answer, and tells of it.
     pub(super) fn answer(&mut self, now: Instant, key: &JobKey, answer: Answer) {
+        self.keep_answer(now, key, &answer);
+        self.actions.push(OwnerAction::Settled {
+            key: key.clone(),
+            answer,
+        });
+    }
+
+    /// Keeps the final answer of a job.
+    pub(super) fn keep_answer(&mut self, now: Instant, key: &JobKey, answer: &Answer) {
         let job = self.jobs.get_mut(key).expect("it is known");
         assert!(job.answer.is_none(), "an answer is settled once");
         assert!(
@@ -142,15 +158,11 @@
         self.refusing.remove(key);
         self.expiry.push_back((now, key.clone()));
 
-        if let Answer::Complete(results) = &answer {
-            self.answer_bytes += results.iter().map(|body| body.len()).sum::<usize>();
+        if let Answer::Complete(_) = answer {
+            self.answer_bytes += answer_bytes(answer);
             self.kept.push_back(key.clone());
         }
         self.evict();
-        self.actions.push(OwnerAction::Settled {
-            key: key.clone(),
-            answer,
-        });
     }
 
     /// Forgets what has been settled longer ago than the window.
@@ -174,20 +186,29 @@
         }
     }
 
-    /// Forgets a shard's jobs. Returns those that were admitted and have no answer, in order.
-    pub(super) fn forget_shard(&mut self, shard: ShardId) -> Vec<JobKey> {
-        let mut keys: Vec<_> = self
+    /// Forgets the jobs of shards. Returns those that were admitted and have no answer, in order.
+    pub(super) fn forget_shards(&mut self, shards: &[ShardId]) -> BTreeMap<ShardId, Vec<JobKey>> {
+        if shards.is_empty() {
+            return BTreeMap::new();
+        }
+        let keys: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.shard == shard)
-            .map(|(key, job)| (key.clone(), job.admitted.is_some() && job.answer.is_none()))
+            .filter(|(_, job)| shards.contains(&job.shard))
+            .map(|(key, _)| key.clone())
             .collect();
-        keys.sort();
-        for (key, _) in &keys {
-            self.forget_job(key);
+        let mut unfinished = BTreeMap::<_, Vec<_>>::new();
+        for key in keys {
+            match self.jobs.get(&key) {
+                Some(job) if job.admitted.is_some() && job.answer.is_none() => {
+                    unfinished.entry(job.shard).or_default().push(key.clone());
+                }
+                _ => {}
+            }
+            self.forget_job(&key);
         }
-        keys.retain(|(_, unfinished)| *unfinished);
-        keys.into_iter().map(|(key, _)| key).collect()
+        unfinished.values_mut().for_each(|keys| keys.sort());
+        unfinished
     }
 
     fn forget_job(&mut self, key: &JobKey) {
@@ -203,12 +224,12 @@
         self.answer_bytes -= job.answer.as_ref().map_or(0, answer_bytes);
     }
 
-    /// Starts to refuse a job as not run.
+    /// Starts to refuse a job as not run, or to close it as unknown.
     ///
     /// Another entry may own the shard by now. Any that would start the job needs the reports of
     /// all agents of its service, so that one agent which marks the job while its floor is still
     /// the own ballot keeps every later owner from starting it.
-    fn refuse(&mut self, now: Instant, key: &JobKey, answer: Answer) {
+    pub(super) fn refuse(&mut self, now: Instant, key: &JobKey, answer: Answer) {
         let job = self.jobs.get_mut(key).expect("it is known");
         job.refusing = Some(Refusing {
             answer,
@@ -227,10 +248,13 @@
         let Some(refusing) = &job.refusing else {
             return;
         };
+        // Where no agent ever ran the service, any one can keep the mark.
+        let runs = |agent: &Agent| agent.services.contains(&job.service);
+        let is_run = self.members.iter().any(|(_, agent)| runs(agent));
         let next = self
             .members
             .iter()
-            .filter(|(_, agent)| agent.up && agent.services.contains(&job.service))
+            .filter(|(_, agent)| agent.up && (runs(agent) || !is_run))
             .map(|(agent, _)| agent)
             .filter(|agent| *agent != refusing.agent && !refusing.tried.contains(agent))
             .min_by_key(|agent| agent ^ job.fingerprint);
@@ -239,9 +263,7 @@
         let refusing = job.refusing.as_mut().expect("it is being refused");
         let reason = refusing.answer.reason().unwrap_or(Reason::Overloaded);
         let (Some(agent), Some(ballot)) = (next, ballot) else {
-            job.refusing = None;
-            let detail = "no agent could confirm that the job was not run".to_owned();
-            return self.answer(now, key, Answer::Unknown { reason, detail });
+            return self.give_up_refusal(now, key);
         };
 
         refusing.tried.push(refusing.agent);
@@ -261,6 +283,19 @@
         });
     }
 
+    /// Answers a job as unknown that no agent confirmed as not run.
+    fn give_up_refusal(&mut self, now: Instant, key: &JobKey) {
+        let job = self.jobs.get_mut(key).expect("it is known");
+        let refusing = job.refusing.take().expect("it is being refused");
+        let reason = refusing.answer.reason().unwrap_or(Reason::Overloaded);
+        let detail = "no agent could confirm that the job was not run".to_owned();
+        let answer = match refusing.answer {
+            Answer::NotRun { .. } => Answer::Unknown { reason, detail },
+            answer => answer,
+        };
+        self.answer(now, key, answer);
+    }
+
     /// Drops the oldest complete answers until the rest fits its bound. The keys stay.
     fn evict(&mut self) {
         while self.answer_bytes > self.cfg.max_result_bytes {
@@ -278,9 +313,13 @@
     }
 }
 
+/// Returns the bytes that an answer's results take, with those of their bookkeeping.
 fn answer_bytes(answer: &Answer) -> usize {
     match answer {
-        Answer::Complete(results) => results.iter().map(|body| body.len()).sum(),
+        Answer::Complete(results) => results
+            .iter()
+            .map(|body| body.len() + RESULT_OVERHEAD_BYTES)
+            .sum(),
         _ => 0,
     }
 }
