--- a/hemlockhook-inventory/src/publish/publisher.rs
+++ b/hemlockhook-inventory/src/publish/publisher.rs
@@ -130,10 +130,7 @@
             (Some(Verdict::Refused { in_force }), _) => {
                 PublishAction::Done(PublishOutcome::Refused { in_force })
             }
-            (_, None) if self.record.restore => {
-                self.record.read_to = Some(self.reader.next_offset());
-                PublishAction::Append(self.record.to_bytes())
-            }
+            (_, None) if self.record.restore => self.restore(),
             (_, None) => self.give_up(UNKNOWN_VERSION),
             (_, Some(in_force)) if self.record.base == in_force && !self.record.restore => {
                 PublishAction::Append(self.record.to_bytes())
@@ -142,6 +139,16 @@
         };
     }
 
+    /// Restores the configuration, unless an earlier copy of the record may have done so already.
+    fn restore(&mut self) -> PublishAction {
+        let was_refused = |at| self.reader.read_since() <= at;
+        if self.may_be_in_log && !self.record.read_to.is_some_and(was_refused) {
+            return self.give_up("the log dropped records that may have held the change");
+        }
+        self.record.read_to = Some(self.reader.next_offset());
+        PublishAction::Append(self.record.to_bytes())
+    }
+
     /// Decides on a change that is not in the log and whose base is not in force.
     fn not_found(&self, in_force: u64) -> PublishAction {
         // A copy of the record can only have been accepted after its base.
--- a/hemlockhook-inventory/src/publish/reader.rs
+++ b/hemlockhook-inventory/src/publish/reader.rs
@@ -142,6 +142,11 @@
         self.log.decided.as_ref().map(|decided| decided.version)
     }
 
+    /// Returns the offset from which on every record was read, decided or not.
+    pub fn read_since(&self) -> u64 {
+        self.log.since
+    }
+
     /// Returns the offset from which on every record was read and decided. What became of changes
     /// before it is not known.
     pub fn decided_since(&self) -> u64 {
--- a/hemlockhook-inventory/tests/publishing/cases.rs
+++ b/hemlockhook-inventory/tests/publishing/cases.rs
@@ -154,3 +154,27 @@
     let late = reader.on_record(10, &restore("d", 9).to_bytes());
     expect_that!(late, eq(Verdict::Refused { in_force: 9 }));
 }
+
+#[gtest]
+fn a_restored_configuration_is_not_published_twice_over_dropped_records() {
+    let change = ConfigRecord {
+        restore: true,
+        ..record("a", 0)
+    };
+    let mut publisher = Publisher::new(ConfigReader::new(), change);
+    publisher.on_truncated(2);
+    publisher.on_caught_up();
+    expect_that!(
+        publisher.action(),
+        matches_pattern!(PublishAction::Append(_))
+    );
+
+    // It took effect at 2, and was dropped before it could be read.
+    publisher.on_append_uncertain();
+    publisher.on_truncated(3);
+    publisher.on_caught_up();
+    let unsettled = matches_pattern!(PublishAction::Done(matches_pattern!(
+        PublishOutcome::Unsettled { .. }
+    )));
+    expect_that!(publisher.action(), unsettled);
+}
