Share one tree of YAML values with their places between settings and inventory

Cause: the same tree, 140 lines, stood in the runtime's settings and in the inventory's check. Change: one crate, hemlockhook-yaml, with paths and the deserializer.

--- a/hemlockhook-inventory/src/check/links.rs
+++ b/hemlockhook-inventory/src/check/links.rs
@@ -5,8 +5,8 @@
 
 use crate::check::Problem;
 use crate::check::nearest::nearest;
-use crate::check::tree::{Node, Place};
 use crate::units::{format_duration, parse_duration};
+use hemlockhook_yaml::{Node, Place};
 
 /// Longest deadline of a service. Answers are kept for no less.
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
--- a/hemlockhook-inventory/src/check/mod.rs
+++ b/hemlockhook-inventory/src/check/mod.rs
@@ -3,7 +3,6 @@
 pub mod links;
 pub mod nearest;
 pub mod shape;
-pub mod tree;
 
 use std::fmt::{self, Display, Formatter};
 
@@ -11,8 +10,8 @@
 
 use crate::check::links::check_links;
 use crate::check::shape::check_shape;
-use crate::check::tree::{Node, Place, syntax_problem};
 use crate::model::Inventory;
+use hemlockhook_yaml::{Duplicates, Error, Node, Place};
 
 pub use crate::check::shape::schema;
 
@@ -88,7 +87,7 @@
         );
         return Err(vec![Problem::new(Place::default(), "", message)]);
     }
-    let root = Node::parse(text).map_err(|problem| vec![problem])?;
+    let root = Node::parse(text, Duplicates::Kept).map_err(|e| vec![syntax_problem(&e)])?;
 
     let mut problems = check_shape(&root);
     problems.extend(check_links(&root));
@@ -98,3 +97,10 @@
     }
     serde_saphyr::from_str(text).map_err(|e| vec![syntax_problem(&e)])
 }
+
+/// Turns an error of the YAML library into a problem.
+fn syntax_problem(error: &Error) -> Problem {
+    let place = error.location().map(Place::from).unwrap_or_default();
+    let text = error.without_snippet().to_string();
+    Problem::new(place, "", text.lines().next().unwrap_or_default())
+}
--- a/hemlockhook-inventory/src/check/shape.rs
+++ b/hemlockhook-inventory/src/check/shape.rs
@@ -8,9 +8,9 @@
 
 use crate::check::Problem;
 use crate::check::nearest::nearest;
-use crate::check::tree::{Node, Value};
 use crate::model::{Inventory, NAME_PATTERN, is_name};
 use crate::units::{DURATION_PATTERN, parse_duration};
+use hemlockhook_yaml::{Node, Value};
 
 /// Longest duration that the document may state.
 const MAX_DURATION: Duration = Duration::from_secs(24 * 3600);
--- a/hemlockhook-inventory/src/import.rs
+++ b/hemlockhook-inventory/src/import.rs
@@ -7,9 +7,9 @@
 use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
 
 use crate::check::nearest::nearest;
-use crate::check::tree::Place;
 use crate::check::{Problem, check};
 use crate::model::{DataCenter, Inventory, Objective, Rules, Service, Team, Upstream, Worker};
+use hemlockhook_yaml::Place;
 
 /// The columns of the export.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter, EnumString)]
--- a/hemlockhook-runtime/src/settings/check.rs
+++ b/hemlockhook-runtime/src/settings/check.rs
@@ -10,8 +10,9 @@
 use serde_saphyr::Error;
 
 use super::Problem;
-use super::de::{ErrorKind, TreeError};
-use super::tree::{Node, Place, Step, Value, parse_path, path_text};
+use hemlockhook_yaml::de::{ErrorKind, TreeError};
+use hemlockhook_yaml::path::{Step, parse_path, path_text};
+use hemlockhook_yaml::{Duplicates, Node, Place, Value};
 
 /// Most rounds of reading; each finds one error or tries one replacement.
 const MAX_ROUNDS: usize = 1000;
@@ -25,7 +26,7 @@
 where
     T: DeserializeOwned + Validate<Context = ()>,
 {
-    let tree = match Node::parse(text) {
+    let tree = match Node::parse(text, Duplicates::Refused) {
         Ok(tree) => tree,
         Err(err) => return vec![syntax_problem(&err)],
     };
@@ -169,8 +170,8 @@
         Some(Value::Null),
         Some(Value::Uint(1)),
         Some(Value::Bool(true)),
-        Some(Value::Str("127.0.0.1:1".to_owned())),
-        Some(Value::Seq(Vec::new())),
+        Some(Value::Text("127.0.0.1:1".to_owned())),
+        Some(Value::List(Vec::new())),
         Some(Value::Map(Vec::new())),
     ]
 }
@@ -186,7 +187,7 @@
         _ => return message.to_owned(),
     };
     let given = tree
-        .get(path)
+        .at(path)
         .map_or(String::new(), |node| text(&node.value));
     let unit = unit(path);
     match (low, high) {
--- a/hemlockhook-runtime/src/settings/mod.rs
+++ b/hemlockhook-runtime/src/settings/mod.rs
@@ -5,8 +5,6 @@
 //! the end of a key: `_ms`, `_s`, `_bytes` or `_percent`.
 
 mod check;
-mod de;
-mod tree;
 
 use std::fmt::{self, Display, Formatter};
 use std::path::{Path, PathBuf};
--- a/hemlockhook-runtime/src/settings/de.rs
+++ b/hemlockhook-yaml/src/de.rs
@@ -9,19 +9,23 @@
 };
 use serde::forward_to_deserialize_any;
 
-use super::tree::{Entry, Node, Step, Value};
+use crate::path::Step;
+use crate::{Entry, Node, Value};
 
 /// An error, and the path of the value that it is about.
 #[derive(Clone, Debug)]
-pub(super) struct TreeError {
-    pub(super) path: Vec<Step>,
-    pub(super) kind: ErrorKind,
-    pub(super) message: String,
+pub struct TreeError {
+    /// Where it arose.
+    pub path: Vec<Step>,
+    /// What kind it is.
+    pub kind: ErrorKind,
+    /// For people.
+    pub message: String,
 }
 
 /// What is to be done about an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ErrorKind {
+pub enum ErrorKind {
     /// The value has the wrong type or form.
     Value,
     /// The key at the path's end must not be there.
@@ -88,8 +92,8 @@
             Value::Int(value) => visitor.visit_i64(*value),
             Value::Uint(value) => visitor.visit_u64(*value),
             Value::Float(value) => visitor.visit_f64(*value),
-            Value::Str(value) => visitor.visit_str(value),
-            Value::Seq(nodes) => visitor.visit_seq(Elements { nodes, index: 0 }),
+            Value::Text(value) => visitor.visit_str(value),
+            Value::List(nodes) => visitor.visit_seq(Elements { nodes, index: 0 }),
             Value::Map(entries) => visitor.visit_map(Entries { entries, index: 0 }),
         }
     }
@@ -161,7 +165,7 @@
         V: Visitor<'de>,
     {
         match &self.value {
-            Value::Str(name) => {
+            Value::Text(name) => {
                 let name: StrDeserializer<'_, TreeError> = name.as_str().into_deserializer();
                 visitor.visit_enum(name)
             }
--- a/hemlockhook-inventory/src/check/tree.rs
+++ b/hemlockhook-yaml/src/lib.rs
@@ -1,12 +1,16 @@
-//! The document as a tree of values that know their line and column.
+//! A YAML document as a tree of values that know their line and column.
+//!
+//! Checks that name every problem at its place work on the tree.
+
+pub mod de;
+pub mod path;
 
 use std::fmt::{self, Formatter};
 
 use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
+pub use serde_saphyr::Error;
 use serde_saphyr::options::DuplicateKeyPolicy;
-use serde_saphyr::{Error, Location, Spanned};
-
-use crate::check::Problem;
+use serde_saphyr::{Location, Spanned};
 
 /// A place in the document, both from 1.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -35,6 +39,8 @@
     Bool(bool),
     /// A whole number.
     Int(i64),
+    /// A whole number that is too large for [`Value::Int`].
+    Uint(u64),
     /// Any other number.
     Float(f64),
     /// A text.
@@ -56,20 +62,30 @@
     pub node: Node,
 }
 
+/// What becomes of a key that stands twice in a mapping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duplicates {
+    /// Both are in the tree.
+    Kept,
+    /// It is a fault of syntax.
+    Refused,
+}
+
 impl Node {
-    /// Parses a document, duplicate keys included.
+    /// Parses a document.
     ///
     /// # Errors
     ///
     /// Returns the first fault of syntax.
-    pub fn parse(text: &str) -> Result<Self, Problem> {
+    pub fn parse(text: &str, duplicates: Duplicates) -> Result<Self, Error> {
         let options = serde_saphyr::options! {
-            duplicate_keys: DuplicateKeyPolicy::LastWins,
+            duplicate_keys: match duplicates {
+                Duplicates::Kept => DuplicateKeyPolicy::LastWins,
+                Duplicates::Refused => DuplicateKeyPolicy::Error,
+            },
             strict_booleans: true,
         };
-        serde_saphyr::from_str_with_options::<Spanned<Value>>(text, options)
-            .map(Self::from)
-            .map_err(|e| syntax_problem(&e))
+        serde_saphyr::from_str_with_options::<Spanned<Value>>(text, options).map(Self::from)
     }
 
     /// Returns the value of a key, if this is a mapping that has it.
@@ -176,7 +192,7 @@
     }
 
     fn visit_u64<E>(self, value: u64) -> Result<Value, E> {
-        Ok(i64::try_from(value).map_or(Value::Float(value as f64), Value::Int))
+        Ok(i64::try_from(value).map_or(Value::Uint(value), Value::Int))
     }
 
     fn visit_f64<E>(self, value: f64) -> Result<Value, E> {
@@ -213,10 +229,3 @@
         Ok(Value::Map(entries))
     }
 }
-
-/// Turns an error of the YAML library into a problem.
-pub fn syntax_problem(error: &Error) -> Problem {
-    let place = error.location().map(Place::from).unwrap_or_default();
-    let text = error.without_snippet().to_string();
-    Problem::new(place, "", text.lines().next().unwrap_or_default())
-}
