--- a/hemlockhook/tests/failures.rs
+++ b/hemlockhook/tests/failures.rs
@@ -91,6 +91,38 @@
     });
 }
 
+/// Nobody can tell any more what the agent had started for the entry.
+#[gtest]
+fn an_entry_and_an_agent_killed_together_leave_doubt_but_start_nothing_twice() {
+    async_io::block_on(async {
+        let mut cluster = Cluster::start("both-killed", Shape::default()).await;
+        let jobs = jobs(40, &[300, 300]);
+        let outcomes = call_during(&mut cluster, &jobs, async |cluster| {
+            cluster.entries[0].process.kill();
+            cluster.agents[0].process.kill();
+        })
+        .await;
+        let count = |answer: &str| outcomes.iter().filter(|told| told.answer == answer).count();
+        println!(
+            "of {} jobs: {} complete, {} failed, {} unknown",
+            jobs.len(),
+            count("complete"),
+            count("failed"),
+            count("unknown")
+        );
+        expect_nothing_doubled(&cluster).await;
+        expect_that!(cluster.mistold(&jobs, &outcomes).await, is_empty());
+        for outcome in outcomes.iter().filter(|told| !told.is_complete()) {
+            let told = (outcome.answer.as_str(), outcome.reason.as_str());
+            let known = [
+                ("unknown", "account_incomplete"),
+                ("failed", "upstream_lost"),
+            ];
+            expect_true!(known.contains(&told), "{outcome:?}");
+        }
+    });
+}
+
 /// A shard is served again once a fresh job of it, made under new stamps, is complete.
 #[gtest]
 fn the_shards_of_a_killed_entry_are_soon_served_by_the_others() {
