--- a/hemlockhook-agent/src/engine/mod.rs
+++ b/hemlockhook-agent/src/engine/mod.rs
@@ -51,7 +51,7 @@
     pub drain_timeout: Duration,
     /// Time between two announcements.
     pub announce_period: Duration,
-    /// Time between two reads of a stream whose end was reached.
+    /// Time between two reads of the configuration, which entries pass on, too.
     pub read_period: Duration,
 }
 
@@ -197,7 +197,8 @@
             tasks: SlotMap::with_key(),
             by_key: HashMap::new(),
             announcer: Announcer::new(now),
-            membership: Reader::new(now, Stream::Membership, cfg.read_period),
+            // Fences tell of takeovers: the log is read for them only after an announcement.
+            membership: Reader::new(now, Stream::Membership, cfg.announce_period),
             config_log: Reader::new(now, Stream::Config, cfg.read_period),
             leaving: Leaving::default(),
             actions: Vec::new(),
--- a/hemlockhook-agent/src/settings.rs
+++ b/hemlockhook-agent/src/settings.rs
@@ -98,7 +98,8 @@
     /// Time between two announcements in the log, in seconds. Well below the log's retention.
     #[garde(range(min = 1, max = 3_600))]
     pub announce_period_s: u64,
-    /// Time between two reads of the log, in milliseconds.
+    /// Time between two reads of the configuration from the log, in milliseconds. Entries pass
+    /// changes on at once.
     #[garde(range(min = 50, max = 60_000))]
     pub log_read_period_ms: u64,
     /// Time after which a request to the log is given up, in milliseconds.
@@ -118,7 +119,7 @@
             max_result_bytes: 8 * 1024 * 1024,
             drain_timeout_s: 60,
             announce_period_s: 120,
-            log_read_period_ms: 5_000,
+            log_read_period_ms: 10_000,
             log_timeout_ms: 2_000,
         }
     }
