--- a/hemlockhook-ownership/src/gate.rs
+++ b/hemlockhook-ownership/src/gate.rs
@@ -98,12 +98,17 @@
         self.me
     }
 
-    /// Takes in a record of the membership stream.
+    /// Takes in a record of the membership stream. One that says that this agent left closes the
+    /// gate for good: owners forget its starts.
     pub fn observe(&mut self, record: &Record) {
-        if let Record::Takeover { shards, ballot } = record {
-            for shard in shards {
-                self.raise(*shard, *ballot);
+        match record {
+            Record::Takeover { shards, ballot } => {
+                for shard in shards {
+                    self.raise(*shard, *ballot);
+                }
             }
+            Record::Left { incarnation, .. } if *incarnation == self.me => self.sealed = true,
+            Record::Left { .. } | Record::Agent { .. } | Record::Entry { .. } => {}
         }
     }
 
@@ -195,7 +200,7 @@
         Ok(())
     }
 
-    /// Marks a job as not run, so that its owner may refuse it: whoever takes the shard over later
+    /// Marks a job as not run or as closed, so that its owner may refuse it: whoever takes the shard over later
     /// learns of it.
     pub fn withdraw(
         &mut self,
@@ -207,7 +212,7 @@
         if base(ballot) < floor {
             return Err(StartRefusal::StaleBallot(floor));
         }
-        if self.starts.has_job(&withdrawal.key) {
+        if self.starts.has_job(&withdrawal.key) && !withdrawal.is_closed() {
             return Err(StartRefusal::AlreadyStarted);
         }
         if !self.joined || self.lease_lapsed(now) {
--- a/hemlockhook-ownership/src/owner.rs
+++ b/hemlockhook-ownership/src/owner.rs
@@ -16,6 +16,7 @@
 
 use crate::epoch::{base, with_epoch};
 use crate::gate::{ANNOUNCE_INTERVAL, LEASE};
+use crate::history::log_time;
 use crate::order::Withdrawal;
 use crate::record::Record;
 use crate::rules::Rules;
@@ -34,6 +35,9 @@
     pub max_result_bytes: usize,
     /// Time after which shards are served although not every agent has reported.
     pub fence_timeout: Duration,
+    /// Time after the beginning of a takeover for which submissions wait for its account to become
+    /// complete, before they are answered as unknown.
+    pub account_wait: Duration,
     /// Time for which an agent takes starts after its announcement was last appended. All
     /// processes must have the same, and the log must keep records for longer than this and two
     /// windows.
@@ -52,6 +56,7 @@
             max_jobs: 1_000_000,
             max_result_bytes: 64 << 20,
             fence_timeout: Duration::from_millis(500),
+            account_wait: Duration::from_secs(2),
             lease: LEASE,
             announce_interval: ANNOUNCE_INTERVAL,
             rules: Rules::default(),
@@ -258,6 +263,11 @@
             .is_some_and(|takeover| self.accounts_for(now, takeover, None))
     }
 
+    /// Returns the number of agents that a takeover begun now could not account for.
+    pub fn unaccounted(&self, now: Instant) -> usize {
+        self.members.silent(log_time(now, Duration::ZERO)).count()
+    }
+
     /// Returns whether a shard is held, being taken or about to be.
     pub fn is_held(&self, shard: ShardId) -> bool {
         let role = self.shards.get(&shard).map(|state| state.role);
