Never ask to be woken in the past while the agent stops

The engine's tests now check after every step that the next wake-up lies ahead. Two stops failed it: after the time for running tasks was up, the step to settling waited for another call, and a due announcement that a stopping agent never sends woke it without end. 300 seeds of a stop with links that vanish and a log that fails end by time alone.

--- a/hemlockhook-agent/src/engine/leave.rs
+++ b/hemlockhook-agent/src/engine/leave.rs
@@ -155,12 +155,11 @@
     fn next_step(&mut self, now: Instant, step: Stopping) -> Stopping {
         let is_settled = self.granted() == 0 && self.leaving.owed.is_empty();
         match step {
-            Stopping::Finishing { .. } if self.tasks.is_empty() => Stopping::Settling {
-                until: now + SETTLE_TIMEOUT,
-            },
-            Stopping::Finishing { until } if now >= until => {
+            Stopping::Finishing { until } if self.tasks.is_empty() || now >= until => {
                 self.abandon_tasks(now);
-                step
+                Stopping::Settling {
+                    until: now + SETTLE_TIMEOUT,
+                }
             }
             Stopping::Settling { until } if is_settled || now >= until => {
                 self.hand_over(0);
--- a/hemlockhook-agent/src/engine/mod.rs
+++ b/hemlockhook-agent/src/engine/mod.rs
@@ -240,7 +240,9 @@
     pub fn next_wakeup(&self) -> Option<Instant> {
         let times = [
             self.slots.next_wakeup(),
-            self.announcer.next_wakeup(),
+            self.announcer
+                .next_wakeup()
+                .filter(|_| !self.leaving.is_stopping()),
             self.membership.next_wakeup(),
             self.config_log.next_wakeup(),
             self.leaving.next_wakeup(),
--- a/hemlockhook-agent/tests/leaving.rs
+++ b/hemlockhook-agent/tests/leaving.rs
@@ -84,6 +84,38 @@
     expect_that!(frames.iter().map(|f| f.done.len()).sum::<usize>(), eq(1));
 }
 
+/// At each step of a stop either link may vanish, and the log may answer or fail.
+#[gtest]
+fn a_stop_ends_by_time_alone_whatever_happens_at_its_steps() {
+    for seed in 0..300 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut agent = Agent::joined();
+        agent.link(1, 5);
+        agent.link(2, 6);
+        agent.frame(1, starts(vec![start(KEY, 0)]));
+        let tasks = agent.take_runs();
+        agent.handle(Event::Stop);
+        let mut elapsed = Duration::ZERO;
+        while !has_exit(&agent) {
+            match rng.u8(..20) {
+                0 => agent.handle(Event::LinkDown { link: 1 }),
+                1 => agent.handle(Event::LinkDown { link: 2 }),
+                2 => agent.end(tasks[0], done_well()),
+                3 => agent.frame(rng.u64(1..3), returned(1)),
+                4 => agent.frame(rng.u64(1..3), fence(KEY, ballot(2, 6))),
+                5 => agent.handle(Event::AppendFailed),
+                6 => agent.frame(1, drain(rng.bool())),
+                _ => {
+                    let step = Duration::from_millis(rng.u64(1..400));
+                    agent.advance(step);
+                    elapsed += step;
+                }
+            }
+            assert!(elapsed < Duration::from_secs(60), "seed {seed}: no end");
+        }
+    }
+}
+
 #[gtest]
 fn a_result_without_a_linked_owner_is_waited_with_for_a_while() {
     let mut agent = Agent::joined();
--- a/hemlockhook-agent/tests/support/mod.rs
+++ b/hemlockhook-agent/tests/support/mod.rs
@@ -87,6 +87,13 @@
 
     pub fn poll(&mut self) {
         self.actions.extend(self.engine.actions(self.now));
+        // A time in the past would have the control thread spin.
+        let wakeup = self.engine.next_wakeup();
+        assert!(
+            wakeup.is_none_or(|at| at > self.now),
+            "the engine wants to be asked again at once: {:?}",
+            self.engine.status()
+        );
     }
 
     pub fn advance(&mut self, by: Duration) {
