Use every slot that the policy allows: hand back what a limit forbids, tell others again

Cause: with 60 s tasks one entry's slow start left 6 of 12 slots unused, and a ceiling on long work without any short work 3 of 12; a backlog told to one agent that could not serve it was told to no other. Change: grants above a limit go back at once and returned slots are only granted to who wants them; a limit rises each second without a failure; the ceiling is lifted after 30 s without short work; a backlog not granted within 200 ms is told to other agents as well.

--- a/hemlockhook-schedule/src/backlog.rs
+++ b/hemlockhook-schedule/src/backlog.rs
@@ -60,10 +60,10 @@
             let Some(upstream) = upstreams.get(agent) else {
                 continue;
             };
-            let demand = demand_for(agent, upstreams, &totals, now_us);
+            let demand = demand_for(now, agent, upstreams, &totals, now_us);
             if demand.queued != upstream.told.queued || demand.queued > 0 {
                 demands.push((agent, demand));
-                upstreams.change(now, agent, |upstream| upstream.told = demand);
+                upstreams.change(now, agent, |upstream| upstream.tell(now, demand));
             }
         }
         for (service, total) in &totals {
@@ -71,9 +71,9 @@
                 let Some(agent) = next_untold(upstreams, service, total) else {
                     break;
                 };
-                let demand = demand_for(agent, upstreams, &totals, now_us);
+                let demand = demand_for(now, agent, upstreams, &totals, now_us);
                 demands.push((agent, demand));
-                upstreams.change(now, agent, |upstream| upstream.told = demand);
+                upstreams.change(now, agent, |upstream| upstream.tell(now, demand));
             }
         }
         demands
@@ -92,6 +92,7 @@
 
 /// Returns the backlog of one upstream: tasks of its services that do not wait for a faster one.
 fn demand_for(
+    now: Instant,
     agent: Incarnation,
     upstreams: &Upstreams,
     totals: &BTreeMap<ServiceName, Total>,
@@ -120,7 +121,10 @@
             continue;
         }
         // What other agents were told of is not told to this one as well.
-        let told_others = (fleet.told - u64::from(upstream.expected_grants())) as u32;
+        let told_others = fleet
+            .told
+            .saturating_sub(u64::from(upstream.expected_grants(now)))
+            as u32;
         demand.queued += total.queued.saturating_sub(told_others);
         demand.queued_long += total.queued_long;
         demand.head_urgency = demand.head_urgency.min(relative_ms(total.head, now_us));
--- a/hemlockhook-schedule/src/dispatcher.rs
+++ b/hemlockhook-schedule/src/dispatcher.rs
@@ -32,6 +32,8 @@
     epoch: Option<Instant>,
     /// The latest time seen, in microseconds since the first event.
     latest_us: u64,
+    /// When short work was last submitted.
+    last_short_us: u64,
     running: HashMap<(JobId, TaskIndex), Running>,
     deadlines: BTreeSet<(Instant, JobId)>,
     overdue: BTreeSet<(Instant, JobId, TaskIndex)>,
@@ -99,6 +101,7 @@
             running_long: 0,
             epoch: None,
             latest_us: 0,
+            last_short_us: 0,
             running: HashMap::new(),
             deadlines: BTreeSet::new(),
             overdue: BTreeSet::new(),
@@ -156,6 +159,9 @@
             team: spec.team,
         };
         let charged_secs = if long { 0.0 } else { work_secs };
+        if !long {
+            self.last_short_us = now_us;
+        }
         self.shares.charge(now_us, &lane.team, charged_secs, slots);
         let (tasks, deadline) = (queued.len(), spec.deadline);
         self.shares.count_queued(&lane.team, tasks as i64);
--- a/hemlockhook-schedule/src/dispatcher/running.rs
+++ b/hemlockhook-schedule/src/dispatcher/running.rs
@@ -15,6 +15,9 @@
 /// Time by which a run may exceed its expectation before it counts as overdue at all.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(200);
 
+/// Slots are kept free for short work for this time after the last of it came.
+const SHORT_WORK_MEMORY_US: u64 = 30_000_000;
+
 impl Dispatcher {
     pub(super) fn place(
         &mut self,
@@ -129,13 +132,16 @@
         }
     }
 
-    /// Returns the long tasks that this entry may run at once.
+    /// Returns the long tasks that this entry may run at once: a part of its slots that is larger
+    /// while no short work waits, and all of them once there was none for a while.
     pub(crate) fn long_ceiling(&self) -> u32 {
+        let idle_us = self.latest_us.saturating_sub(self.last_short_us);
         let percent = match self.queue.has_short() {
             true => self.policy.long_ceiling_percent,
-            false => 2 * self.policy.long_ceiling_percent,
+            false if idle_us < SHORT_WORK_MEMORY_US => 2 * self.policy.long_ceiling_percent,
+            false => 100,
         };
-        let slots = self.running.len() as u32 + self.upstreams.grants();
+        let slots = self.running_tasks() as u32 + self.upstreams.grants();
         (slots * percent / 100).max(1)
     }
 
--- a/hemlockhook-schedule/src/slots.rs
+++ b/hemlockhook-schedule/src/slots.rs
@@ -97,20 +97,20 @@
     /// Changes the number of slots. Tasks that run on a slot taken away run to their end.
     pub fn set_slots(&mut self, now: Instant, slots: u32) {
         self.slots = slots;
-        self.share(now, None);
+        self.spread(now);
     }
 
     /// Adds an entry whose link is up; it holds no grants.
     pub fn entry_up(&mut self, now: Instant, entry: Incarnation) {
         self.entries.insert(entry, EntryState::default());
-        self.share(now, None);
+        self.spread(now);
     }
 
     /// Removes an entry whose link is lost, and takes back its grants.
     pub fn entry_down(&mut self, now: Instant, entry: Incarnation) {
         self.entries.remove(&entry);
         self.actions.retain(|action| action.entry() != entry);
-        self.share(now, None);
+        self.spread(now);
     }
 
     /// Takes an entry's report of its backlog.
@@ -158,7 +158,7 @@
     /// Sets whether the upstream is leaving. While it is, no grants are given.
     pub fn set_leaving(&mut self, now: Instant, leaving: bool) {
         self.leaving = leaving;
-        self.share(now, None);
+        self.spread(now);
     }
 
     /// Takes the messages to be sent since the last call.
@@ -202,15 +202,15 @@
         self.slots.saturating_sub(self.running + held)
     }
 
-    /// Grants idle slots where they are wanted, then spreads what is left, then recalls.
+    /// Grants idle slots where they are wanted, then recalls what is not used.
     fn share(&mut self, now: Instant, preferred: Option<Incarnation>) {
         if self.leaving {
             return;
         }
         let now_ms = self.millis(now);
+        let known = preferred.filter(|entry| self.entries.contains_key(entry));
         while self.idle() > 0 {
-            let known = preferred.filter(|entry| self.entries.contains_key(entry));
-            let Some(entry) = self.neediest(now_ms, known).or_else(|| self.poorest()) else {
+            let Some(entry) = self.neediest(now_ms, known) else {
                 break;
             };
             self.grant(now, entry);
@@ -218,6 +218,18 @@
         self.recall(now);
     }
 
+    /// Grants idle slots where they are wanted, and the rest to every entry alike, so that the next
+    /// task of each finds a slot at once.
+    fn spread(&mut self, now: Instant) {
+        self.share(now, None);
+        while self.idle() > 0 && !self.leaving {
+            let Some(entry) = self.poorest() else {
+                break;
+            };
+            self.grant(now, entry);
+        }
+    }
+
     /// Returns the entry with the most urgent backlog. The preferred one is only passed over for an
     /// entry whose backlog is due much earlier, since a grant to another costs a message of its own.
     /// It takes part even if it told of no backlog: it tells each agent only of what no other was
--- a/hemlockhook-schedule/src/upstream.rs
+++ b/hemlockhook-schedule/src/upstream.rs
@@ -9,6 +9,13 @@
 /// Tasks that may run at once on an upstream that is new.
 const SLOW_START_LIMIT: u32 = 2;
 
+/// Time for which an upstream has to run all that it may, without a failure, before its limit is
+/// raised although no task has ended.
+const RAISE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time after which a backlog that was told and not granted is told to other agents as well.
+const TOLD_PATIENCE: Duration = Duration::from_millis(200);
+
 /// Failures in a row after which an upstream is quarantined, unless its peers fail as well.
 pub const QUARANTINE_FAILURES: u32 = 3;
 
@@ -59,6 +66,10 @@
     failures: u32,
     placed_since_ok: u32,
     quarantine: Option<Quarantine>,
+    /// When the limit is raised, if nothing fails until then.
+    raise_at: Option<Instant>,
+    /// When its agent was told of the backlog.
+    told_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -86,6 +97,8 @@
             failures: 0,
             placed_since_ok: 0,
             quarantine: None,
+            raise_at: None,
+            told_at: None,
         }
     }
 
@@ -117,16 +130,64 @@
         !self.leaving && self.quarantine.is_none() && self.running + self.grants < self.limit
     }
 
-    /// Returns the grants that its agent may be expected to give for the backlog that it was told.
-    pub fn expected_grants(&self) -> u32 {
-        match self.leaving || self.quarantine.is_some() {
-            true => 0,
-            false => self.told.queued,
+    /// Notes the backlog that its agent is told.
+    pub fn tell(&mut self, now: Instant, demand: Demand) {
+        self.told = demand;
+        self.told_at = Some(now);
+    }
+
+    /// Returns the grants that its agent may be expected to give soon for the backlog that it was
+    /// told.
+    pub fn expected_grants(&self, now: Instant) -> u32 {
+        let given_up = self.leaving || self.quarantine.is_some();
+        match self.told_at.map(|at| at + TOLD_PATIENCE) {
+            Some(until) if now < until && !given_up => self.told.queued,
+            _ => 0,
+        }
+    }
+
+    /// Returns the grants that may not be used: those of an upstream that is leaving, those above the
+    /// limit, and all but one of a quarantined upstream.
+    pub fn useless_grants(&self) -> u32 {
+        let usable = match &self.quarantine {
+            _ if self.leaving => 0,
+            Some(_) => 1,
+            None => self.limit.saturating_sub(self.running),
+        };
+        self.grants.saturating_sub(usable)
+    }
+
+    /// Raises the limit of an upstream that has run as much as it may for a while without a failure:
+    /// tasks that take long are no reason to leave its slots unused.
+    pub fn tick(&mut self, now: Instant) {
+        if self.raise_at.is_some_and(|at| at <= now) {
+            self.limit = (self.limit + 1).min(self.spec.slots);
+            self.raise_at = None;
         }
+        let is_limited = self.quarantine.is_none()
+            && self.failures == 0
+            && self.running >= self.limit
+            && self.limit < self.spec.slots;
+        match self.raise_at {
+            Some(_) if is_limited => {}
+            None if is_limited => self.raise_at = Some(now + RAISE_PAUSE),
+            _ => self.raise_at = None,
+        }
+    }
+
+    /// Returns when `tick` is due.
+    pub fn next_tick(&self) -> Option<Instant> {
+        let probe = self.next_probe().filter(|_| self.running == 0);
+        let told = self.told_at.filter(|_| self.told.queued > 0);
+        let told_again = told.map(|at| at + TOLD_PATIENCE);
+        [self.raise_at, probe, told_again]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Returns when a quarantined upstream may be probed.
-    pub fn next_probe(&self) -> Option<Instant> {
+    fn next_probe(&self) -> Option<Instant> {
         self.quarantine
             .as_ref()
             .filter(|_| self.grants > 0)
--- a/hemlockhook-schedule/src/upstreams.rs
+++ b/hemlockhook-schedule/src/upstreams.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Default)]
 struct Index {
     fleets: HashMap<ServiceName, Fleet>,
-    probes: BTreeSet<(Instant, Incarnation)>,
+    due: BTreeSet<(Instant, Incarnation)>,
     useless: BTreeSet<Incarnation>,
     grants: u32,
     slots: u32,
@@ -42,7 +42,7 @@
     slots: u32,
     told: u32,
     flow: u64,
-    probe: Option<Instant>,
+    due: Option<Instant>,
 }
 
 impl Upstreams {
@@ -86,6 +86,7 @@
             return;
         };
         change(&mut upstream);
+        upstream.tick(now);
         let indexed = self.indexed(now, agent, &upstream);
         self.index.insert(&upstream.spec.services, &indexed);
         self.all.insert(agent, (upstream, indexed));
@@ -134,13 +135,14 @@
         count
     }
 
-    /// Gives up the grants of upstreams that are leaving.
+    /// Gives up the grants that may not be used.
     pub fn take_useless_grants(&mut self, now: Instant) -> Vec<(Incarnation, u32)> {
         let useless: Vec<Incarnation> = self.index.useless.iter().copied().collect();
-        useless
-            .into_iter()
-            .map(|agent| (agent, self.take_grants(now, agent, u32::MAX)))
-            .collect()
+        let give_up = |agent: Incarnation| {
+            let count = self.get(agent).map_or(0, Upstream::useless_grants);
+            (agent, self.take_grants(now, agent, count))
+        };
+        useless.into_iter().map(give_up).collect()
     }
 
     /// Notes that a task failed, and judges the upstream by its peers.
@@ -163,11 +165,11 @@
         });
     }
 
-    /// Brings upstreams up to date whose probe is due.
+    /// Brings upstreams up to date whose probe or higher limit is due.
     pub fn tick(&mut self, now: Instant) {
         let due: Vec<Incarnation> = self
             .index
-            .probes
+            .due
             .iter()
             .take_while(|(at, _)| *at <= now)
             .map(|(_, agent)| *agent)
@@ -178,7 +180,7 @@
 
     /// Returns when `tick` is due.
     pub fn next_wakeup(&self) -> Option<Instant> {
-        self.index.probes.first().map(|(at, _)| *at)
+        self.index.due.first().map(|(at, _)| *at)
     }
 
     /// Returns the state of each upstream.
@@ -191,7 +193,6 @@
 
     fn indexed(&self, now: Instant, agent: Incarnation, upstream: &Upstream) -> Indexed {
         let far = upstream.spec.data_center != self.data_center;
-        let next_probe = upstream.next_probe().filter(|_| upstream.running == 0);
         Indexed {
             rank: Rank {
                 bucket: Reverse(upstream.bucket()),
@@ -204,12 +205,12 @@
                 && upstream.told.queued == 0
                 && upstream.wants_grants(),
             failing: upstream.is_failing(),
-            useless: upstream.leaving && upstream.grants > 0,
+            useless: upstream.useless_grants() > 0,
             grants: upstream.grants,
             slots: upstream.spec.slots,
-            told: upstream.expected_grants(),
+            told: upstream.expected_grants(now),
             flow: upstream.flow,
-            probe: next_probe.filter(|at| *at > now),
+            due: upstream.next_tick().filter(|at| *at > now),
         }
     }
 }
@@ -226,7 +227,7 @@
         self.grants += indexed.grants;
         self.slots += indexed.slots;
         self.ready += u32::from(indexed.ready);
-        self.probes.extend(indexed.probe.map(|at| (at, agent)));
+        self.due.extend(indexed.due.map(|at| (at, agent)));
         self.useless.extend(indexed.useless.then_some(agent));
     }
 
@@ -245,7 +246,7 @@
         self.grants -= indexed.grants;
         self.slots -= indexed.slots;
         self.ready -= u32::from(indexed.ready);
-        indexed.probe.map(|at| self.probes.remove(&(at, agent)));
+        indexed.due.map(|at| self.due.remove(&(at, agent)));
         self.useless.remove(&agent);
     }
 }
--- /dev/null
+++ b/hemlockhook-schedule/tests/sharing.rs
@@ -0,0 +1,163 @@
+//! Entries that share the slots of upstreams, over links that deliver at once.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use hemlockhook_schedule::{
+    Dispatcher, JobSpec, Placement, Policy, SlotAction, SlotTable, TaskSpec, UpstreamSpec,
+};
+use hemlockhook_types::Incarnation;
+
+const SLOTS: u32 = 4;
+const AGENTS: u64 = 3;
+const ENTRIES: u64 = 2;
+
+struct Desk {
+    now: Instant,
+    entries: Vec<Dispatcher>,
+    agents: Vec<SlotTable>,
+    running: Vec<(usize, Placement)>,
+}
+
+impl Desk {
+    fn new() -> Self {
+        let now = Instant::now();
+        let new = |_| Dispatcher::new(Policy::default(), "tema");
+        let mut desk = Self {
+            now,
+            entries: (0..ENTRIES).map(new).collect(),
+            agents: (0..AGENTS).map(|_| SlotTable::new(SLOTS)).collect(),
+            running: Vec::new(),
+        };
+        for (agent, entry) in (0..AGENTS).flat_map(|a| (0..ENTRIES).map(move |e| (a, e))) {
+            desk.agents[agent as usize].entry_up(now, entry);
+            let spec = UpstreamSpec {
+                name: format!("upstream-{agent}").into(),
+                services: vec!["hold".into()],
+                worker: "worker".into(),
+                rack: "rack".into(),
+                data_center: "tema".into(),
+                slots: SLOTS,
+            };
+            desk.entries[entry as usize].upstream_up(now, agent, spec);
+        }
+        desk
+    }
+
+    fn submit(&mut self, entry: usize, tasks: u32, declared: Option<Duration>) {
+        let task = |index| TaskSpec {
+            index,
+            class: "".into(),
+            declared,
+        };
+        let spec = JobSpec {
+            team: "merchants".into(),
+            service: "hold".into(),
+            deadline: self.now + Duration::from_secs(3600),
+            tasks: (0..tasks).map(task).collect(),
+        };
+        self.entries[entry]
+            .submit(self.now, spec)
+            .expect("the job is taken");
+    }
+
+    /// Exchanges messages until nobody has anything to say.
+    fn exchange(&mut self) {
+        while self.agents_speak() | self.entries_speak() {}
+    }
+
+    fn agents_speak(&mut self) -> bool {
+        let mut spoke = false;
+        for agent in 0..self.agents.len() {
+            for action in self.agents[agent].actions(self.now) {
+                spoke = true;
+                self.take_action(agent, action);
+            }
+        }
+        spoke
+    }
+
+    fn take_action(&mut self, agent: usize, action: SlotAction) {
+        let (now, id) = (self.now, agent as Incarnation);
+        match action {
+            SlotAction::Grant { entry, count } => {
+                self.entries[entry as usize].granted(now, id, count);
+            }
+            SlotAction::Recall { entry, count } => {
+                let returned = self.entries[entry as usize].recalled(now, id, count);
+                self.agents[agent].returned(now, entry, returned);
+            }
+        }
+    }
+
+    fn entries_speak(&mut self) -> bool {
+        let (now, mut spoke) = (self.now, false);
+        for (entry, dispatcher) in self.entries.iter_mut().enumerate() {
+            while let Some(placement) = dispatcher.next(now) {
+                let table = &mut self.agents[placement.agent as usize];
+                assert!(table.start(now, entry as Incarnation, placement.long));
+                self.running.push((entry, placement));
+                spoke = true;
+            }
+            for (agent, count) in dispatcher.unused(now) {
+                self.agents[agent as usize].returned(now, entry as Incarnation, count);
+                spoke = true;
+            }
+            for (agent, demand) in dispatcher.demands(now) {
+                self.agents[agent as usize].demand(now, entry as Incarnation, demand);
+                spoke = true;
+            }
+        }
+        spoke
+    }
+
+    fn run_for(&mut self, seconds: u64) {
+        for _ in 0..seconds * 100 {
+            self.now += Duration::from_millis(10);
+            self.exchange();
+        }
+    }
+
+    fn slots_used(&self) -> u32 {
+        self.agents.iter().map(SlotTable::running).sum()
+    }
+}
+
+#[gtest]
+fn slow_tasks_fill_every_slot_although_none_has_ended() {
+    let mut desk = Desk::new();
+    (0..ENTRIES as usize).for_each(|entry| desk.submit(entry, 120, None));
+    desk.run_for(10);
+    expect_that!(desk.slots_used(), eq(SLOTS * AGENTS as u32));
+}
+
+#[gtest]
+fn backlog_of_one_entry_fills_every_slot() {
+    let mut desk = Desk::new();
+    desk.exchange();
+    desk.submit(0, 240, None);
+    desk.run_for(10);
+    expect_that!(desk.slots_used(), eq(SLOTS * AGENTS as u32));
+}
+
+#[gtest]
+fn long_work_fills_every_slot_if_there_is_no_short_work() {
+    let mut desk = Desk::new();
+    let declared = Some(Duration::from_secs(60));
+    (0..ENTRIES as usize).for_each(|entry| desk.submit(entry, 120, declared));
+    desk.run_for(60);
+    expect_that!(desk.slots_used(), eq(SLOTS * AGENTS as u32));
+}
+
+#[gtest]
+fn slots_that_long_work_leaves_go_to_short_work_of_another_entry() {
+    let mut desk = Desk::new();
+    desk.submit(0, 120, Some(Duration::from_secs(60)));
+    desk.submit(0, 1, Some(Duration::from_millis(100)));
+    desk.run_for(1);
+    let before = desk.running.iter().filter(|(entry, _)| *entry == 1).count();
+    desk.submit(1, 2, Some(Duration::from_millis(100)));
+    desk.run_for(1);
+    let after = desk.running.iter().filter(|(entry, _)| *entry == 1).count();
+    expect_that!(after - before, eq(2));
+}
