--- a/hemlockhook-schedule/src/upstream.rs
+++ b/hemlockhook-schedule/src/upstream.rs
@@ -14,7 +14,7 @@
 const RAISE_PAUSE: Duration = Duration::from_secs(1);
 
 /// Time after which a backlog that was told and not granted is told to other agents as well.
-const TOLD_PATIENCE: Duration = Duration::from_millis(200);
+const TOLD_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Failures in a row after which an upstream is quarantined, unless its peers fail as well.
 pub const QUARANTINE_FAILURES: u32 = 3;
