Bound the exposure by the most slots an upstream announced

An upstream that announced fewer slots while it ran tasks which then failed broke the assertion of the bound; the new test fails without the change.

--- a/hemlockhook-schedule/src/upstream.rs
+++ b/hemlockhook-schedule/src/upstream.rs
@@ -65,6 +65,8 @@
     limit: u32,
     failures: u32,
     placed_since_ok: u32,
+    /// Most slots that it ever announced; tasks placed then may still run.
+    peak_slots: u32,
     quarantine: Option<Quarantine>,
     /// When the limit is raised, if nothing fails until then.
     raise_at: Option<Instant>,
@@ -96,6 +98,7 @@
             limit: SLOW_START_LIMIT,
             failures: 0,
             placed_since_ok: 0,
+            peak_slots: 0,
             quarantine: None,
             raise_at: None,
             told_at: None,
@@ -160,6 +163,7 @@
     /// Raises the limit of an upstream that has run as much as it may for a while without a failure:
     /// tasks that take long are no reason to leave its slots unused.
     pub fn tick(&mut self, now: Instant) {
+        self.peak_slots = self.peak_slots.max(self.spec.slots);
         if self.raise_at.is_some_and(|at| at <= now) {
             self.limit = (self.limit + 1).min(self.spec.slots);
             self.raise_at = None;
@@ -261,7 +265,7 @@
             .quarantine
             .as_ref()
             .map_or(0, |quarantine| quarantine.probes);
-        QUARANTINE_FAILURES + self.spec.slots + probes
+        QUARANTINE_FAILURES + self.peak_slots + probes
     }
 
     /// Returns the tasks placed since the last success.
--- a/hemlockhook-schedule/tests/announcements.rs
+++ b/hemlockhook-schedule/tests/announcements.rs
@@ -61,3 +61,27 @@
     expect_that!(upstreams[0].running, eq(1));
     expect_that!(upstreams[0].grants, eq(0));
 }
+
+#[gtest]
+fn an_upstream_that_announces_fewer_slots_may_still_fail_what_it_runs() {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new(Policy::default(), "osijek");
+    (AGENT..AGENT + 2).for_each(|agent| dispatcher.upstream_up(now, agent, upstream(16)));
+    let mut later = now;
+    let mut placed = Vec::new();
+    for _ in 0..16 {
+        later += Duration::from_secs(1);
+        dispatcher.granted(later, AGENT, 1);
+        dispatcher
+            .submit(later, job(later + Duration::from_secs(60)))
+            .unwrap();
+        placed.extend(std::iter::from_fn(|| dispatcher.next(later)));
+    }
+    dispatcher.upstream_up(later, AGENT, upstream(1));
+    for task in &placed {
+        let ran = Duration::from_millis(1);
+        dispatcher.ended(later, AGENT, task.job, task.index, ran, false);
+    }
+    expect_that!(placed.len(), ge(8));
+    expect_that!(dispatcher.snapshot().upstreams[0].running, eq(0));
+}
