--- a/hemlockhook-schedule/src/slots.rs
+++ b/hemlockhook-schedule/src/slots.rs
@@ -12,7 +12,7 @@
 const RECALL_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// A grant is not recalled for this time, in which it may be on its way or its start on the way back.
-const SETTLE_TIME: Duration = Duration::from_millis(50);
+const SETTLE_TIME: Duration = Duration::from_millis(60);
 
 /// A slot goes to another entry than the one that it was last used by, at the cost of a message, if
 /// that one's backlog is due earlier by this much.
--- a/hemlockhook-schedule/src/spec.rs
+++ b/hemlockhook-schedule/src/spec.rs
@@ -79,7 +79,7 @@
             max_queued: 200_000,
             long_threshold: Duration::from_secs(4),
             long_ceiling_percent: 25,
-            ageing_percent: 800,
+            ageing_percent: 600,
         }
     }
 }
--- a/hemlockhook-schedule/tests/policy.rs
+++ b/hemlockhook-schedule/tests/policy.rs
@@ -276,7 +276,7 @@
             false => {}
         }
     };
-    // It is due after eight times its ideal time; what was due earlier goes first.
+    // It is due after six times its ideal time; what was due earlier goes first.
     expect_that!(waited, le(Duration::from_secs(20)));
 }
 
