--- a/hemlockhook-schedule/src/spec.rs
+++ b/hemlockhook-schedule/src/spec.rs
@@ -102,7 +102,8 @@
 pub struct Demand {
     /// Queued tasks that the upstream could run.
     pub queued: u32,
-    /// Urgency of the first of them, in milliseconds; lower is more urgent.
+    /// Time until the first of them is due, in milliseconds, plus 2^31, so that what is overdue can
+    /// be told. Relative to its sending, since clocks of processes cannot be compared.
     pub head_urgency: u64,
     /// Long tasks among those queued.
     pub queued_long: u32,
