Forget an agent that left at its record's time although its link breaks later

An entry gives an agent up as soon as it reads that it left, and the link breaks at the latest then. The owner took the broken link for a sign of life and put the time to forget the agent off by its lease: 6 h 13 min in place of 12 min 30 s, at every entry that had a link when it read the record. So recorded and planned leaving kept accounts incomplete for hours. A broken link of an agent that left now changes nothing. The other order, link first and record second, was right already.

The new test failed before (1 agent unaccounted after 5/4 W, 0 expected) and holds now.

--- a/hemlockhook-ownership/src/owner/account.rs
+++ b/hemlockhook-ownership/src/owner/account.rs
@@ -62,10 +62,7 @@
         let Some(state) = self.members.get_mut(agent) else {
             return;
         };
-        state.up = false;
-        state.forget_at = state
-            .forget_at
-            .max(Some(log_time(now, Duration::ZERO) + memory));
+        state.link_broke(log_time(now, Duration::ZERO), memory);
         for takeover in self.takeovers.values_mut() {
             takeover.awaited.remove(&agent);
         }
--- a/hemlockhook-ownership/src/owner/members.rs
+++ b/hemlockhook-ownership/src/owner/members.rs
@@ -32,6 +32,15 @@
 }
 
 impl Agent {
+    /// Takes in that the link to it broke. It may take starts from others for its lease, unless it
+    /// has left: then it is forgotten at the time that its record gave.
+    pub fn link_broke(&mut self, log_now: LogTime, memory: Duration) {
+        self.up = false;
+        if !self.left {
+            self.forget_at = self.forget_at.max(Some(log_now + memory));
+        }
+    }
+
     /// Returns whether the agent may hold starts inside the window.
     pub fn may_hold_starts(&self, log_now: LogTime) -> bool {
         self.up || self.forget_at.is_some_and(|at| at > log_now)
--- a/hemlockhook-ownership/tests/bounds.rs
+++ b/hemlockhook-ownership/tests/bounds.rs
@@ -206,3 +206,36 @@
     expect_that!(may_join(90, written), eq(false));
     expect_that!(may_join(90, written - span), eq(true));
 }
+
+fn announcement(incarnation: u64) -> Record {
+    Record::Agent {
+        incarnation,
+        name: "u1".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        services: vec!["quote".into()],
+        data_center: "osijek".to_owned(),
+    }
+}
+
+#[gtest]
+fn an_agent_that_left_is_forgotten_in_time_when_its_link_breaks_afterwards() {
+    let now = Instant::now();
+    let cfg = OwnerConfig {
+        window: WINDOW,
+        ..OwnerConfig::default()
+    };
+    let mut owner = Owner::new(cfg, 21);
+    let left = Record::Left {
+        incarnation: 11,
+        custodian: None,
+    };
+    owner.on_record(now, 0, Duration::ZERO, &announcement(11));
+    owner.agent_up(now, 11, &["quote".into()]);
+    owner.on_record(now, 1, Duration::ZERO, &left);
+    owner.agent_gone(now, 11);
+
+    let kept = WINDOW * 5 / 4;
+    let second = Duration::from_secs(1);
+    expect_that!(owner.unaccounted(now + kept - second), eq(1));
+    expect_that!(owner.unaccounted(now + kept + second), eq(0));
+}
