--- a/hemlockhook/tests/endurance.rs
+++ b/hemlockhook/tests/endurance.rs
@@ -9,7 +9,8 @@
 use async_io::Timer;
 use googletest::prelude::*;
 use serde_json::json;
-use support::{Cluster, Job, Outcome, Shape, Submitter};
+use support::caller::{Job, Outcome, Submitter};
+use support::cluster::{Cluster, Shape};
 
 /// Seed of the run in CI; `HEMLOCKHOOK_SEED` sets another.
 const SEED: u64 = 20_261_204;
--- a/hemlockhook/tests/failures.rs
+++ b/hemlockhook/tests/failures.rs
@@ -9,7 +9,8 @@
 use googletest::prelude::*;
 use hemlockhook_types::{SHARD_COUNT, shard_of};
 use serde_json::json;
-use support::{Cluster, Job, Outcome, Shape};
+use support::caller::{Job, Outcome};
+use support::cluster::{Cluster, Shape};
 
 fn rng(seed: u64) -> fastrand::Rng {
     fastrand::Rng::with_seed(seed)
--- a/hemlockhook/tests/outcomes.rs
+++ b/hemlockhook/tests/outcomes.rs
@@ -4,7 +4,8 @@
 
 use googletest::prelude::*;
 use serde_json::json;
-use support::{Cluster, Job, Shape};
+use support::caller::Job;
+use support::cluster::{Cluster, Shape};
 
 fn rng() -> fastrand::Rng {
     fastrand::Rng::with_seed(7)
--- a/hemlockhook/tests/support/mod.rs
+++ b/hemlockhook/tests/support/mod.rs
@@ -1,15 +1,13 @@
 //! Runs the real programs as processes on loopback, and submits jobs to them.
 
-#![allow(dead_code, unused_imports)]
+// Each test program uses a part of it.
+#![allow(dead_code)]
 
-mod caller;
-mod cluster;
+pub mod caller;
+pub mod cluster;
 mod process;
 mod relay;
 
-pub use caller::{Job, Outcome, Submitter};
-pub use cluster::{Cluster, Shape};
-
 use std::time::Duration;
 
 /// Longer than any answer should take.
