Use one set of conversions of starts and reports at both ends of a link

Cause: the agent had its own copy of what the entry reads and writes, with another reading of an unknown reason. Change: hemlockhook-proto::starts serves both; an unknown reason reads as the one that promises nothing.

--- a/hemlockhook-agent/src/engine/leave.rs
+++ b/hemlockhook-agent/src/engine/leave.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use hemlockhook_ownership::Record;
+use hemlockhook_ownership::{Custody, Record};
 use hemlockhook_proto::v1;
 use hemlockhook_types::{Incarnation, ShardId, TaskEnd};
 
-use super::{Action, Engine, LinkId, TaskId, frames};
+use super::{Action, Engine, LinkId, TaskId};
 
 /// Time for entries to hand back their grants, and for owners that are not linked to come and
 /// fetch their results.
@@ -218,7 +218,7 @@
         links.sort_unstable();
         let link = links.get(tries % links.len().max(1)).copied();
         if let Some(link) = link.and_then(|id| self.links.get_mut(&id)) {
-            link.hand_over(frames::wire_custody(custody));
+            link.hand_over(custody.into());
         }
     }
 
@@ -232,7 +232,7 @@
 
     /// Adopts what a leaving agent held.
     pub(super) fn on_custody(&mut self, now: Instant, link: LinkId, custody: v1::Custody) {
-        let custody = frames::custody(custody);
+        let custody = Custody::from(custody);
         let Some(leaver) = custody.agents.first().copied() else {
             return;
         };
--- a/hemlockhook-agent/src/engine/tasks.rs
+++ b/hemlockhook-agent/src/engine/tasks.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use hemlockhook_ownership::{StartOrder, StartRefusal};
+use hemlockhook_ownership::{StartOrder, StartRefusal, Withdrawal};
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::refusal::Reason;
 use hemlockhook_types::{
@@ -33,7 +33,7 @@
         entry: Incarnation,
         start: v1::Start,
     ) {
-        let order = frames::order(entry, &start);
+        let order = start.order(entry);
         let granted = self.slots.start(now, entry, start.long);
         let refusal = match self.gate.check(now, &order) {
             Err(why) => {
@@ -174,7 +174,7 @@
             counter: withdraw.ballot,
             owner: entry,
         };
-        let withdrawal = frames::withdrawal(withdraw.job.unwrap_or_default());
+        let withdrawal: Withdrawal = withdraw.job.unwrap_or_default().into();
         let outcome = self.gate.withdraw(now, ballot, &withdrawal);
         if let Some(link) = self.links.get_mut(&link) {
             link.withdrawn(frames::withdrawn(&withdrawal.key, outcome));
@@ -192,7 +192,10 @@
             self.leaving.settle(*shard);
         }
         if let Some(link) = self.links.get_mut(&link) {
-            link.report(frames::wire_report(fence.takeover, report));
+            link.report(v1::FenceReport {
+                takeover: fence.takeover,
+                ..report.into()
+            });
         }
     }
 
--- a/hemlockhook-proto/src/starts.rs
+++ b/hemlockhook-proto/src/starts.rs
@@ -155,8 +155,8 @@
             fingerprint: job.fingerprint,
             shard: job.shard as ShardId,
             service: job.service.into(),
-            // A reason of a later version reads as a passing one.
-            reason: job.reason.parse().unwrap_or(Reason::Overloaded),
+            // A reason of a later version reads as the one that promises nothing.
+            reason: job.reason.parse().unwrap_or(Reason::AccountIncomplete),
         }
     }
 }
