Send a configuration from an agent only to an entry that asks for it

Cause: every agent pushed the whole document to every entry whose frames carried a lower version, 780 copies of 185 KB at the target within a poll of the log. The agent's test asks as the entry does, and is as strict about what it gets.

--- a/hemlockhook-agent/src/engine/links.rs
+++ b/hemlockhook-agent/src/engine/links.rs
@@ -24,8 +24,6 @@
     out: Vec<v1::AgentFrame>,
     /// Bytes of results in the last of them.
     out_bytes: usize,
-    /// Highest configuration version that the entry is known to have.
-    entry_version: u64,
     /// When grants were first asked back since the entry was last heard of.
     recalled_at: Option<Instant>,
 }
@@ -36,7 +34,6 @@
             entry,
             out: Vec::new(),
             out_bytes: 0,
-            entry_version: 0,
             recalled_at: None,
         }
     }
@@ -117,6 +114,9 @@
 
         self.counters.frames_received += 1;
         self.on_config(now, id, frame.config_version, frame.config);
+        if frame.wants_config && frame.config_version < self.config_version() {
+            self.send_config(id);
+        }
         if let Some(drain) = frame.drain {
             self.on_drain(now, drain.leaving);
         }
@@ -211,9 +211,6 @@
 
     fn on_config(&mut self, now: Instant, id: LinkId, version: u64, config: Option<v1::Config>) {
         let told = config.as_ref().map_or(version, |config| config.version);
-        if let Some(link) = self.links.get_mut(&id) {
-            link.entry_version = link.entry_version.max(told).max(version);
-        }
         let adopted = match config {
             Some(config) if !config.document.is_empty() => {
                 self.config.adopt(config.version, &config.document)
@@ -228,22 +225,14 @@
                 link.frame();
             }
         }
-        self.send_config(id);
     }
 
-    /// Sends the configuration in force to an entry that has an older one.
+    /// Sends the configuration in force to an entry that asks for it.
     fn send_config(&mut self, id: LinkId) {
         let version = self.config_version();
-        let document = self.config.document();
-        match self.links.get_mut(&id) {
-            Some(link) if link.entry_version < version => {
-                link.entry_version = version;
-                link.frame().config = Some(v1::Config {
-                    version,
-                    document: document.to_owned(),
-                });
-            }
-            _ => {}
+        let document = self.config.document().to_owned();
+        if let Some(link) = self.links.get_mut(&id) {
+            link.frame().config = Some(v1::Config { version, document });
         }
     }
 
--- a/hemlockhook-agent/tests/joining.rs
+++ b/hemlockhook-agent/tests/joining.rs
@@ -190,10 +190,19 @@
     agent.frame(1, pushed(6, 4));
     expect_that!(agent.engine.status().config_version, eq(7));
     expect_that!(agent.engine.status().slots, eq(3));
-    // The entry that lags is told the newer one.
+    // The entry that lags is told of the newer one, and gets it when it asks.
     agent.frame(2, hello(6));
     agent.frame(2, pushed(6, 4));
     let frames = agent.take_frames(2);
+    expect_true!(frames.iter().all(|frame| frame.config_version == 7));
+    expect_true!(frames.iter().all(|frame| frame.config.is_none()));
+    let asking = v1::EntryFrame {
+        config_version: 6,
+        wants_config: true,
+        ..v1::EntryFrame::default()
+    };
+    agent.frame(2, asking);
+    let frames = agent.take_frames(2);
     let told = frames.iter().filter_map(|frame| frame.config.as_ref());
     expect_that!(
         told.map(|config| config.version).collect::<Vec<_>>(),
