Tell those who wait for a job when its shard is lost

Callers that wait by GET or DELETE at an owner, and entries that ask for them, stayed in the list of watchers when the shard went to another entry: nothing answered them before their own limit of up to an hour, and the list kept them for good. They are now told that the shard is owned elsewhere, which callers see as a reply with Retry-After.

The test failed before: both watchers had no reply.

--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -8,7 +8,7 @@
 use hemlockhook_proto::convert::Reply;
 use hemlockhook_runtime::log;
 use hemlockhook_schedule::{JobId, JobSpec, Rejection, TaskSpec};
-use hemlockhook_types::{Answer, Incarnation, Job, JobKey, Reason, TaskIndex, shard_of};
+use hemlockhook_types::{Answer, Incarnation, Job, JobKey, Reason, ShardId, TaskIndex, shard_of};
 
 use super::Engine;
 use crate::event::{Action, CallId, Origin, Question, Response, Submission, Waiter};
@@ -330,6 +330,19 @@
         self.hold(key);
     }
 
+    /// Tells those who wait for the end of a job that its shard is owned elsewhere, so that they ask
+    /// again. The jobs that were submitted here have callers of their own.
+    pub(super) fn dismiss_watchers(&mut self, shard: ShardId) {
+        let lost: Vec<_> = self
+            .watchers
+            .extract_if(|key, _| shard_of(key) == shard)
+            .flat_map(|(_, waiters)| waiters)
+            .collect();
+        for waiter in lost {
+            self.reply(waiter, Reply::NotOwner);
+        }
+    }
+
     /// Passes a job's final answer on, once its owner settled it.
     pub(super) fn answer(&mut self, now: Instant, key: &JobKey, answer: Answer) {
         if let Some(submitted) = self.submissions.get(key) {
--- a/hemlockhook-entry/src/engine/takeover.rs
+++ b/hemlockhook-entry/src/engine/takeover.rs
@@ -164,6 +164,7 @@
                 self.lost_shards.push(shard);
                 unfinished.iter().for_each(|key| self.give_back(key));
                 self.forget_placed(now, shard);
+                self.dismiss_watchers(shard);
             }
             OwnerAction::Settled { key, answer } => {
                 for (agent, index) in self.owner.running(&key) {
--- a/hemlockhook-entry/tests/engine.rs
+++ b/hemlockhook-entry/tests/engine.rs
@@ -4,8 +4,9 @@
 
 use std::time::Duration;
 
+use async_channel::Receiver;
 use googletest::prelude::*;
-use hemlockhook_entry::event::{Action, Event, LinkEnd, Origin, Question};
+use hemlockhook_entry::event::{Action, Event, LinkEnd, Origin, Question, Response};
 use hemlockhook_proto::convert::Reply;
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::refusal::Reason as RefusalReason;
@@ -279,3 +280,36 @@
     let is_relay = |action: &Action| matches!(action, Action::Relay { .. });
     expect_true!(bench.actions.iter().any(is_relay));
 }
+
+fn ask(bench: &mut Bench, question: Question, origin: Origin) -> Receiver<Response> {
+    let (waiter, rx) = async_channel::bounded(1);
+    bench.event(Event::Ask {
+        key: KEY.into(),
+        question,
+        origin,
+        waiter,
+    });
+    rx
+}
+
+#[gtest]
+fn those_who_wait_for_a_job_are_told_when_its_shard_is_lost() {
+    let mut bench = Bench::serving();
+    let (waiter, forwarder) = async_channel::bounded(1);
+    bench.event(Event::Submit {
+        submission: submission("one", "quote", &["1"]),
+        origin: Origin::Entry,
+        waiter,
+    });
+    let local = ask(&mut bench, Question::Wait, Origin::Caller);
+    let remote = ask(&mut bench, Question::Wait, Origin::Entry);
+    bench.event(Event::Peer {
+        status: owner(),
+        waiter: None,
+    });
+    bench.run_for(Duration::from_millis(40));
+    for waiting in [forwarder, local, remote] {
+        let reply = reply(&waiting).map(|(reply, _)| reply);
+        expect_that!(reply, some(eq(&Reply::NotOwner)));
+    }
+}
