Forget gone waiters and links, and keep the entry that answers at an address

Three faults, each with a test that failed before: - A caller that asked again and again left a waiter each time until the job ended: 2,001 were kept for one job after 2,000 requests whose callers had gone. Gone ones are now dropped before the list grows. - What was meant for an agent that went in the same batch of inputs in which it came made a new link to it, never up and never given up: shards then never moved from a living owner again. It is now dropped. - An old announcement, read after the entry that replaced its writer had been heard, took the living entry out until it was heard again.

The state that heartbeats carry is worked out once and not once for each address.

--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -400,6 +400,7 @@
 
     /// Sends what has gathered for each agent.
     pub(super) fn flush_links(&mut self) {
+        self.unsent = EntryFrame::default();
         let config_version = self.config.version();
         for (agent, link) in &mut self.links {
             if !link.up || link.frame == EntryFrame::default() {
@@ -431,9 +432,12 @@
         });
     }
 
-    /// Returns the frame that goes to an agent next.
+    /// Returns the frame that goes to an agent next. What is put into the frame of an agent that is
+    /// gone is dropped.
     pub(super) fn frame(&mut self, agent: Incarnation) -> &mut EntryFrame {
-        &mut self.links.entry(agent).or_default().frame
+        self.links
+            .get_mut(&agent)
+            .map_or(&mut self.unsent, |link| &mut link.frame)
     }
 }
 
--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -50,6 +50,11 @@
         !self.callers.is_empty() || self.entries.is_empty()
     }
 
+    /// Returns the number of callers and entries that wait for its answer.
+    pub fn waiting(&self) -> usize {
+        self.callers.len() + self.entries.len()
+    }
+
     /// Returns when the job's answer ceases to be of use.
     pub fn deadline(&self) -> Instant {
         self.deadline
@@ -85,9 +90,9 @@
             let same = known.submission.job.fingerprint == submission.job.fingerprint;
             match origin {
                 _ if !same => self.reply(waiter, Reply::KeyReused),
-                Origin::Caller => known.callers.push(waiter),
+                Origin::Caller => add_waiter(&mut known.callers, waiter),
                 Origin::Entry if matches!(known.place, Place::Local(_)) => {
-                    known.entries.push(waiter);
+                    add_waiter(&mut known.entries, waiter);
                 }
                 Origin::Entry => self.reply(waiter, Reply::NotOwner),
             }
@@ -452,11 +457,11 @@
         match (question, self.owner.look_up(&key)) {
             (_, LookUp::Unknown) => self.ask_owner(now, key, question, origin, waiter),
             (Question::Cancel, LookUp::Pending) => {
-                self.watchers.entry(key.clone()).or_default().push(waiter);
+                add_waiter(self.watchers.entry(key.clone()).or_default(), waiter);
                 self.cancel(now, &key);
             }
             (Question::Wait, LookUp::Pending) => {
-                self.watchers.entry(key).or_default().push(waiter);
+                add_waiter(self.watchers.entry(key).or_default(), waiter);
             }
             (Question::Look, LookUp::Pending) => self.reply(waiter, Reply::Pending),
             (_, LookUp::Answered(answer)) => self.reply(waiter, Reply::Answer(answer)),
@@ -499,3 +504,12 @@
 fn is_current(place: Option<Place>, call: CallId) -> bool {
     matches!(place, Some(Place::Relayed(current, _)) if current == call)
 }
+
+/// Adds a waiter. Those that have gone are dropped before more room is taken, so that a caller that
+/// asks again and again takes the room of one.
+fn add_waiter(waiters: &mut Vec<Waiter>, waiter: Waiter) {
+    if waiters.len() == waiters.capacity() {
+        waiters.retain(|waiter| !waiter.is_closed());
+    }
+    waiters.push(waiter);
+}
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -18,6 +18,7 @@
 
 use hemlockhook_inventory::{ConfigReader, Inventory};
 use hemlockhook_ownership::{Owner, OwnerConfig};
+use hemlockhook_proto::v1::EntryFrame;
 use hemlockhook_schedule::{Dispatcher, JobId, Policy};
 use hemlockhook_types::{Incarnation, JobKey, ShardId, StampTable, TaskIndex};
 
@@ -59,6 +60,8 @@
     inventory: Option<Arc<Inventory>>,
     members: Members,
     links: HashMap<Incarnation, AgentLink>,
+    /// What was meant for agents that are gone.
+    unsent: EntryFrame,
     submissions: HashMap<JobKey, Submitted>,
     /// The key of each job in the dispatcher.
     scheduled: HashMap<JobId, JobKey>,
@@ -108,6 +111,7 @@
             inventory: None,
             members: Members::new(me.incarnation, &me.name, timing.peer_silence()),
             links: HashMap::new(),
+            unsent: EntryFrame::default(),
             submissions: HashMap::new(),
             scheduled: HashMap::new(),
             placed: HashMap::new(),
@@ -200,6 +204,13 @@
         self.submissions.is_empty() && self.placed.is_empty()
     }
 
+    /// Returns the number of callers and entries that a reply is kept for.
+    pub fn waiting(&self) -> usize {
+        let submitted = self.submissions.values().map(Submitted::waiting);
+        let watching = self.watchers.values().map(Vec::len);
+        submitted.chain(watching).sum()
+    }
+
     /// Returns whether jobs can be taken: shards are owned somewhere and the rules are known.
     pub fn is_ready(&self) -> bool {
         !self.draining && self.inventory.is_some() && !self.stamps.is_empty()
--- a/hemlockhook-entry/src/engine/peers.rs
+++ b/hemlockhook-entry/src/engine/peers.rs
@@ -29,9 +29,10 @@
         addresses.extend(&self.me.known_peers);
         addresses.sort();
         addresses.dedup();
+        let status = Box::new(self.peer_status(0));
         for address in addresses {
             if address != self.me.address {
-                let status = Box::new(self.peer_status(0));
+                let status = status.clone();
                 self.actions.push(Action::Heartbeat { address, status });
             }
         }
--- a/hemlockhook-entry/src/members.rs
+++ b/hemlockhook-entry/src/members.rs
@@ -69,7 +69,9 @@
                 address,
                 ..
             } if *incarnation != self.me => {
-                self.add_peer(*incarnation, name, address);
+                if !self.answers_at(address) {
+                    self.add_peer(*incarnation, name, address);
+                }
                 self.keep(record);
                 None
             }
@@ -184,6 +186,16 @@
         &self.records
     }
 
+    /// Returns whether an entry was heard from an address. It replaces what announcements say of the
+    /// address, which may be older, until another is heard from there.
+    fn answers_at(&self, address: &str) -> bool {
+        let Ok(address) = address.parse::<SocketAddr>() else {
+            return false;
+        };
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.heard.is_some() && peer.address == address)
+    }
+
     /// Adds a peer; an older incarnation at the same address has been replaced.
     fn add_peer(&mut self, incarnation: Incarnation, name: &str, address: &str) {
         let Ok(address) = address.parse::<SocketAddr>() else {
--- a/hemlockhook-entry/tests/engine.rs
+++ b/hemlockhook-entry/tests/engine.rs
@@ -7,12 +7,13 @@
 use async_channel::Receiver;
 use googletest::prelude::*;
 use hemlockhook_entry::event::{Action, Event, LinkEnd, Origin, Question, Response};
+use hemlockhook_ownership::Record;
 use hemlockhook_proto::convert::Reply;
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::refusal::Reason as RefusalReason;
-use hemlockhook_proto::v1::{AgentFrame, PeerStatus, Refusal, Withdrawn};
-use hemlockhook_types::{Answer, AnswerKind, Reason, SHARD_COUNT};
-use support::{AGENT, Bench, reply, submission};
+use hemlockhook_proto::v1::{AgentFrame, AgentHello, PeerStatus, Refusal, Withdrawn};
+use hemlockhook_types::{Answer, AnswerKind, FIRST_OFFSET, Reason, SHARD_COUNT};
+use support::{AGENT, Bench, hello, reply, submission};
 
 const KEY: &str = "sales-desk/one";
 
@@ -313,3 +314,77 @@
         expect_that!(reply, some(eq(&Reply::NotOwner)));
     }
 }
+
+#[gtest]
+fn an_agent_that_goes_as_it_comes_leaves_no_link_behind() {
+    let mut bench = Bench::serving();
+    let agent = 3;
+    let record = Record::Agent {
+        incarnation: agent,
+        name: "orders-os-2".to_owned(),
+        address: "127.0.0.1:3".to_owned(),
+        services: vec!["quote".into()],
+        data_center: "osijek".to_owned(),
+    };
+    let records = vec![(FIRST_OFFSET + 2, Duration::ZERO, record)];
+    let hello = AgentHello {
+        incarnation: agent,
+        ..hello()
+    };
+    // All of them are taken in before the engine decides.
+    bench.engine.handle(
+        bench.now,
+        Event::Members {
+            records,
+            to_end: true,
+        },
+    );
+    bench
+        .engine
+        .handle(bench.now, Event::LinkUp { agent, hello });
+    let end = LinkEnd::Refused;
+    bench.event(Event::LinkDown { agent, end });
+
+    let status = bench.engine.status(bench.now);
+    expect_that!(status.agents.len(), eq(1));
+}
+
+#[gtest]
+fn callers_that_gave_up_are_forgotten() {
+    let mut bench = Bench::serving();
+    bench.submit("one", "quote", &["1"]);
+    for _ in 0..1_000 {
+        drop(ask(&mut bench, Question::Wait, Origin::Caller));
+        drop(bench.submit("one", "quote", &["1"]));
+    }
+    expect_that!(bench.engine.waiting(), lt(20));
+    let still_there = ask(&mut bench, Question::Wait, Origin::Caller);
+    bench.done(KEY, 0, "1");
+    expect_that!(reply(&still_there), some(anything()));
+}
+
+/// Returns the announcement of an entry.
+fn entry_record(incarnation: u64, address: &str) -> Record {
+    Record::Entry {
+        incarnation,
+        name: "other".to_owned(),
+        address: address.to_owned(),
+        data_center: "osijek".to_owned(),
+    }
+}
+
+#[gtest]
+fn an_old_announcement_does_not_replace_the_entry_that_answers_at_the_address() {
+    let mut bench = Bench::new();
+    bench.event(Event::Peer {
+        status: owner(),
+        waiter: None,
+    });
+    let old = entry_record(8, "127.0.0.1:9");
+    bench.event(Event::Members {
+        records: vec![(FIRST_OFFSET, Duration::ZERO, old)],
+        to_end: true,
+    });
+    let peers = bench.engine.status(bench.now).peers;
+    expect_that!(peers.len(), eq(1));
+}
--- a/hemlockhook-entry/tests/support/mod.rs
+++ b/hemlockhook-entry/tests/support/mod.rs
@@ -221,7 +221,8 @@
     }
 }
 
-fn hello() -> AgentHello {
+/// Returns what the agent says of itself.
+pub fn hello() -> AgentHello {
     AgentHello {
         incarnation: AGENT,
         name: "orders-os-1".to_owned(),
