--- a/hemlockhook-entry/src/lib.rs
+++ b/hemlockhook-entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod link;
 pub mod members;
 pub mod metrics;
+mod object;
 pub mod process;
 pub mod request;
 pub mod response;
--- /dev/null
+++ b/hemlockhook-entry/src/object.rs
@@ -0,0 +1,43 @@
+//! Structs that are read from JSON objects only.
+
+use std::fmt;
+use std::marker::PhantomData;
+
+use serde::de::value::MapAccessDeserializer;
+use serde::de::{MapAccess, Visitor};
+use serde::{Deserialize, Deserializer};
+
+/// A struct that is written as an object. Without this, an array of its fields would be taken too.
+pub struct Object<T>(pub T);
+
+impl<'de, T> Deserialize<'de> for Object<T>
+where
+    T: Deserialize<'de>,
+{
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserializer.deserialize_map(ObjectVisitor(PhantomData))
+    }
+}
+
+struct ObjectVisitor<T>(PhantomData<T>);
+
+impl<'de, T> Visitor<'de> for ObjectVisitor<T>
+where
+    T: Deserialize<'de>,
+{
+    type Value = Object<T>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an object")
+    }
+
+    fn visit_map<A>(self, map: A) -> Result<Self::Value, A::Error>
+    where
+        A: MapAccess<'de>,
+    {
+        T::deserialize(MapAccessDeserializer::new(map)).map(Object)
+    }
+}
--- a/hemlockhook-entry/src/request.rs
+++ b/hemlockhook-entry/src/request.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::object::Object;
 use crate::settings::Limits;
 
 /// Longest idempotency key and team name, in bytes.
@@ -52,7 +53,7 @@
     idempotent: bool,
     deadline_ms: u64,
     #[serde(borrow)]
-    tasks: Vec<TaskBody<'a>>,
+    tasks: Vec<Object<TaskBody<'a>>>,
 }
 
 #[derive(Deserialize)]
@@ -128,10 +129,12 @@
 }
 
 fn parse_body(body: &[u8]) -> Result<JobBody<'_>, RequestError> {
-    serde_json::from_slice(body).map_err(|err| RequestError::Json(err.to_string()))
+    serde_json::from_slice(body)
+        .map(|Object(body)| body)
+        .map_err(|err| RequestError::Json(err.to_string()))
 }
 
-fn parse_task((index, task): (usize, &TaskBody<'_>)) -> Result<Task, RequestError> {
+fn parse_task((index, Object(task)): (usize, &Object<TaskBody<'_>>)) -> Result<Task, RequestError> {
     let max_ms = DECLARED_MAX.as_millis() as u64;
     if let Some(ms) = task.declared_ms {
         check_range(&format!("tasks[{index}].declared_ms"), ms, max_ms, "ms")?;
@@ -165,7 +168,7 @@
     };
     field(body.service.as_bytes());
     field(&[u8::from(body.idempotent)]);
-    for task in &body.tasks {
+    for Object(task) in &body.tasks {
         field(task.payload.get().as_bytes());
         field(task.class.as_bytes());
     }
--- a/hemlockhook-entry/tests/requests.rs
+++ b/hemlockhook-entry/tests/requests.rs
@@ -60,6 +60,11 @@
     let cases = [
         ("k", "{"),
         ("k", "[1,2]"),
+        ("k", r#"["t","s",false,1000,[{"payload":1}]]"#),
+        (
+            "k",
+            r#"{"team":"t","service":"s","deadline_ms":1,"tasks":[[1,50,"small"]]}"#,
+        ),
         ("k", r#"{"team":1}"#),
         ("k", &VALID.replace("\"team\"", "\"taem\"")),
         ("k", &VALID.replace("sales-desk", "sales desk")),
