Ask a log that holds records back no faster than one that is read to its end

A log that says that it has records and returns none, such as a replica that lags, was asked without a pause: 251,195 times in a second in the new test, with an event to the control thread each time. It is asked at the interval of a log that has been read: the test passes with at most ten.

--- a/hemlockhook-entry/src/follow.rs
+++ b/hemlockhook-entry/src/follow.rs
@@ -59,6 +59,9 @@
                     for takeover in waiting.drain(..) {
                         control.send(Event::CaughtUp { takeover });
                     }
+                }
+                // A log that holds back what it says it has is not to be asked at full speed.
+                if at_end || batch.records.is_empty() {
                     pause(POLL, &to_end, &mut waiting).await;
                 }
             }
