Keep the answer to an earlier job of a key from a later one

After a forwarded job was answered as unknown, a caller may send its key again, wrongly with other content. The late reply to the first call then answered the second submission, with the results of other tasks. Calls made before a submission arrived are now no answer to it. The test failed before.

--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -31,6 +31,8 @@
     place: Place,
     /// When it may be forwarded again.
     relay_at: Instant,
+    /// The latest call before it arrived: up to this one they are for earlier jobs of its key.
+    calls_before: CallId,
     /// Callers' connections.
     callers: Vec<Waiter>,
     /// Forwarding entries; they submit elsewhere if the shard's owner changes.
@@ -115,6 +117,7 @@
             deadline,
             place,
             relay_at: now,
+            calls_before: self.next_call,
             callers,
             entries,
         };
@@ -275,8 +278,11 @@
         call: CallId,
         reply: Option<Reply>,
     ) {
-        let place = self.submissions.get(&key).map(|submitted| submitted.place);
+        let submitted = self.submissions.get(&key);
+        let place = submitted.map(|submitted| submitted.place);
+        let is_earlier = submitted.is_some_and(|submitted| call <= submitted.calls_before);
         match reply {
+            _ if is_earlier => {}
             // A call that was given up may not refuse the job: its entry may have lost the shard.
             Some(Reply::Answer(answer @ Answer::Complete(_))) => self.answer(now, &key, answer),
             _ if !is_current(place, call) => {}
--- a/hemlockhook-entry/tests/engine.rs
+++ b/hemlockhook-entry/tests/engine.rs
@@ -415,3 +415,34 @@
 fn is_relay(action: &Action) -> bool {
     matches!(action, Action::Relay { .. })
 }
+
+#[gtest]
+fn the_late_reply_to_an_earlier_job_of_a_key_is_not_given_to_a_later_one() {
+    let mut bench = Bench::new();
+    let first = bench.submit("one", "quote", &["1"]);
+    bench.event(Event::Peer {
+        status: owner(),
+        waiter: None,
+    });
+    bench.run_for(Duration::from_millis(40));
+    let relayed = |action: &Action| match action {
+        Action::Relay { call, .. } => Some(*call),
+        _ => None,
+    };
+    let call = bench.actions.iter().find_map(relayed).expect("a call");
+    bench.run_for(Duration::from_secs(7));
+    let unreachable = Some((AnswerKind::Unknown, Some(Reason::OwnerUnreachable)));
+    expect_that!(
+        kind_of(reply(&first).map(|(reply, _)| reply)),
+        eq(unreachable)
+    );
+
+    let second = bench.submit("one", "quote", &["2"]);
+    let complete = Answer::Complete(vec![b"1".as_slice().into()]);
+    bench.event(Event::Relayed {
+        key: KEY.into(),
+        call,
+        reply: Some(Reply::Answer(complete)),
+    });
+    expect_that!(reply(&second), none());
+}
