--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -1,15 +1,12 @@
-//! Links to agents: starts and cancellations one way, grants and results the other.
+//! Links to agents: when they come and go, and the frames that they carry.
 
 use std::time::{Duration, Instant};
 
 use hemlockhook_inventory::admin::EventKind;
-use hemlockhook_ownership::{RefusedOutcome, StartOrder};
-use hemlockhook_proto::starts::read_refusal;
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::{AgentFrame, AgentHello, EntryFrame};
-use hemlockhook_runtime::log;
-use hemlockhook_schedule::{Intervention, Placement, UpstreamSpec};
-use hemlockhook_types::{Incarnation, JobKey, ShardId, TaskEnd, TaskIndex, TaskResult, shard_of};
+use hemlockhook_schedule::UpstreamSpec;
+use hemlockhook_types::Incarnation;
 
 use super::Engine;
 use crate::event::{Action, LinkEnd, Response, Waiter};
@@ -232,37 +229,6 @@
         self.owner.on_report(now, agent, takeover, report.into());
     }
 
-    fn on_done(&mut self, now: Instant, agent: Incarnation, done: v1::TaskDone) {
-        let key = JobKey::from(done.key);
-        let result: TaskResult = done.result.unwrap_or_default().into();
-        if let Some((_, job)) = self.placed.remove(&(key.clone(), done.index)) {
-            match result.end {
-                TaskEnd::Cancelled => self.dispatcher.dropped(now, agent, job, done.index),
-                _ => {
-                    let ok = matches!(result.end, TaskEnd::Ok(_));
-                    let run_time = result.run_time;
-                    self.dispatcher
-                        .ended(now, agent, job, done.index, run_time, ok);
-                }
-            }
-        }
-        self.owner.done(now, agent, &key, done.index, result);
-    }
-
-    fn on_refusal(&mut self, now: Instant, agent: Incarnation, refusal: v1::Refusal) {
-        let reason = read_refusal(refusal.reason(), refusal.floor);
-        let key = JobKey::from(refusal.key);
-        let outcome = self.owner.refused(now, agent, &key, refusal.index, reason);
-        let Some((_, job)) = self.placed.remove(&(key.clone(), refusal.index)) else {
-            return;
-        };
-        log::task(&key, refusal.index).debug(&format!("start refused: {reason}"));
-        match outcome {
-            RefusedOutcome::Requeue => self.dispatcher.refused(now, agent, job, refusal.index),
-            RefusedOutcome::Nothing => self.dispatcher.dropped(now, agent, job, refusal.index),
-        }
-    }
-
     /// Has another agent adopt the records of one that leaves: the one that shares most services.
     fn place_custody(&mut self, leaver: Incarnation, custody: v1::Custody) {
         let Some(leaving) = self.links.get(&leaver) else {
@@ -285,108 +251,6 @@
         }
     }
 
-    fn on_withdrawn(&mut self, now: Instant, agent: Incarnation, withdrawn: v1::Withdrawn) {
-        let outcome = match withdrawn.refusal {
-            None => Ok(()),
-            Some(_) => Err(read_refusal(withdrawn.refusal(), withdrawn.floor)),
-        };
-        self.owner
-            .on_withdrawn(now, agent, &withdrawn.key.into(), outcome);
-    }
-
-    /// Forgets the tasks that run of a shard that was given up: their results go to its new owner.
-    pub(super) fn forget_placed(&mut self, now: Instant, shard: ShardId) {
-        let placed = self.placed.extract_if(|(key, _), _| shard_of(key) == shard);
-        for ((_, index), (agent, job)) in placed {
-            self.dispatcher.dropped(now, agent, job, index);
-        }
-    }
-
-    /// Starts what the dispatcher has placed.
-    pub(super) fn place_tasks(&mut self, now: Instant) {
-        while let Some(placement) = self.dispatcher.next(now) {
-            self.place_task(now, placement);
-        }
-        for (agent, count) in self.dispatcher.unused(now) {
-            self.frame(agent).returned_grants += count;
-        }
-    }
-
-    fn place_task(&mut self, now: Instant, placement: Placement) {
-        let Placement {
-            agent,
-            job,
-            index,
-            long,
-        } = placement;
-        let key = self.scheduled.get(&job).cloned();
-        let order = key
-            .as_ref()
-            .and_then(|key| self.owner.start(now, key, index, agent));
-        let (Some(key), Some(order)) = (key, order) else {
-            // The job was settled after it was queued: the grant goes back.
-            self.dispatcher.dropped(now, agent, job, index);
-            self.frame(agent).returned_grants += 1;
-            return;
-        };
-
-        let Some(submitted) = self.submissions.get(&key) else {
-            return;
-        };
-        let task = &submitted.job().tasks[index as usize];
-        let start = v1::Start {
-            payload: task.payload.to_vec(),
-            timeout_ms: self.task_limit(&order, submitted.deadline(), now),
-            long,
-            ..v1::Start::from(&order)
-        };
-        self.placed.insert((key, index), (agent, job));
-        self.counters.starts += 1;
-        self.frame(agent).starts.push(start);
-    }
-
-    /// Returns the time that a task may take at most, in milliseconds.
-    fn task_limit(&self, order: &StartOrder, deadline: Instant, now: Instant) -> u32 {
-        let left = deadline.saturating_duration_since(now);
-        let allowed = self
-            .inventory
-            .as_ref()
-            .and_then(|inventory| inventory.service(&order.service))
-            .map_or(left, |service| service.max_task_time.min(left));
-        allowed.as_millis().clamp(1, u128::from(u32::MAX)) as u32
-    }
-
-    /// Asks the platform to hold back long work that was declared short while short work waits.
-    pub(super) fn intervene(&mut self, now: Instant) {
-        for Intervention {
-            agent,
-            job,
-            index,
-            kind,
-        } in self.dispatcher.interventions(now)
-        {
-            let (Some(link), Some(key)) = (self.links.get(&agent), self.scheduled.get(&job)) else {
-                continue;
-            };
-            let worker = link.hello.worker.clone();
-            let task = format!("{key}/{index}");
-            log::task(key, index).info(&format!("asking the platform to {kind} it"));
-            self.actions.push(Action::Intervene { worker, task, kind });
-        }
-    }
-
-    /// Stops a task that runs, or is about to, at an agent.
-    pub(super) fn stop_task(&mut self, agent: Incarnation, key: &JobKey, index: TaskIndex) {
-        let frame = self.frame(agent);
-        match frame.cancels.last_mut() {
-            Some(cancel) if cancel.key == **key => cancel.indexes.push(index),
-            _ => frame.cancels.push(v1::Cancel {
-                key: key.to_string(),
-                indexes: vec![index],
-            }),
-        }
-    }
-
     /// Tells agents the backlogs that changed.
     pub(super) fn tell_demands(&mut self, now: Instant) {
         for (agent, demand) in self.dispatcher.demands(now) {
--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -4,39 +4,33 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlockhook_ownership::{Admission, LookUp};
+use hemlockhook_ownership::Admission;
 use hemlockhook_proto::convert::Reply;
 use hemlockhook_runtime::log;
 use hemlockhook_schedule::{JobId, JobSpec, Rejection, TaskSpec};
-use hemlockhook_types::{Answer, Incarnation, Job, JobKey, Reason, ShardId, TaskIndex, shard_of};
+use hemlockhook_types::{Answer, Incarnation, Job, JobKey, Reason, TaskIndex};
 
 use super::Engine;
-use crate::event::{Action, CallId, Origin, Question, Response, Submission, Waiter};
+use crate::event::{Action, CallId, Origin, Response, Submission, Waiter};
 
 /// Time past the deadline in which a forwarded job's answer may still arrive.
 const RELAY_GRACE: Duration = Duration::from_secs(1);
 
-/// Time before a submission that an entry sent back is forwarded again.
-const RELAY_PAUSE: Duration = Duration::from_millis(100);
-
-/// Held submissions that are tried again at a time.
-const MAX_RETRIES: usize = 2_000;
-
 /// A submission without an answer.
 #[derive(Debug)]
 pub struct Submitted {
-    submission: Submission,
+    pub(super) submission: Submission,
     arrived: Instant,
-    deadline: Instant,
-    place: Place,
+    pub(super) deadline: Instant,
+    pub(super) place: Place,
     /// When it may be forwarded again.
-    relay_at: Instant,
+    pub(super) relay_at: Instant,
     /// The latest call before it arrived: up to this one they are for earlier jobs of its key.
-    calls_before: CallId,
+    pub(super) calls_before: CallId,
     /// Callers' connections.
-    callers: Vec<Waiter>,
+    pub(super) callers: Vec<Waiter>,
     /// Forwarding entries; they submit elsewhere if the shard's owner changes.
-    entries: Vec<Waiter>,
+    pub(super) entries: Vec<Waiter>,
 }
 
 impl Submitted {
@@ -234,95 +228,7 @@
         self.owner.settle(now, &job.key, answer);
     }
 
-    fn relay(&mut self, now: Instant, key: &JobKey) {
-        let shard = shard_of(key);
-        let Some(submitted) = self.submissions.get_mut(key) else {
-            return;
-        };
-        for waiter in submitted.entries.drain(..) {
-            let response = Response::Job {
-                reply: Reply::NotOwner,
-                stamps: self.stamps.clone(),
-            };
-            self.actions.push(Action::Reply { waiter, response });
-        }
-        if submitted.callers.is_empty() {
-            self.submissions.remove(key);
-            return;
-        }
-        let claimant = self.members.claimant(now, shard);
-        let Some((ballot, address)) = claimant.filter(|_| now >= submitted.relay_at) else {
-            return self.hold(key);
-        };
-
-        self.next_call += 1;
-        let call = self.next_call;
-        submitted.place = Place::Relayed(call, ballot.owner);
-        submitted.relay_at = now + RELAY_PAUSE;
-        self.held.remove(key);
-        self.counters.forwarded += 1;
-        let submission = submitted.submission.clone();
-        let deadline = submitted.deadline.saturating_duration_since(now);
-        self.actions.push(Action::Relay {
-            address,
-            call,
-            submission,
-            deadline,
-        });
-    }
-
-    pub(super) fn on_relayed(
-        &mut self,
-        now: Instant,
-        key: JobKey,
-        call: CallId,
-        reply: Option<Reply>,
-    ) {
-        let submitted = self.submissions.get(&key);
-        let place = submitted.map(|submitted| submitted.place);
-        let is_earlier = submitted.is_some_and(|submitted| call <= submitted.calls_before);
-        match reply {
-            _ if is_earlier => {}
-            // A call that was given up may not refuse the job: its entry may have lost the shard.
-            Some(Reply::Answer(answer @ Answer::Complete(_))) => self.answer(now, &key, answer),
-            _ if !is_current(place, call) => {}
-            Some(Reply::Answer(answer)) => self.answer(now, &key, answer),
-            Some(Reply::KeyReused) => self.finish(now, &key, Reply::KeyReused),
-            Some(Reply::NotOwner | Reply::Pending | Reply::NotFound) | None => self.hold(&key),
-        }
-    }
-
-    /// Gives up the calls to an entry that is not heard any more.
-    pub(super) fn abandon_calls(&mut self, peer: Incarnation) {
-        let is_there = |place| matches!(place, Place::Relayed(_, to) if to == peer);
-        let keys: Vec<_> = self
-            .submissions
-            .iter()
-            .filter(|(_, submitted)| is_there(submitted.place))
-            .map(|(key, _)| key.clone())
-            .collect();
-        keys.iter().for_each(|key| self.hold(key));
-    }
-
-    /// Tries again to place submissions that no owner was known for, some of them at a time.
-    pub(super) fn retry_held(&mut self, now: Instant) {
-        for key in self.held.take(MAX_RETRIES) {
-            if self
-                .submissions
-                .get(&key)
-                .is_some_and(|s| s.place == Place::Held)
-            {
-                self.route(now, &key);
-            }
-        }
-    }
-
-    pub(super) fn hold(&mut self, key: &JobKey) {
-        self.set_place(key, Place::Held);
-        self.held.insert(key);
-    }
-
-    fn set_place(&mut self, key: &JobKey, place: Place) {
+    pub(super) fn set_place(&mut self, key: &JobKey, place: Place) {
         if let Some(submitted) = self.submissions.get_mut(key) {
             submitted.place = place;
         }
@@ -331,31 +237,6 @@
         }
     }
 
-    /// Takes back a job whose shard was lost to another entry, so that it is submitted there.
-    pub(super) fn give_back(&mut self, key: &JobKey) {
-        let Some(submitted) = self.submissions.get(key) else {
-            return;
-        };
-        if let Place::Local(Some(id)) = submitted.place {
-            self.dispatcher.finish_job(id);
-            self.scheduled.remove(&id);
-        }
-        self.hold(key);
-    }
-
-    /// Tells those who wait for the end of a job that its shard is owned elsewhere, so that they ask
-    /// again. The jobs that were submitted here have callers of their own.
-    pub(super) fn dismiss_watchers(&mut self, shard: ShardId) {
-        let lost: Vec<_> = self
-            .watchers
-            .extract_if(|key, _| shard_of(key) == shard)
-            .flat_map(|(_, waiters)| waiters)
-            .collect();
-        for waiter in lost {
-            self.reply(waiter, Reply::NotOwner);
-        }
-    }
-
     /// Passes a job's final answer on, once its owner settled it.
     pub(super) fn answer(&mut self, now: Instant, key: &JobKey, answer: Answer) {
         if let Some(submitted) = self.submissions.get(key) {
@@ -369,7 +250,7 @@
         self.finish(now, key, Reply::Answer(answer));
     }
 
-    fn finish(&mut self, _now: Instant, key: &JobKey, reply: Reply) {
+    pub(super) fn finish(&mut self, _now: Instant, key: &JobKey, reply: Reply) {
         self.held.remove(key);
         let mut waiters = self.watchers.remove(key).unwrap_or_default();
         if let Some(submitted) = self.submissions.remove(key) {
@@ -453,69 +334,11 @@
         };
         self.owner.settle(now, key, answer);
     }
-
-    pub(super) fn on_ask(
-        &mut self,
-        now: Instant,
-        key: JobKey,
-        question: Question,
-        origin: Origin,
-        waiter: Waiter,
-    ) {
-        match (question, self.owner.look_up(&key)) {
-            (_, LookUp::Unknown) => self.ask_owner(now, key, question, origin, waiter),
-            (Question::Cancel, LookUp::Pending) => {
-                add_waiter(self.watchers.entry(key.clone()).or_default(), waiter);
-                self.cancel(now, &key);
-            }
-            (Question::Wait, LookUp::Pending) => {
-                add_waiter(self.watchers.entry(key).or_default(), waiter);
-            }
-            (Question::Look, LookUp::Pending) => self.reply(waiter, Reply::Pending),
-            (_, LookUp::Answered(answer)) => self.reply(waiter, Reply::Answer(answer)),
-            (_, LookUp::NotFound) => self.reply(waiter, Reply::NotFound),
-        }
-    }
-
-    fn ask_owner(
-        &mut self,
-        now: Instant,
-        key: JobKey,
-        question: Question,
-        origin: Origin,
-        waiter: Waiter,
-    ) {
-        match self.members.claimant(now, shard_of(&key)) {
-            Some((_, address)) if origin == Origin::Caller => {
-                let stamps = self.stamps.clone();
-                self.actions.push(Action::RelayAsk {
-                    address,
-                    key,
-                    question,
-                    waiter,
-                    stamps,
-                });
-            }
-            _ => self.reply(waiter, Reply::NotOwner),
-        }
-    }
-
-    fn cancel(&mut self, now: Instant, key: &JobKey) {
-        self.counters.cancelled += 1;
-        for (agent, index) in self.owner.cancel(now, key) {
-            self.stop_task(agent, key, index);
-        }
-    }
-}
-
-/// Returns whether a forwarded submission is still waited for under this call.
-fn is_current(place: Option<Place>, call: CallId) -> bool {
-    matches!(place, Some(Place::Relayed(current, _)) if current == call)
 }
 
 /// Adds a waiter. Those that have gone are dropped before more room is taken, so that a caller that
 /// asks again and again takes the room of one.
-fn add_waiter(waiters: &mut Vec<Waiter>, waiter: Waiter) {
+pub(super) fn add_waiter(waiters: &mut Vec<Waiter>, waiter: Waiter) {
     if waiters.len() == waiters.capacity() {
         waiters.retain(|waiter| !waiter.is_closed());
     }
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -8,8 +8,11 @@
 mod job_report;
 mod jobs;
 mod peers;
+mod questions;
+mod relay;
 mod report;
 mod takeover;
+mod tasks;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
