Wait for the hand-over before a draining entry ends

A draining entry ended once nothing was in flight, even if others had not taken its shards over yet; they then had to notice its silence first. It now also waits for that, for five seconds at most, if another entry that stays is alive. The engine's part has a test; how often an entry ended too early before was not measured.

--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -209,6 +209,12 @@
         self.submissions.is_empty() && self.placed.is_empty()
     }
 
+    /// Returns whether no shard is owned here that another living entry would take over.
+    pub fn is_handed_over(&self, now: Instant) -> bool {
+        let stays = self.members.alive(now).any(|(_, peer)| !peer.draining);
+        !stays || self.owner.owned().is_empty()
+    }
+
     /// Returns the number of callers and entries that a reply is kept for.
     pub fn waiting(&self) -> usize {
         let submitted = self.submissions.values().map(Submitted::waiting);
--- a/hemlockhook-entry/src/process.rs
+++ b/hemlockhook-entry/src/process.rs
@@ -42,6 +42,9 @@
 /// Time between two looks at whether a draining entry has finished.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// Looks for which a draining entry that still owns shards waits for others to take them over.
+const HAND_OVER_POLLS: u32 = 100;
+
 /// Time for which a draining entry goes on accepting connections, so that a balancer that saw it
 /// ready still reaches it.
 const DRAIN_NOTICE: Duration = Duration::from_millis(500);
@@ -190,9 +193,7 @@
         Timer::after(DRAIN_NOTICE).await;
         self.stop_callers.close();
         self.callers_server.await;
-        while self.control.inspect(|engine, _| engine.is_idle()).await == Some(false) {
-            Timer::after(DRAIN_POLL).await;
-        }
+        wait_idle(&self.control).await;
         self.stop.close();
         let finish = async {
             for server in self.servers {
@@ -222,6 +223,21 @@
     })
 }
 
+/// Waits until nothing is in flight and, for a while, until the shards have been handed over.
+async fn wait_idle(control: &Control) {
+    let mut polls_left = HAND_OVER_POLLS;
+    loop {
+        let look = |engine: &Engine, now| (engine.is_idle(), engine.is_handed_over(now));
+        match control.inspect(look).await {
+            Some((true, handed_over)) if handed_over || polls_left == 0 => return,
+            Some((_, false)) => polls_left = polls_left.saturating_sub(1),
+            Some(_) => {}
+            None => return,
+        }
+        Timer::after(DRAIN_POLL).await;
+    }
+}
+
 async fn listen(key: &str, addr: SocketAddr) -> eyre::Result<(TcpListener, SocketAddr)> {
     let listener = TcpListener::bind(addr)
         .await
--- a/hemlockhook-entry/tests/engine.rs
+++ b/hemlockhook-entry/tests/engine.rs
@@ -446,3 +446,24 @@
     });
     expect_that!(reply(&second), none());
 }
+
+#[gtest]
+fn a_draining_entry_has_handed_over_once_others_own_its_shards() {
+    let mut bench = Bench::serving();
+    bench.event(Event::Drain);
+    // With nobody to take the shards over, there is nothing to wait for.
+    expect_true!(bench.engine.is_handed_over(bench.now));
+
+    let mut peer = owner();
+    let owned = std::mem::take(&mut peer.owned);
+    bench.event(Event::Peer {
+        status: peer.clone(),
+        waiter: None,
+    });
+    expect_false!(bench.engine.is_handed_over(bench.now));
+    bench.event(Event::Peer {
+        status: PeerStatus { owned, ..peer },
+        waiter: None,
+    });
+    expect_true!(bench.engine.is_handed_over(bench.now));
+}
