Ignore claims of shards that do not exist

The number of a claimed shard was cut to 16 bits: a claim of shard 65,536 took shard 0 away from its owner. The test failed before, with 63 shards left.

--- a/hemlockhook-entry/src/engine/peers.rs
+++ b/hemlockhook-entry/src/engine/peers.rs
@@ -9,7 +9,7 @@
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::{AgentFrame, PeerStatus};
 use hemlockhook_schedule::Policy;
-use hemlockhook_types::{Incarnation, ShardId, TeamName};
+use hemlockhook_types::{Incarnation, SHARD_COUNT, ShardId, TeamName};
 use spdlog::prelude::*;
 
 use super::Engine;
@@ -38,7 +38,10 @@
         }
     }
 
-    pub(super) fn on_peer(&mut self, now: Instant, status: PeerStatus, waiter: Option<Waiter>) {
+    pub(super) fn on_peer(&mut self, now: Instant, mut status: PeerStatus, waiter: Option<Waiter>) {
+        status
+            .owned
+            .retain(|owned| owned.shard < SHARD_COUNT.into());
         self.members.on_status(now, &status);
         self.take_members(now, &status);
         if let Some(config) = &status.config {
--- a/hemlockhook-entry/tests/engine.rs
+++ b/hemlockhook-entry/tests/engine.rs
@@ -467,3 +467,20 @@
     });
     expect_true!(bench.engine.is_handed_over(bench.now));
 }
+
+#[gtest]
+fn a_claim_of_a_shard_that_does_not_exist_takes_none_away() {
+    let mut bench = Bench::serving();
+    let claim = v1::OwnedShard {
+        shard: 1 << 16,
+        ballot: 1 << 20,
+    };
+    let status = PeerStatus {
+        owned: vec![claim],
+        ..owner()
+    };
+    let waiter = None;
+    bench.event(Event::Peer { status, waiter });
+    let shards = bench.engine.status(bench.now).shards.len();
+    expect_that!(shards, eq(usize::from(SHARD_COUNT)));
+}
