Hold a look at a job for an hour if a caller asks for that

A caller that asked to wait 3,600 seconds or more was answered at once: the bound on the wait also stood for no wait being given. They are now told apart. The new test could not be written against the old function, which returned the same for both.

--- a/hemlockhook-entry/src/api.rs
+++ b/hemlockhook-entry/src/api.rs
@@ -30,7 +30,8 @@
 const HOLD_MAX: Duration = Duration::from_secs(3_600);
 
 /// Why a request is not taken.
-struct Refusal {
+#[derive(Debug)]
+pub struct Refusal {
     status: StatusCode,
     kind: &'static str,
     detail: String,
@@ -98,7 +99,7 @@
             let detail = "a job needs the header idempotency-key";
             Refusal::new(StatusCode::BAD_REQUEST, "idempotency-key-missing", detail)
         })?;
-        let hold = preferred_wait(headers)?;
+        let hold = preferred_wait(headers)?.unwrap_or(HOLD_MAX);
         let table = stamp_table(headers)?;
 
         let timeout = Duration::from_millis(self.limits.body_ms);
@@ -131,8 +132,8 @@
 
     async fn look(&self, req: &Request<Incoming>, team: &str, key: &str) -> HttpResponse {
         match preferred_wait(req.headers()) {
-            Ok(HOLD_MAX) => self.ask(team, key, Question::Look, HOLD_MAX).await,
-            Ok(hold) => self.ask(team, key, Question::Wait, hold).await,
+            Ok(None) => self.ask(team, key, Question::Look, HOLD_MAX).await,
+            Ok(Some(hold)) => self.ask(team, key, Question::Wait, hold).await,
             Err(refusal) => refusal.into_response(),
         }
     }
@@ -228,17 +229,19 @@
     })
 }
 
-/// Returns the time that a caller wants to wait, from `Prefer: wait=SECONDS` of RFC 7240.
-fn preferred_wait(headers: &HeaderMap) -> Result<Duration, Refusal> {
+/// Returns the time that a caller wants to wait, if it says so, from `Prefer: wait=SECONDS` of
+/// RFC 7240. It is an hour at most. What is no number of seconds is refused, and so is a header that
+/// is given twice.
+pub fn preferred_wait(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
     let Some(text) = single_header(headers, PREFER)? else {
-        return Ok(HOLD_MAX);
+        return Ok(None);
     };
     let preferences = text.split(',').map(str::trim);
-    let mut hold = HOLD_MAX;
+    let mut hold = None;
     for preference in preferences {
         match preference.split_once('=') {
             Some(("wait", seconds)) => match seconds.parse() {
-                Ok(seconds) => hold = Duration::from_secs(seconds).min(HOLD_MAX),
+                Ok(seconds) => hold = Some(Duration::from_secs(seconds).min(HOLD_MAX)),
                 Err(_) => {
                     let detail = "Prefer: wait takes a number of seconds";
                     return Err(Refusal::new(
@@ -248,7 +251,7 @@
                     ));
                 }
             },
-            _ if preference == "respond-async" => hold = Duration::ZERO,
+            _ if preference == "respond-async" => hold = Some(Duration::ZERO),
             _ => {}
         }
     }
--- a/hemlockhook-entry/tests/requests.rs
+++ b/hemlockhook-entry/tests/requests.rs
@@ -1,11 +1,15 @@
 //! Tests of the checks of callers' jobs, and of the responses to them.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
+use hemlockhook_entry::api::preferred_wait;
 use hemlockhook_entry::request::{parse_forwarded, parse_job};
 use hemlockhook_entry::response::reply;
 use hemlockhook_entry::settings::Limits;
 use hemlockhook_proto::convert::Reply;
 use hemlockhook_types::{Answer, Reason};
+use http::{HeaderMap, HeaderValue};
 use http_body_util::BodyExt;
 
 const VALID: &str = r#"{"team":"sales-desk","service":"quote","deadline_ms":1000,
@@ -164,3 +168,17 @@
         retry.unwrap_or_default()
     )
 }
+
+#[gtest]
+fn a_wait_of_an_hour_is_told_from_none() {
+    let wait = |text: &'static str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("prefer", HeaderValue::from_static(text));
+        preferred_wait(&headers).ok().flatten()
+    };
+    let hour = Duration::from_secs(3_600);
+    expect_that!(wait("wait=3600"), some(eq(hour)));
+    expect_that!(wait("wait=9999"), some(eq(hour)));
+    expect_that!(wait("respond-async"), some(eq(Duration::ZERO)));
+    expect_that!(wait("handling=lenient"), none());
+}
