--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -4,20 +4,25 @@
 //! moves their results to one another. It does no I/O and runs on the control thread.
 
 mod agents;
+mod held;
 mod job_report;
 mod jobs;
 mod peers;
+mod questions;
+mod relay;
 mod report;
 mod takeover;
+mod tasks;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hemlockhook_inventory::{ConfigReader, Inventory};
 use hemlockhook_ownership::{Owner, OwnerConfig};
+use hemlockhook_proto::v1::EntryFrame;
 use hemlockhook_schedule::{Dispatcher, JobId, Policy};
 use hemlockhook_types::{Incarnation, JobKey, ShardId, StampTable, TaskIndex};
 
@@ -28,6 +33,7 @@
 use crate::members::Members;
 use crate::settings::{Memory, Timing};
 use agents::AgentLink;
+use held::Held;
 use jobs::Submitted;
 
 /// What an engine needs to know of its process.
@@ -59,6 +65,8 @@
     inventory: Option<Arc<Inventory>>,
     members: Members,
     links: HashMap<Incarnation, AgentLink>,
+    /// What was meant for agents that are gone.
+    unsent: EntryFrame,
     submissions: HashMap<JobKey, Submitted>,
     /// The key of each job in the dispatcher.
     scheduled: HashMap<JobId, JobKey>,
@@ -68,7 +76,7 @@
     /// Callers that wait for the end of a job that was submitted elsewhere or before.
     watchers: HashMap<JobKey, Vec<Waiter>>,
     /// Keys that wait for an owner, for a retry on the next tick.
-    held: HashSet<JobKey>,
+    held: Held,
     next_call: u64,
     /// Whether the log has been read to its end once.
     members_read: bool,
@@ -108,12 +116,13 @@
             inventory: None,
             members: Members::new(me.incarnation, &me.name, timing.peer_silence()),
             links: HashMap::new(),
+            unsent: EntryFrame::default(),
             submissions: HashMap::new(),
             scheduled: HashMap::new(),
             placed: HashMap::new(),
             deadlines: BinaryHeap::new(),
             watchers: HashMap::new(),
-            held: HashSet::new(),
+            held: Held::default(),
             next_call: 0,
             members_read: false,
             log_up: false,
@@ -200,6 +209,19 @@
         self.submissions.is_empty() && self.placed.is_empty()
     }
 
+    /// Returns whether no shard is owned here that another living entry would take over.
+    pub fn is_handed_over(&self, now: Instant) -> bool {
+        let stays = self.members.alive(now).any(|(_, peer)| !peer.draining);
+        !stays || self.owner.owned().is_empty()
+    }
+
+    /// Returns the number of callers and entries that a reply is kept for.
+    pub fn waiting(&self) -> usize {
+        let submitted = self.submissions.values().map(Submitted::waiting);
+        let watching = self.watchers.values().map(Vec::len);
+        submitted.chain(watching).sum()
+    }
+
     /// Returns whether jobs can be taken: shards are owned somewhere and the rules are known.
     pub fn is_ready(&self) -> bool {
         !self.draining && self.inventory.is_some() && !self.stamps.is_empty()
--- a/hemlockhook-entry/src/engine/peers.rs
+++ b/hemlockhook-entry/src/engine/peers.rs
@@ -9,7 +9,7 @@
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::{AgentFrame, PeerStatus};
 use hemlockhook_schedule::Policy;
-use hemlockhook_types::{Incarnation, ShardId, TeamName};
+use hemlockhook_types::{Incarnation, SHARD_COUNT, ShardId, TeamName};
 use spdlog::prelude::*;
 
 use super::Engine;
@@ -29,15 +29,19 @@
         addresses.extend(&self.me.known_peers);
         addresses.sort();
         addresses.dedup();
+        let status = Box::new(self.peer_status(0));
         for address in addresses {
             if address != self.me.address {
-                let status = Box::new(self.peer_status(0));
+                let status = status.clone();
                 self.actions.push(Action::Heartbeat { address, status });
             }
         }
     }
 
-    pub(super) fn on_peer(&mut self, now: Instant, status: PeerStatus, waiter: Option<Waiter>) {
+    pub(super) fn on_peer(&mut self, now: Instant, mut status: PeerStatus, waiter: Option<Waiter>) {
+        status
+            .owned
+            .retain(|owned| owned.shard < SHARD_COUNT.into());
         self.members.on_status(now, &status);
         self.take_members(now, &status);
         if let Some(config) = &status.config {
--- a/hemlockhook-entry/tests/engine.rs
+++ b/hemlockhook-entry/tests/engine.rs
@@ -4,14 +4,16 @@
 
 use std::time::Duration;
 
+use async_channel::Receiver;
 use googletest::prelude::*;
-use hemlockhook_entry::event::{Action, Event, LinkEnd, Origin, Question};
+use hemlockhook_entry::event::{Action, Event, LinkEnd, Origin, Question, Response};
+use hemlockhook_ownership::Record;
 use hemlockhook_proto::convert::Reply;
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::refusal::Reason as RefusalReason;
-use hemlockhook_proto::v1::{AgentFrame, PeerStatus, Refusal, Withdrawn};
-use hemlockhook_types::{Answer, AnswerKind, Reason, SHARD_COUNT};
-use support::{AGENT, Bench, reply, submission};
+use hemlockhook_proto::v1::{AgentFrame, AgentHello, PeerStatus, Refusal, Withdrawn};
+use hemlockhook_types::{Answer, AnswerKind, FIRST_OFFSET, Reason, SHARD_COUNT};
+use support::{AGENT, Bench, hello, reply, submission};
 
 const KEY: &str = "sales-desk/one";
 
@@ -276,6 +278,209 @@
         waiter: None,
     });
     expect_that!(reply(&caller), none());
-    let is_relay = |action: &Action| matches!(action, Action::Relay { .. });
     expect_true!(bench.actions.iter().any(is_relay));
 }
+
+fn ask(bench: &mut Bench, question: Question, origin: Origin) -> Receiver<Response> {
+    let (waiter, rx) = async_channel::bounded(1);
+    bench.event(Event::Ask {
+        key: KEY.into(),
+        question,
+        origin,
+        waiter,
+    });
+    rx
+}
+
+#[gtest]
+fn those_who_wait_for_a_job_are_told_when_its_shard_is_lost() {
+    let mut bench = Bench::serving();
+    let (waiter, forwarder) = async_channel::bounded(1);
+    bench.event(Event::Submit {
+        submission: submission("one", "quote", &["1"]),
+        origin: Origin::Entry,
+        waiter,
+    });
+    let local = ask(&mut bench, Question::Wait, Origin::Caller);
+    let remote = ask(&mut bench, Question::Wait, Origin::Entry);
+    bench.event(Event::Peer {
+        status: owner(),
+        waiter: None,
+    });
+    bench.run_for(Duration::from_millis(40));
+    for waiting in [forwarder, local, remote] {
+        let reply = reply(&waiting).map(|(reply, _)| reply);
+        expect_that!(reply, some(eq(&Reply::NotOwner)));
+    }
+}
+
+#[gtest]
+fn an_agent_that_goes_as_it_comes_leaves_no_link_behind() {
+    let mut bench = Bench::serving();
+    let agent = 3;
+    let record = Record::Agent {
+        incarnation: agent,
+        name: "orders-os-2".to_owned(),
+        address: "127.0.0.1:3".to_owned(),
+        services: vec!["quote".into()],
+        data_center: "osijek".to_owned(),
+    };
+    let records = vec![(FIRST_OFFSET + 2, Duration::ZERO, record)];
+    let hello = AgentHello {
+        incarnation: agent,
+        ..hello()
+    };
+    // All of them are taken in before the engine decides.
+    bench.engine.handle(
+        bench.now,
+        Event::Members {
+            records,
+            to_end: true,
+        },
+    );
+    bench
+        .engine
+        .handle(bench.now, Event::LinkUp { agent, hello });
+    let end = LinkEnd::Refused;
+    bench.event(Event::LinkDown { agent, end });
+
+    let status = bench.engine.status(bench.now);
+    expect_that!(status.agents.len(), eq(1));
+}
+
+#[gtest]
+fn callers_that_gave_up_are_forgotten() {
+    let mut bench = Bench::serving();
+    bench.submit("one", "quote", &["1"]);
+    for _ in 0..1_000 {
+        drop(ask(&mut bench, Question::Wait, Origin::Caller));
+        drop(bench.submit("one", "quote", &["1"]));
+    }
+    expect_that!(bench.engine.waiting(), lt(20));
+    let still_there = ask(&mut bench, Question::Wait, Origin::Caller);
+    bench.done(KEY, 0, "1");
+    expect_that!(reply(&still_there), some(anything()));
+}
+
+/// Returns the announcement of an entry.
+fn entry_record(incarnation: u64, address: &str) -> Record {
+    Record::Entry {
+        incarnation,
+        name: "other".to_owned(),
+        address: address.to_owned(),
+        data_center: "osijek".to_owned(),
+    }
+}
+
+#[gtest]
+fn an_old_announcement_does_not_replace_the_entry_that_answers_at_the_address() {
+    let mut bench = Bench::new();
+    bench.event(Event::Peer {
+        status: owner(),
+        waiter: None,
+    });
+    let old = entry_record(8, "127.0.0.1:9");
+    bench.event(Event::Members {
+        records: vec![(FIRST_OFFSET, Duration::ZERO, old)],
+        to_end: true,
+    });
+    let peers = bench.engine.status(bench.now).peers;
+    expect_that!(peers.len(), eq(1));
+}
+
+#[gtest]
+fn jobs_that_waited_for_an_owner_are_passed_on_in_parts() {
+    let mut bench = Bench::new();
+    let count = 5_000;
+    let callers: Vec<_> = (0..count)
+        .map(|index| bench.submit(&format!("k{index}"), "quote", &["1"]))
+        .collect();
+    bench.event(Event::Peer {
+        status: owner(),
+        waiter: None,
+    });
+    let mut relayed = Vec::new();
+    for _ in 0..5 {
+        let before = bench.actions.len();
+        bench.now += Duration::from_millis(20);
+        bench.event(Event::Tick);
+        let new = &bench.actions[before..];
+        relayed.push(new.iter().filter(|action| is_relay(action)).count());
+    }
+    expect_that!(relayed, each(le(&2_000)));
+    expect_that!(relayed.iter().sum::<usize>(), eq(count));
+    expect_that!(callers.len(), eq(count));
+}
+
+fn is_relay(action: &Action) -> bool {
+    matches!(action, Action::Relay { .. })
+}
+
+#[gtest]
+fn the_late_reply_to_an_earlier_job_of_a_key_is_not_given_to_a_later_one() {
+    let mut bench = Bench::new();
+    let first = bench.submit("one", "quote", &["1"]);
+    bench.event(Event::Peer {
+        status: owner(),
+        waiter: None,
+    });
+    bench.run_for(Duration::from_millis(40));
+    let relayed = |action: &Action| match action {
+        Action::Relay { call, .. } => Some(*call),
+        _ => None,
+    };
+    let call = bench.actions.iter().find_map(relayed).expect("a call");
+    bench.run_for(Duration::from_secs(7));
+    let unreachable = Some((AnswerKind::Unknown, Some(Reason::OwnerUnreachable)));
+    expect_that!(
+        kind_of(reply(&first).map(|(reply, _)| reply)),
+        eq(unreachable)
+    );
+
+    let second = bench.submit("one", "quote", &["2"]);
+    let complete = Answer::Complete(vec![b"1".as_slice().into()]);
+    bench.event(Event::Relayed {
+        key: KEY.into(),
+        call,
+        reply: Some(Reply::Answer(complete)),
+    });
+    expect_that!(reply(&second), none());
+}
+
+#[gtest]
+fn a_draining_entry_has_handed_over_once_others_own_its_shards() {
+    let mut bench = Bench::serving();
+    bench.event(Event::Drain);
+    // With nobody to take the shards over, there is nothing to wait for.
+    expect_true!(bench.engine.is_handed_over(bench.now));
+
+    let mut peer = owner();
+    let owned = std::mem::take(&mut peer.owned);
+    bench.event(Event::Peer {
+        status: peer.clone(),
+        waiter: None,
+    });
+    expect_false!(bench.engine.is_handed_over(bench.now));
+    bench.event(Event::Peer {
+        status: PeerStatus { owned, ..peer },
+        waiter: None,
+    });
+    expect_true!(bench.engine.is_handed_over(bench.now));
+}
+
+#[gtest]
+fn a_claim_of_a_shard_that_does_not_exist_takes_none_away() {
+    let mut bench = Bench::serving();
+    let claim = v1::OwnedShard {
+        shard: 1 << 16,
+        ballot: 1 << 20,
+    };
+    let status = PeerStatus {
+        owned: vec![claim],
+        ..owner()
+    };
+    let waiter = None;
+    bench.event(Event::Peer { status, waiter });
+    let shards = bench.engine.status(bench.now).shards.len();
+    expect_that!(shards, eq(usize::from(SHARD_COUNT)));
+}
