Tell peers what changed only, and agents a configuration from one entry

Cause: docs/CAPACITY.md has heartbeats at 390 KB a second and documents at 2.2 MB a second for an entry at the target, since each entry sent all its shards and teams to each other every 200 ms both ways, and the whole document to every agent. Change: of two entries one begins, the answer tells the other's state; what has not changed is left out under a digest; the first living entry in an agent's order sends it a new document, the others only if it has not got there after 0.7 s each; an entry that lacks a version asks one agent for it.

--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -30,6 +30,10 @@
     pub hello: AgentHello,
     /// Configuration version in force there.
     pub config_version: u64,
+    /// Configuration version that was sent there last.
+    pub config_sent: u64,
+    /// Since when the link has been up.
+    pub up_since: Option<Instant>,
     /// Whether new work goes there: it is up and not silent.
     usable: bool,
     heard: Option<Instant>,
@@ -70,6 +74,10 @@
         let was_up = link.up;
         link.name.clone_from(&hello.name);
         link.config_version = hello.config_version;
+        if !was_up {
+            link.up_since = Some(now);
+            link.config_sent = 0;
+        }
         link.leaving = hello.leaving;
         link.redial_after = REDIAL_MIN;
         link.up = true;
@@ -90,7 +98,6 @@
         }
         self.dispatcher.upstream_up(now, agent, spec);
         self.dispatcher.upstream_leaving(now, agent, hello.leaving);
-        self.tell_config(agent);
     }
 
     pub(super) fn on_link_down(&mut self, now: Instant, agent: Incarnation, end: LinkEnd) {
--- /dev/null
+++ b/hemlockhook-entry/src/engine/config.rs
@@ -0,0 +1,139 @@
+//! The configuration in force: from the log, from other processes, and on to them.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hemlockhook_inventory::Inventory;
+use hemlockhook_inventory::admin::EventKind;
+use hemlockhook_proto::v1;
+use hemlockhook_proto::v1::AgentFrame;
+use hemlockhook_schedule::Policy;
+use hemlockhook_types::Incarnation;
+use spdlog::prelude::*;
+
+use super::Engine;
+use crate::members::rank_for;
+
+/// Time that an entry leaves to the one before it in an agent's order of entries to send the agent
+/// a new configuration.
+const SPREAD_STEP: Duration = Duration::from_millis(700);
+
+/// Steps that an entry waits at most, so that all is done well within the 7 s of a change.
+const SPREAD_STEPS_MAX: usize = 4;
+
+/// Time for which a version that agents have and we lack may still come from the log or a peer.
+const ASK_AFTER: Duration = Duration::from_millis(500);
+
+impl Engine {
+    pub(super) fn on_configs(&mut self, now: Instant, records: &[(u64, Bytes)]) {
+        let before = self.config.version();
+        for (offset, body) in records {
+            self.config.on_record(*offset, body);
+        }
+        if self.config.version() > before {
+            self.on_config_in_force(now);
+        }
+    }
+
+    /// Takes in the configuration that an agent sent, or notes which version it has.
+    pub(super) fn on_agent_config(&mut self, now: Instant, agent: Incarnation, frame: &AgentFrame) {
+        if let Some(config) = &frame.config {
+            self.adopt_config(now, config);
+        }
+        if let Some(link) = self.links.get_mut(&agent) {
+            link.config_version = link.config_version.max(frame.config_version);
+        }
+        if frame.config_version > self.config.version() {
+            self.behind.get_or_insert((now, agent));
+        }
+    }
+
+    pub(super) fn adopt_config(&mut self, now: Instant, config: &v1::Config) {
+        if self.config.adopt(config.version, &config.document) {
+            self.on_config_in_force(now);
+        }
+    }
+
+    fn on_config_in_force(&mut self, now: Instant) {
+        let version = self.config.version();
+        self.config_since = now;
+        self.behind = None;
+        match self.config.current() {
+            Some((usable, inventory)) if usable == version => {
+                self.dispatcher.set_policy(now, policy(&inventory));
+                self.inventory = Some(inventory);
+                info!("configuration in force", kv: { version });
+                let subject = version.to_string();
+                self.note(EventKind::ConfigInForce, &subject, "it is in force here");
+            }
+            _ => {
+                warn!("configuration cannot be used by this release", kv: { version });
+                let subject = version.to_string();
+                self.note(EventKind::ConfigUnusable, &subject, "it cannot be used");
+            }
+        }
+        self.spread_config(now);
+    }
+
+    /// Sends the configuration in force to agents whose version is lower. The first living entry in
+    /// an agent's order does so at once, the others only if it has not got there in time.
+    pub(super) fn spread_config(&mut self, now: Instant) {
+        let version = self.config.version();
+        let behind = |link: &super::agents::AgentLink| {
+            link.up && link.config_version < version && link.config_sent < version
+        };
+        let agents: Vec<_> = self
+            .links
+            .iter()
+            .filter(|(_, link)| behind(link))
+            .map(|(agent, link)| (*agent, link.up_since))
+            .collect();
+        for (agent, up_since) in agents {
+            let peers = self.alive.iter().map(|(_, name)| name.as_str());
+            let rank = rank_for(&self.me.name, peers, agent).min(SPREAD_STEPS_MAX);
+            let since = up_since.map_or(self.config_since, |up| up.max(self.config_since));
+            if now >= since + SPREAD_STEP * rank as u32 {
+                self.send_config(agent);
+            }
+        }
+    }
+
+    fn send_config(&mut self, agent: Incarnation) {
+        let message = self.config_message();
+        if let Some(link) = self.links.get_mut(&agent) {
+            link.config_sent = message.version;
+            self.frame(agent).config = Some(message);
+        }
+    }
+
+    /// Asks an agent for the version that it has and we lack.
+    pub(super) fn ask_config(&mut self, now: Instant) {
+        if let Some((since, agent)) = self.behind
+            && now - since >= ASK_AFTER
+            && self.links.contains_key(&agent)
+        {
+            self.frame(agent).wants_config = true;
+        }
+        self.behind = self.behind.filter(|(since, _)| now - *since < ASK_AFTER);
+    }
+
+    pub(super) fn config_message(&self) -> v1::Config {
+        v1::Config {
+            version: self.config.version(),
+            document: self.config.document().to_owned(),
+        }
+    }
+}
+
+/// Returns the scheduling policy that an inventory asks for.
+fn policy(inventory: &Inventory) -> Policy {
+    let teams = inventory.teams.iter();
+    let services = inventory.services.iter();
+    Policy {
+        teams: teams.map(|team| (team.name.clone(), team.share)).collect(),
+        services: services.map(|service| service.name.clone()).collect(),
+        long_threshold: inventory.rules.long_after,
+        long_ceiling_percent: inventory.rules.long_ceiling_percent,
+        ..Policy::default()
+    }
+}
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! moves their results to one another. It does no I/O and runs on the control thread.
 
 mod agents;
+mod config;
 mod held;
 mod job_report;
 mod jobs;
@@ -15,7 +16,7 @@
 mod tasks;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -83,6 +84,14 @@
     log_up: bool,
     log_heard: Option<Instant>,
     last_heartbeat: Option<Instant>,
+    /// Digest of what each peer was told last.
+    told: HashMap<Incarnation, u64>,
+    /// Peers whose state is to be asked for whole.
+    ask_whole: HashSet<Incarnation>,
+    /// Since when the configuration has been in force.
+    config_since: Instant,
+    /// Since when an agent has had a version that we lack.
+    behind: Option<(Instant, Incarnation)>,
     /// The entries that were alive at the last tick.
     alive: Vec<(Incarnation, String)>,
     /// Since when the preferred owners have been the same, and which shards are preferred here.
@@ -128,6 +137,10 @@
             log_up: false,
             log_heard: None,
             last_heartbeat: None,
+            told: HashMap::new(),
+            ask_whole: HashSet::new(),
+            config_since: now,
+            behind: None,
             alive: Vec::new(),
             preference: (now, Vec::new()),
             unaccounted_until: None,
@@ -243,6 +256,8 @@
         self.watch_links(now);
         self.heartbeat(now);
         self.watch_peers(now);
+        self.spread_config(now);
+        self.ask_config(now);
         self.balance_shards(now);
         self.retry_held(now);
         self.refresh_stamps(now);
--- a/hemlockhook-entry/src/engine/peers.rs
+++ b/hemlockhook-entry/src/engine/peers.rs
@@ -1,16 +1,15 @@
 //! Other entries: heartbeats, the configuration and members that ride on them.
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
-use bytes::Bytes;
-use hemlockhook_inventory::Inventory;
 use hemlockhook_inventory::admin::EventKind;
 use hemlockhook_ownership::Record;
 use hemlockhook_proto::v1;
-use hemlockhook_proto::v1::{AgentFrame, PeerStatus};
-use hemlockhook_schedule::Policy;
+use hemlockhook_proto::v1::PeerStatus;
 use hemlockhook_types::{Incarnation, SHARD_COUNT, ShardId, TeamName};
-use spdlog::prelude::*;
+use prost::Message;
+use xxhash_rust::xxh3::Xxh3;
 
 use super::Engine;
 use crate::event::{Action, Response, Waiter};
@@ -25,28 +24,84 @@
             return;
         }
         self.last_heartbeat = Some(now);
-        let mut addresses = self.members.peer_addresses();
-        addresses.extend(&self.me.known_peers);
-        addresses.sort();
-        addresses.dedup();
-        let status = Box::new(self.peer_status(0));
-        for address in addresses {
-            if address != self.me.address {
-                let status = status.clone();
-                self.actions.push(Action::Heartbeat { address, status });
+        let whole = self.peer_status();
+        for (address, peer) in self.heartbeat_targets(now) {
+            let mut status = Box::new(self.status_for(peer, &whole));
+            status.wants_whole = peer.is_some_and(|peer| self.ask_whole.remove(&peer));
+            self.actions.push(Action::Heartbeat { address, status });
+        }
+    }
+
+    /// Returns where heartbeats go. Of two entries that hear each other one begins, since the answer
+    /// tells the other's state; once it falls silent both do.
+    fn heartbeat_targets(&self, now: Instant) -> Vec<(SocketAddr, Option<Incarnation>)> {
+        let half = self.timing.peer_silence() / 2;
+        let mut targets: Vec<_> = self
+            .members
+            .peers()
+            .filter(|(peer, known)| {
+                let quiet = known
+                    .heard
+                    .is_none_or(|at| now.saturating_duration_since(at) > half);
+                quiet || self.draining || self.me.incarnation < *peer
+            })
+            .map(|(peer, known)| (known.address, Some(peer)))
+            .collect();
+        for address in &self.me.known_peers {
+            if self
+                .members
+                .peers()
+                .all(|(_, known)| known.address != *address)
+            {
+                targets.push((*address, None));
             }
         }
+        targets.retain(|(address, _)| *address != self.me.address);
+        targets
+    }
+
+    /// Leaves out of our state what a peer has been told before.
+    fn status_for(&mut self, peer: Option<Incarnation>, whole: &PeerStatus) -> PeerStatus {
+        let before = peer.and_then(|peer| self.told.insert(peer, whole.digest));
+        if before != Some(whole.digest) {
+            return whole.clone();
+        }
+        PeerStatus {
+            owned: Vec::new(),
+            teams: Vec::new(),
+            unchanged: true,
+            ..whole.clone()
+        }
     }
 
     pub(super) fn on_peer(&mut self, now: Instant, mut status: PeerStatus, waiter: Option<Waiter>) {
         status
             .owned
             .retain(|owned| owned.shard < SHARD_COUNT.into());
-        self.members.on_status(now, &status);
+        if status.wants_whole {
+            self.told.remove(&status.incarnation);
+        }
+        let is_known = self.members.on_status(now, &status);
         self.take_members(now, &status);
         if let Some(config) = &status.config {
             self.adopt_config(now, config);
         }
+        if !status.unchanged {
+            self.take_claims(now, &status);
+        }
+        if let Some(waiter) = waiter {
+            let answer = self.heartbeat_answer(&status, is_known);
+            self.actions.push(Action::Reply {
+                waiter,
+                response: Response::Peer(Box::new(answer)),
+            });
+        } else if !is_known {
+            self.ask_whole.insert(status.incarnation);
+        }
+    }
+
+    /// Takes in the shards that a peer owns and the work of its teams.
+    fn take_claims(&mut self, now: Instant, status: &PeerStatus) {
         for owned in &status.owned {
             let ballot = hemlockhook_types::Ballot {
                 counter: owned.ballot,
@@ -54,22 +109,27 @@
             };
             self.owner.saw_ballot(now, owned.shard as ShardId, ballot);
         }
+        // Teams that are not named have gone idle.
+        self.dispatcher.forget_peer(status.incarnation);
         for team in &status.teams {
             let name = TeamName::from(team.team.as_str());
             let (running, queued) = (team.running, team.queued);
             self.dispatcher
                 .set_peer_usage(status.incarnation, &name, running, queued);
         }
-        if let Some(waiter) = waiter {
-            let mut ours = self.peer_status(status.config_version);
-            if status.want_members {
-                ours.members = self.members.records().iter().map(write_member).collect();
-            }
-            self.actions.push(Action::Reply {
-                waiter,
-                response: Response::Peer(Box::new(ours)),
-            });
+    }
+
+    fn heartbeat_answer(&mut self, status: &PeerStatus, is_known: bool) -> PeerStatus {
+        let whole = self.peer_status();
+        let mut answer = self.status_for(Some(status.incarnation), &whole);
+        answer.wants_whole = !is_known;
+        if status.config_version < self.config.version() {
+            answer.config = Some(self.config_message());
+        }
+        if status.want_members {
+            answer.members = self.members.records().iter().map(write_member).collect();
         }
+        answer
     }
 
     /// Notices which entries came up and which fell silent.
@@ -106,130 +166,49 @@
         }
     }
 
-    /// Returns our state; the configuration goes along to those whose version is lower.
-    fn peer_status(&self, their_version: u64) -> PeerStatus {
-        let version = self.config.version();
+    /// Returns our whole state.
+    fn peer_status(&self) -> PeerStatus {
         let owned = self.owner.owned().into_iter();
+        let owned: Vec<_> = owned
+            .map(|(shard, stamp)| v1::OwnedShard {
+                shard: shard.into(),
+                ballot: stamp.counter,
+            })
+            .collect();
         let teams = self.dispatcher.snapshot().teams.into_iter();
+        let teams: Vec<_> = teams
+            .map(|team| v1::TeamUsage {
+                team: team.team.to_string(),
+                running: team.running,
+                queued: team.queued,
+            })
+            .collect();
         PeerStatus {
             incarnation: self.me.incarnation,
             name: self.me.name.clone(),
             address: self.me.address.to_string(),
             data_center: self.me.data_center.clone(),
-            config_version: version,
-            config: (their_version > 0 && their_version < version).then(|| self.config_message()),
-            owned: owned
-                .map(|(shard, stamp)| v1::OwnedShard {
-                    shard: shard.into(),
-                    ballot: stamp.counter,
-                })
-                .collect(),
+            config_version: self.config.version(),
             draining: self.draining,
-            teams: teams
-                .map(|team| v1::TeamUsage {
-                    team: team.team.to_string(),
-                    running: team.running,
-                    queued: team.queued,
-                })
-                .collect(),
             want_members: !self.members_read,
-            members: Vec::new(),
-        }
-    }
-
-    pub(super) fn on_configs(&mut self, now: Instant, records: &[(u64, Bytes)]) {
-        let before = self.config.version();
-        for (offset, body) in records {
-            self.config.on_record(*offset, body);
-        }
-        if self.config.version() > before {
-            self.on_config_in_force(now);
-        }
-    }
-
-    /// Takes over a higher version that an agent has, or tells it ours.
-    pub(super) fn on_agent_config(&mut self, now: Instant, agent: Incarnation, frame: &AgentFrame) {
-        if let Some(config) = &frame.config {
-            self.adopt_config(now, config);
-        }
-        let Some(link) = self.links.get_mut(&agent) else {
-            return;
-        };
-        if frame.config_version > link.config_version {
-            link.config_version = frame.config_version;
-        }
-    }
-
-    fn adopt_config(&mut self, now: Instant, config: &v1::Config) {
-        if self.config.adopt(config.version, &config.document) {
-            self.on_config_in_force(now);
-        }
-    }
-
-    fn on_config_in_force(&mut self, now: Instant) {
-        let version = self.config.version();
-        match self.config.current() {
-            Some((usable, inventory)) if usable == version => {
-                self.dispatcher.set_policy(now, policy(&inventory));
-                self.inventory = Some(inventory);
-                info!("configuration in force", kv: { version });
-                self.note(
-                    EventKind::ConfigInForce,
-                    &version.to_string(),
-                    "it is in force here",
-                );
-            }
-            _ => {
-                warn!("configuration cannot be used by this release", kv: { version });
-                self.note(
-                    EventKind::ConfigUnusable,
-                    &version.to_string(),
-                    "it cannot be used",
-                );
-            }
-        }
-        let agents: Vec<_> = self.links.keys().copied().collect();
-        agents.into_iter().for_each(|agent| self.tell_config(agent));
-    }
-
-    /// Sends the configuration in force to an agent whose version is lower.
-    pub(super) fn tell_config(&mut self, agent: Incarnation) {
-        let version = self.config.version();
-        let message = self.config_message();
-        let Some(link) = self.links.get_mut(&agent) else {
-            return;
-        };
-        if link.up && link.config_version < version {
-            link.config_version = version;
-            self.frame(agent).config = Some(message);
-        }
-    }
-
-    fn config_message(&self) -> v1::Config {
-        v1::Config {
-            version: self.config.version(),
-            document: self.config.document().to_owned(),
+            digest: digest(&owned, &teams),
+            owned,
+            teams,
+            ..PeerStatus::default()
         }
     }
 }
 
-/// Returns the scheduling policy that an inventory asks for.
-fn policy(inventory: &Inventory) -> Policy {
-    Policy {
-        teams: inventory
-            .teams
-            .iter()
-            .map(|team| (team.name.clone(), team.share))
-            .collect(),
-        services: inventory
-            .services
-            .iter()
-            .map(|service| service.name.clone())
-            .collect(),
-        long_threshold: inventory.rules.long_after,
-        long_ceiling_percent: inventory.rules.long_ceiling_percent,
-        ..Policy::default()
+/// Hashes what a heartbeat leaves out when it has not changed.
+fn digest(owned: &[v1::OwnedShard], teams: &[v1::TeamUsage]) -> u64 {
+    let mut hash = Xxh3::new();
+    for owned in owned {
+        hash.update(&owned.encode_to_vec());
+    }
+    for team in teams {
+        hash.update(&team.encode_to_vec());
     }
+    hash.digest()
 }
 
 fn write_member(record: &Record) -> Vec<u8> {
--- a/hemlockhook-entry/src/members.rs
+++ b/hemlockhook-entry/src/members.rs
@@ -34,6 +34,8 @@
     pub draining: bool,
     /// The configuration version that it has in force.
     pub config_version: u64,
+    /// Hash of what it told last of its shards and teams.
+    pub digest: u64,
     /// The ballots of the shards that it says it owns.
     pub owned: HashMap<ShardId, u64>,
 }
@@ -101,22 +103,29 @@
     }
 
     /// Takes another entry's state in.
-    pub fn on_status(&mut self, now: Instant, status: &PeerStatus) {
+    ///
+    /// Returns false if it leaves out what was not heard before.
+    pub fn on_status(&mut self, now: Instant, status: &PeerStatus) -> bool {
         if status.incarnation == self.me {
-            return;
+            return true;
         }
         self.add_peer(status.incarnation, &status.name, &status.address);
         let Some(peer) = self.peers.get_mut(&status.incarnation) else {
-            return;
+            return true;
         };
         peer.heard = Some(now);
         peer.draining = status.draining;
         peer.config_version = status.config_version;
+        if status.unchanged {
+            return peer.digest == status.digest;
+        }
+        peer.digest = status.digest;
         peer.owned = status
             .owned
             .iter()
             .map(|owned| (owned.shard as ShardId, owned.ballot))
             .collect();
+        true
     }
 
     /// Returns the entry that should own a shard: the highest hash of name and shard among the
@@ -160,12 +169,11 @@
             .map(|(incarnation, peer)| (*incarnation, peer))
     }
 
-    /// Returns the addresses of all peers that heartbeats go to.
-    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
-        let mut addresses: Vec<_> = self.peers.values().map(|peer| peer.address).collect();
-        addresses.sort();
-        addresses.dedup();
-        addresses
+    /// Returns every other entry known, alive or not.
+    pub fn peers(&self) -> impl Iterator<Item = (Incarnation, &Peer)> {
+        self.peers
+            .iter()
+            .map(|(incarnation, peer)| (*incarnation, peer))
     }
 
     /// Returns an agent that announced itself.
@@ -211,6 +219,7 @@
             heard: None,
             draining: false,
             config_version: 0,
+            digest: 0,
             owned: HashMap::new(),
         };
         self.peers.insert(incarnation, peer);
@@ -227,3 +236,13 @@
 fn weight(name: &str, shard: ShardId) -> u64 {
     xxh3_64_with_seed(name.as_bytes(), u64::from(shard))
 }
+
+/// Returns how many of the peers come before an entry in an agent's order of entries.
+pub fn rank_for<'a, P>(me: &str, peers: P, agent: Incarnation) -> usize
+where
+    P: Iterator<Item = &'a str>,
+{
+    let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), agent);
+    let mine = weight(me);
+    peers.filter(|peer| weight(peer) > mine).count()
+}
--- a/hemlockhook-entry/tests/support/mod.rs
+++ b/hemlockhook-entry/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! An engine with fake agents, entries and log around it.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
