Ask the owner which agents are unaccounted for before shards move

Cause: the entry kept a time of its own for lost agents, a window long, while the owner knows each agent's lease and custodian. Change: shards move between living entries only when the owner counts no unaccounted agent. A scheduled job without a submission is a broken invariant and stops the process, where it left a start without a task before.

--- a/hemlockhook-entry/src/engine/agents.rs
+++ b/hemlockhook-entry/src/engine/agents.rs
@@ -67,7 +67,7 @@
         if hello.incarnation != agent {
             // The address belongs to a later incarnation, so the dialled one is gone.
             self.actions.push(Action::HangUp { agent });
-            self.lose_agent(now, agent);
+            self.give_up_agent(now, agent);
             return;
         }
         let link = self.links.entry(agent).or_default();
@@ -115,7 +115,7 @@
             self.note(EventKind::AgentDown, &name, "the link to its agent is lost");
         }
         match end {
-            LinkEnd::Refused => self.lose_agent(now, agent),
+            LinkEnd::Refused => self.give_up_agent(now, agent),
             LinkEnd::Broken => self.dial(now, agent),
         }
     }
@@ -132,12 +132,6 @@
         self.note(EventKind::AgentGone, &link.name, "its agent is gone");
     }
 
-    /// Counts an agent as gone whose records nobody else has.
-    fn lose_agent(&mut self, now: Instant, agent: Incarnation) {
-        self.unaccounted_until = Some(now + self.window + self.window / 4);
-        self.give_up_agent(now, agent);
-    }
-
     /// Pings silent agents, gives those that stay silent no new work, and gives up the lost ones.
     pub(super) fn watch_links(&mut self, now: Instant) {
         let silence = self.timing.agent_silence();
@@ -168,7 +162,7 @@
         }
         for agent in gone {
             self.actions.push(Action::HangUp { agent });
-            self.lose_agent(now, agent);
+            self.give_up_agent(now, agent);
         }
     }
 
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -58,7 +58,6 @@
 pub struct Engine {
     me: Identity,
     timing: Timing,
-    window: Duration,
     started: Instant,
     owner: Owner,
     dispatcher: Dispatcher,
@@ -96,8 +95,6 @@
     alive: Vec<(Incarnation, String)>,
     /// Since when the preferred owners have been the same, and which shards are preferred here.
     preference: (Instant, Vec<ShardId>),
-    /// Until when an agent that was lost may have started tasks that no other process knows of.
-    unaccounted_until: Option<Instant>,
     /// Shards lost to other entries since the last event about it.
     lost_shards: Vec<ShardId>,
     draining: bool,
@@ -143,7 +140,6 @@
             behind: None,
             alive: Vec::new(),
             preference: (now, Vec::new()),
-            unaccounted_until: None,
             lost_shards: Vec::new(),
             draining: false,
             stamps: Arc::default(),
@@ -154,7 +150,6 @@
             started: now,
             me,
             timing,
-            window: Duration::from_secs(memory.window_s),
         }
     }
 
--- a/hemlockhook-entry/src/engine/takeover.rs
+++ b/hemlockhook-entry/src/engine/takeover.rs
@@ -67,7 +67,7 @@
             return;
         }
         let settled = now - self.preference.0;
-        let may_move = settled >= MOVE_SETTLE && self.log_up && self.is_accounted(now);
+        let may_move = settled >= MOVE_SETTLE && self.log_up && self.owner.unaccounted(now) == 0;
         let wanted: Vec<_> = self
             .preference
             .1
@@ -85,12 +85,6 @@
         }
     }
 
-    /// Returns whether a takeover now would learn of every start inside the window.
-    fn is_accounted(&self, now: Instant) -> bool {
-        let all_up = self.links.values().all(|link| link.up);
-        all_up && self.unaccounted_until.is_none_or(|until| now >= until)
-    }
-
     fn preferred_shards(&self, now: Instant) -> Vec<ShardId> {
         let staying = !self.draining;
         (0..SHARD_COUNT)
--- a/hemlockhook-entry/src/engine/tasks.rs
+++ b/hemlockhook-entry/src/engine/tasks.rs
@@ -41,9 +41,8 @@
             return;
         };
 
-        let Some(submitted) = self.submissions.get(&key) else {
-            return;
-        };
+        let submitted = self.submissions.get(&key);
+        let submitted = submitted.expect("a scheduled job has a submission");
         let task = &submitted.job().tasks[index as usize];
         let start = v1::Start {
             payload: task.payload.to_vec(),
