Let a job wait two seconds for an upstream of its service to come up

Cause: followed as a new user would, the README's first submission, right after the publish, was answered as unknown: no agent had joined, the job was refused at once, and no agent could keep the mark of a refusal. Change: a job that only lacks an upstream is tried again for two seconds before it is refused. The new test fails before and passes after; the second test shows that it is answered when no upstream comes.

--- a/hemlockhook-entry/src/engine/held.rs
+++ b/hemlockhook-entry/src/engine/held.rs
@@ -1,4 +1,4 @@
-//! Submissions that wait for an owner of their shard.
+//! Submissions that wait: for an owner of their shard, or for an upstream.
 
 use std::collections::{HashSet, VecDeque};
 
--- a/hemlockhook-entry/src/engine/jobs.rs
+++ b/hemlockhook-entry/src/engine/jobs.rs
@@ -16,6 +16,12 @@
 /// Time past the deadline in which a forwarded job's answer may still arrive.
 const RELAY_GRACE: Duration = Duration::from_secs(1);
 
+/// Time for which a job waits for an upstream of its service to come up.
+const UPSTREAM_WAIT: Duration = Duration::from_secs(2);
+
+/// Jobs that wait for an upstream and are tried again at a time.
+const MAX_WAITING_RETRIES: usize = 2_000;
+
 /// A submission without an answer.
 #[derive(Debug)]
 pub struct Submitted {
@@ -147,10 +153,33 @@
                 self.scheduled.insert(id, job.key.clone());
                 self.set_place(&job.key, Place::Local(Some(id)));
             }
+            Err(rejection) if self.may_wait(now, job, &rejection) => self.waiting.insert(&job.key),
             Err(rejection) => self.reject(now, job, indexes.len(), rejection),
         }
     }
 
+    /// Returns whether a job may wait for an upstream to come up, rather than be refused at once: an
+    /// agent that was replaced joins within moments.
+    fn may_wait(&self, now: Instant, job: &Job, rejection: &Rejection) -> bool {
+        let age = self
+            .submissions
+            .get(&job.key)
+            .map(|submitted| submitted.age(now));
+        rejection.reason == Reason::NoUpstream && age.is_some_and(|age| age < UPSTREAM_WAIT)
+    }
+
+    /// Tries again to schedule jobs that wait for an upstream, some of them at a time.
+    pub(super) fn retry_waiting(&mut self, now: Instant) {
+        for key in self.waiting.take(MAX_WAITING_RETRIES) {
+            let submitted = self.submissions.get(&key);
+            let local = submitted.filter(|submitted| submitted.place == Place::Local(None));
+            if let Some(job) = local.map(|submitted| submitted.job().clone()) {
+                let indexes = self.owner.not_started(&key);
+                self.run(now, &job, &indexes);
+            }
+        }
+    }
+
     fn schedule(
         &mut self,
         now: Instant,
--- a/hemlockhook-entry/src/engine/mod.rs
+++ b/hemlockhook-entry/src/engine/mod.rs
@@ -77,6 +77,8 @@
     watchers: HashMap<JobKey, Vec<Waiter>>,
     /// Keys that wait for an owner, for a retry on the next tick.
     held: Held,
+    /// Keys of jobs that wait for an upstream to come up.
+    waiting: Held,
     next_call: u64,
     /// Whether the log has been read to its end once.
     members_read: bool,
@@ -129,6 +131,7 @@
             deadlines: BinaryHeap::new(),
             watchers: HashMap::new(),
             held: Held::default(),
+            waiting: Held::default(),
             next_call: 0,
             members_read: false,
             log_up: false,
@@ -255,6 +258,7 @@
         self.ask_config(now);
         self.balance_shards(now);
         self.retry_held(now);
+        self.retry_waiting(now);
         self.refresh_stamps(now);
         self.intervene(now);
     }
--- a/hemlockhook-entry/tests/control.rs
+++ b/hemlockhook-entry/tests/control.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use hemlockhook_entry::event::{Action, Event, Response};
+use hemlockhook_entry::event::{Action, Event, LinkEnd, Response};
 use hemlockhook_entry::members::rank_for;
 use hemlockhook_inventory::ConfigRecord;
 use hemlockhook_proto::v1;
 use hemlockhook_proto::v1::{AgentFrame, PeerStatus};
 use hemlockhook_types::FIRST_OFFSET;
-use support::{Bench, ME};
+use support::{AGENT, Bench, ME, hello, reply};
 
 /// Returns the state that the engine answers a peer's heartbeat with.
 fn answer(bench: &mut Bench, status: PeerStatus) -> PeerStatus {
@@ -128,7 +128,7 @@
 #[gtest]
 fn one_entry_sends_an_agent_a_configuration_and_the_others_only_if_it_does_not() {
     let name = |number: u64| format!("entry-{number}");
-    let rank = |number| rank_for("entry", [name(number).as_str()].into_iter(), support::AGENT);
+    let rank = |number| rank_for("entry", [name(number).as_str()].into_iter(), AGENT);
     let before = (10..)
         .find(|number| rank(*number) == 1)
         .expect("one comes before");
@@ -154,7 +154,7 @@
 #[gtest]
 fn an_agent_that_got_a_configuration_from_another_entry_is_not_sent_it_again() {
     let name = |number: u64| format!("entry-{number}");
-    let rank = |number| rank_for("entry", [name(number).as_str()].into_iter(), support::AGENT);
+    let rank = |number| rank_for("entry", [name(number).as_str()].into_iter(), AGENT);
     let before = (10..)
         .find(|number| rank(*number) == 1)
         .expect("one comes before");
@@ -199,3 +199,40 @@
     bench.run_for(Duration::from_secs(1));
     expect_that!(asks(&mut bench), eq(0));
 }
+
+#[gtest]
+fn a_job_waits_a_moment_for_an_upstream_to_come_up() {
+    let mut bench = Bench::serving();
+    bench.event(Event::LinkDown {
+        agent: AGENT,
+        end: LinkEnd::Broken,
+    });
+    let caller = bench.submit("one", "quote", &["1"]);
+    bench.run_for(Duration::from_secs(1));
+    expect_that!(reply(&caller), none());
+
+    bench.event(Event::LinkUp {
+        agent: AGENT,
+        hello: hello(),
+    });
+    bench.frame(AgentFrame {
+        grants: 1,
+        ..AgentFrame::default()
+    });
+    bench.run_for(Duration::from_millis(100));
+    expect_that!(bench.starts().len(), eq(1));
+    bench.done("sales-desk/one", 0, "1");
+    expect_that!(reply(&caller), some(anything()));
+}
+
+#[gtest]
+fn a_job_whose_upstreams_stay_away_is_answered_before_its_deadline() {
+    let mut bench = Bench::serving();
+    bench.event(Event::LinkDown {
+        agent: AGENT,
+        end: LinkEnd::Broken,
+    });
+    let caller = bench.submit("one", "quote", &["1"]);
+    bench.run_for(Duration::from_secs(3));
+    expect_that!(reply(&caller), some(anything()));
+}
