--- a/hemlockhook-entry/src/process.rs
+++ b/hemlockhook-entry/src/process.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use async_io::Timer;
 use async_net::TcpListener;
@@ -134,31 +134,12 @@
 
         let (stop, stopped) = async_channel::bounded(1);
         let (stop_callers, callers_stopped) = async_channel::bounded(1);
-        let api = Api::new(control.clone(), settings.limits.clone());
-        let callers_server = traffic.spawn(http::serve(
-            traffic.clone(),
-            callers_listener,
-            server_limits(settings),
-            callers_stopped,
-            move |req| api.clone().answer(req),
-        ));
-        let service = EntryServer::new(EntryService::new(control.clone()))
-            .max_decoding_message_size(MAX_MESSAGE_BYTES);
-        let operators = Admin::new(control.clone(), EntryMetrics::new());
+        let ex = &traffic;
+        let callers_server =
+            serve_callers(ex, callers_listener, callers_stopped, settings, &control);
         let servers = vec![
-            traffic.spawn(grpc::serve(
-                traffic.clone(),
-                peers_listener,
-                stopped.clone(),
-                service,
-            )),
-            traffic.spawn(http::serve(
-                traffic.clone(),
-                admin_listener,
-                ServerLimits::default(),
-                stopped,
-                move |req| operators.clone().answer(req),
-            )),
+            serve_peers(ex, peers_listener, stopped.clone(), &control),
+            serve_operators(ex, admin_listener, stopped, &control),
         ];
         Ok(Self {
             callers,
@@ -246,13 +227,49 @@
     Ok((listener, addr))
 }
 
+fn serve_callers(
+    ex: &Arc<Executor>,
+    listener: TcpListener,
+    stop: Receiver<()>,
+    settings: &Settings,
+    control: &Control,
+) -> Task<()> {
+    let api = Api::new(control.clone(), settings.limits.clone());
+    let handler = move |req| api.clone().answer(req);
+    let limits = server_limits(settings);
+    ex.spawn(http::serve(ex.clone(), listener, limits, stop, handler))
+}
+
+fn serve_peers(
+    ex: &Arc<Executor>,
+    listener: TcpListener,
+    stop: Receiver<()>,
+    control: &Control,
+) -> Task<()> {
+    let service = EntryServer::new(EntryService::new(control.clone()))
+        .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    ex.spawn(grpc::serve(ex.clone(), listener, stop, service))
+}
+
+fn serve_operators(
+    ex: &Arc<Executor>,
+    listener: TcpListener,
+    stop: Receiver<()>,
+    control: &Control,
+) -> Task<()> {
+    let admin = Admin::new(control.clone(), EntryMetrics::new());
+    let handler = move |req| admin.clone().answer(req);
+    let limits = ServerLimits::default();
+    ex.spawn(http::serve(ex.clone(), listener, limits, stop, handler))
+}
+
 fn identity(settings: &Settings, peers: SocketAddr, clock: &dyn Clock) -> Identity {
     let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
     Identity {
         incarnation: new_incarnation(),
         name: settings.name.clone(),
         data_center: settings.data_center.clone(),
-        address: peers,
+        address: settings.announced_address.unwrap_or(peers),
         known_peers: settings.known_peers.clone(),
         started_ms: started.as_millis() as u64,
     }
--- a/hemlockhook-entry/src/settings.rs
+++ b/hemlockhook-entry/src/settings.rs
@@ -27,6 +27,11 @@
     #[garde(skip)]
     pub peers_address: SocketAddr,
 
+    /// Address that is announced to other entries, where it differs from `peers_address`.
+    #[garde(skip)]
+    #[serde(default)]
+    pub announced_address: Option<SocketAddr>,
+
     /// Where operators connect, HTTP.
     #[garde(skip)]
     pub admin_address: SocketAddr,
--- a/hemlockhook/src/fleet.rs
+++ b/hemlockhook/src/fleet.rs
@@ -351,6 +351,7 @@
                 .to_string(),
             callers_address: loopback(),
             peers_address: loopback(),
+            announced_address: None,
             admin_address: loopback(),
             log_address: self.log_address,
             workers_address: None,
