Bound a request's head by settings, and try bad requests on a real entry

Cause: the largest head and number of headers were fixed, where every limit is to be a documented setting; duplicated and invalid headers had no test. Change: two settings; a test sends 24 malformed, oversized and misplaced requests on raw sockets and a good one after them.

--- a/hemlockhook-entry/src/process.rs
+++ b/hemlockhook-entry/src/process.rs
@@ -291,6 +291,8 @@
         header_timeout: Duration::from_millis(limits.header_ms),
         body_timeout: Duration::from_millis(limits.body_ms),
         max_connections: limits.connections,
+        max_head: limits.head_bytes,
+        max_headers: limits.headers,
         ..ServerLimits::default()
     }
 }
--- a/hemlockhook-entry/src/settings.rs
+++ b/hemlockhook-entry/src/settings.rs
@@ -103,6 +103,14 @@
     #[garde(range(min = 1024, max = 67_108_864))]
     pub body_bytes: usize,
 
+    /// Largest head of a request, in bytes.
+    #[garde(range(min = 1024, max = 1_048_576))]
+    pub head_bytes: usize,
+
+    /// Largest number of headers of a request.
+    #[garde(range(min = 8, max = 1_000))]
+    pub headers: usize,
+
     /// Largest number of tasks in a job.
     #[garde(range(min = 1, max = 10_000))]
     pub tasks: usize,
@@ -170,6 +178,8 @@
     fn default() -> Self {
         Self {
             body_bytes: 4 << 20,
+            head_bytes: 16 << 10,
+            headers: 64,
             tasks: 1_000,
             deadline_ms: 600_000,
             header_ms: 5_000,
--- /dev/null
+++ b/hemlockhook/tests/bad_input.rs
@@ -0,0 +1,177 @@
+//! Malformed, oversized and slow requests to a real entry, on raw sockets.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hemlockhook::fleet::{Fleet, FleetConfig, FleetThreads};
+use hemlockhook_runtime::executor::Threads;
+
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+
+const READ_TIMEOUT: Duration = Duration::from_secs(60);
+
+const JOB: &str = r#"{"team":"sales-desk","service":"quote","deadline_ms":5000,"tasks":[{"payload":{"run_ms":1,"echo":"done"}}]}"#;
+
+/// Sends bytes as they are and returns the status line and the body of the answer.
+fn exchange(entry: SocketAddr, request: &[u8]) -> String {
+    let mut stream = TcpStream::connect(entry).expect("the entry listens");
+    stream
+        .set_read_timeout(Some(READ_TIMEOUT))
+        .expect("a timeout is allowed");
+    // The entry may answer and close before it has read everything.
+    let _ = stream.write_all(request);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let text = String::from_utf8_lossy(&answer);
+    let status = text.lines().next().unwrap_or_default().to_owned();
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    let kind = body
+        .split_once("problem:")
+        .and_then(|(_, rest)| rest.split('"').next());
+    format!("{status} {}", kind.unwrap_or_default())
+}
+
+fn post(headers: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "POST /v1/jobs HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}content-length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// Returns the head of a request for a body that does not follow.
+fn announced(headers: &str, body_bytes: usize) -> Vec<u8> {
+    let head = format!(
+        "POST /v1/jobs HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}content-length: {body_bytes}\r\n\r\n"
+    );
+    head.into_bytes()
+}
+
+fn get(path: &str) -> Vec<u8> {
+    format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").into_bytes()
+}
+
+/// Requests that are no job, with what they are.
+fn cases() -> Vec<(&'static str, Vec<u8>)> {
+    let key = "idempotency-key: k\r\n";
+    let many: String = (0..100).map(|n| format!("x-{n}: 1\r\n")).collect();
+    let long = format!("x-long: {}\r\n", "a".repeat(40_000));
+    let tasks = r#"{"payload":1},"#.repeat(1_001);
+    let too_many = JOB.replace(
+        r#"{"payload":{"run_ms":1,"echo":"done"}}"#,
+        tasks.trim_end_matches(','),
+    );
+    vec![
+        ("no HTTP", b"\x16\x03\x01 nonsense\r\n\r\n".to_vec()),
+        ("no key", post("", JOB.as_bytes())),
+        (
+            "an empty key",
+            post("idempotency-key: \r\n", JOB.as_bytes()),
+        ),
+        (
+            "a key with a slash",
+            post("idempotency-key: a/b\r\n", JOB.as_bytes()),
+        ),
+        ("the key twice", post(&key.repeat(2), JOB.as_bytes())),
+        ("a key that is not UTF-8", {
+            let mut request = post("idempotency-key: k@\r\n", JOB.as_bytes());
+            let at = request
+                .iter()
+                .position(|byte| *byte == b'@')
+                .expect("it is there");
+            request[at] = 0xff;
+            request
+        }),
+        (
+            "a stamp that was never given out",
+            post(&format!("{key}hemlockhook-stamp: x\r\n"), b"{}"),
+        ),
+        (
+            "a wait that is no number",
+            post(&format!("{key}prefer: wait=soon\r\n"), b"{}"),
+        ),
+        (
+            "too many headers",
+            post(&format!("{key}{many}"), JOB.as_bytes()),
+        ),
+        (
+            "too long a head",
+            post(&format!("{key}{long}"), JOB.as_bytes()),
+        ),
+        ("too long a body", announced(key, 5 << 20)),
+        ("an empty body", post(key, b"")),
+        ("JSON that breaks off", post(key, &JOB.as_bytes()[..40])),
+        (
+            "a body that is not UTF-8",
+            post(key, b"{\"team\":\"\xff\"}"),
+        ),
+        (
+            "a wrong type",
+            post(key, JOB.replace("5000", "\"soon\"").as_bytes()),
+        ),
+        ("a zero", post(key, JOB.replace("5000", "0").as_bytes())),
+        (
+            "too large a value",
+            post(key, JOB.replace("5000", "99999999999").as_bytes()),
+        ),
+        (
+            "an unknown field",
+            post(key, JOB.replace("team", "tema").as_bytes()),
+        ),
+        (
+            "no task",
+            post(
+                key,
+                br#"{"team":"t","service":"s","deadline_ms":1,"tasks":[]}"#,
+            ),
+        ),
+        ("too many tasks", post(key, too_many.as_bytes())),
+        ("a method that is not taken", get("/v1/jobs")),
+        ("a path that is not there", get("/v2/jobs")),
+        ("a key that is not known", get("/v1/jobs/sales-desk/none")),
+        ("a key that is none", get("/v1/jobs/sales-desk/a%2Fb")),
+    ]
+}
+
+#[gtest]
+fn bad_requests_get_a_clear_answer_and_disturb_nobody() {
+    let threads = Threads::start("bad-input", 2);
+    let cfg = FleetConfig {
+        inventory: include_str!("../../inventories/tunelpokrov.yaml").to_owned(),
+        speeds: vec![1.0],
+        entries: 1,
+        count_starts: true,
+    };
+    async_io::block_on(async {
+        let all = FleetThreads {
+            entries: &threads,
+            agents: &threads,
+            standins: &threads,
+        };
+        let fleet = Fleet::start(cfg, all).await.expect("the deployment starts");
+        fleet.publish().await.expect("the log takes the inventory");
+        fleet
+            .ready(READY_TIMEOUT)
+            .await
+            .expect("the deployment is ready");
+        let entry = fleet.callers()[0];
+
+        // A caller that sends half a request and waits disturbs nobody.
+        let mut slow = TcpStream::connect(entry).expect("the entry listens");
+        slow.write_all(b"POST /v1/jobs HTTP/1.1\r\nhost: x\r\n")
+            .expect("it reads");
+        let shown: Vec<_> = cases()
+            .into_iter()
+            .map(|(what, request)| format!("{what}: {}", exchange(entry, &request)))
+            .collect();
+        insta::assert_snapshot!(shown.join("\n"));
+
+        let good = exchange(entry, &post("idempotency-key: good\r\n", JOB.as_bytes()));
+        expect_that!(good, starts_with("HTTP/1.1 200"));
+        expect_that!(fleet.starts().len(), eq(1));
+        drop(slow);
+        fleet.stop().await;
+    });
+}
