--- a/hemlockhook/src/demo/summary.rs
+++ b/hemlockhook/src/demo/summary.rs
@@ -30,7 +30,7 @@
     response_ratio_p50: f64,
     response_ratio_p99: f64,
     messages_per_task: f64,
-    /// Milliseconds until a change of configuration was in force at every entry.
+    /// Milliseconds until a change of configuration was in force at every entry and agent.
     config_in_force_ms: u64,
     /// Starts at a leaving upstream after its limit.
     starts_after_leaving: u64,
--- a/hemlockhook/src/fleet.rs
+++ b/hemlockhook/src/fleet.rs
@@ -157,7 +157,7 @@
         self.append_config(0, self.cfg.inventory.clone()).await
     }
 
-    /// Publishes a change and returns the time until every entry had it in force.
+    /// Publishes a change and returns the time until every entry and every agent had it in force.
     pub async fn publish_change(&self) -> eyre::Result<Duration> {
         let base = self
             .config_versions()
@@ -296,14 +296,15 @@
         Ok(())
     }
 
+    /// Returns the versions in force at the entries, and at the agents as the entries know them.
     async fn config_versions(&self) -> Vec<u64> {
         let mut versions = Vec::new();
         for entry in self.entries.iter().flatten() {
-            let status = entry
-                .control()
-                .inspect(|engine, now| engine.status(now))
-                .await;
-            versions.extend(status.map(|status| status.config_version));
+            let look = entry.control().inspect(|engine, now| engine.status(now));
+            if let Some(status) = look.await {
+                versions.push(status.config_version);
+                versions.extend(status.agents.iter().map(|agent| agent.config_version));
+            }
         }
         versions
     }
