Bound the rate of state reports, and what a round of placements costs

Each task changes its agent's state a few times, each change was told to all nine entries at up to 100 a second, and each report began a round that weighed 24 jobs against 58 agents.

Change: state reports share one rate over all entries (300 a second an agent; 10 ms at three entries as before). A round computes each agent's room once and does not ask again for a need that found none. Frames are looked for at the reporting link only; the tick goes over all.

--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -68,6 +68,8 @@
     /// Number of the last attempt at any task: an end that is told late is never taken for that of
     /// a later job of the same name.
     attempts: u32,
+    /// Agents that were weighed for a task.
+    weighed: u64,
     actions: Vec<Action>,
 }
 
@@ -84,6 +86,7 @@
             is_leaving: false,
             started: None,
             attempts: 0,
+            weighed: 0,
             actions: Vec::new(),
         }
     }
@@ -104,6 +107,11 @@
         self.jobs.values().filter(is_waiting).count()
     }
 
+    /// Returns how often an agent was weighed for a task, since the start.
+    pub fn weighed(&self) -> u64 {
+        self.weighed
+    }
+
     /// Returns the number of agents that work can be sent to.
     pub fn usable_agents(&self, now: Instant) -> usize {
         let silence = self.policy.agent_silence;
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -5,6 +5,7 @@
 
 use super::{Action, Dispatcher, OVERHEAD, Order};
 use crate::entry::job::{Job, Rank, Task};
+use crate::entry::offers::{Offer, Offers};
 use crate::entry::placement::{Candidate, choose};
 use crate::entry::{AgentKey, Answer, JobKey, Refusal};
 use crate::guard::RunOrder;
@@ -48,6 +49,10 @@
 
     /// Places what can be placed, the first in the queue first.
     pub(super) fn pump(&mut self, now: Instant) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut offers = Offers::new(&self.agents, now, self.policy.agent_silence);
         let mut blocked = 0;
         let mut after: Option<Rank> = None;
         while blocked < self.policy.look_ahead {
@@ -66,12 +71,13 @@
                 continue;
             }
             while let Some(&place) = self.jobs[key].queued.last() {
-                let Some(agent) = self.find_agent(now, key, place) else {
+                let Some(agent) = self.find_agent(now, &mut offers, key, place) else {
                     blocked += 1;
                     break;
                 };
                 self.jobs[key].queued.pop();
                 self.place(now, key, place, agent);
+                offers.ordered(agent, &self.agents[agent]);
             }
             if self.jobs[key].queued.is_empty() {
                 self.jobs[key].rank = None;
@@ -80,9 +86,10 @@
         }
     }
 
-    pub(super) fn find_agent(
-        &self,
+    fn find_agent(
+        &mut self,
         now: Instant,
+        offers: &mut Offers,
         key: JobKey,
         (step, index): (u32, u32),
     ) -> Option<AgentKey> {
@@ -90,10 +97,15 @@
         let spec = &job.spec.steps[step as usize];
         let state = &job.steps[step as usize];
         let task = &state.tasks[index as usize];
-        let silence = self.policy.agent_silence;
-        let mut candidates = Vec::with_capacity(self.agents.len());
-        for (agent_key, agent) in &self.agents {
-            let Some(upstream) = agent.usable(now, silence) else {
+        if offers.is_full(&job.rule.service, &spec.need) {
+            return None;
+        }
+        let mut candidates = Vec::new();
+        for offer in offers.iter() {
+            self.weighed += 1;
+            let agent_key = offer.key;
+            let agent = &self.agents[agent_key];
+            let Some(upstream) = &agent.state else {
                 continue;
             };
             let has = |label: &Arc<str>| upstream.labels.contains(label);
@@ -116,8 +128,7 @@
             };
             let run_time = state.expected.mul_f64(upstream.pace * distance);
             let slots = (upstream.capacity.cpu / spec.need.cpu.max(1)).max(1) as usize;
-            let free = agent.free();
-            let waiting = agent.waiting();
+            let Offer { free, waiting, .. } = *offer;
             let wait = match spec.need.fits(&free) && waiting == 0 {
                 true => Duration::ZERO,
                 false if waiting >= (slots * self.policy.waiting_percent / 100).max(1) => continue,
@@ -131,6 +142,10 @@
                 free_part: free.cpu as f64 / upstream.capacity.cpu.max(1) as f64,
             });
         }
+        let is_bound = spec.required_label.is_some() || spec.max_per_upstream.is_some();
+        if candidates.is_empty() && !is_bound {
+            offers.set_full(&job.rule.service, spec.need);
+        }
         // Where it failed before it goes only if there is nowhere else.
         if candidates
             .iter()
@@ -142,13 +157,7 @@
         choose(&candidates, slack)
     }
 
-    pub(super) fn place(
-        &mut self,
-        now: Instant,
-        key: JobKey,
-        place: (u32, u32),
-        agent_key: AgentKey,
-    ) {
+    fn place(&mut self, now: Instant, key: JobKey, place: (u32, u32), agent_key: AgentKey) {
         let rank = self.rank(now, &self.jobs[key], key);
         let job = &mut self.jobs[key];
         let task = job.task(place).expect("a queued task exists");
--- a/hemlockhook-dispatch/src/entry/mod.rs
+++ b/hemlockhook-dispatch/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod dispatcher;
 mod estimate;
 mod job;
+mod offers;
 mod placement;
 mod policy;
 
--- a/hemlockhook-dispatch/src/guard/links.rs
+++ b/hemlockhook-dispatch/src/guard/links.rs
@@ -171,6 +171,7 @@
     pub fn take_reports(&mut self, now: Instant) -> Vec<Report> {
         let state = self.state(now);
         let version = self.links.state_version;
+        let state_pause = self.state_pause();
         let mut reports = Vec::new();
         for (&id, owner) in &mut self.links.owners {
             let Some(link) = owner.link else {
@@ -193,7 +194,7 @@
             let is_due = match silence {
                 None => true,
                 Some(_) if !owner.outbox.is_empty() => true,
-                Some(silence) if has_news => silence >= self.policy.state_pause,
+                Some(silence) if has_news => silence >= state_pause,
                 Some(silence) => silence >= ping,
             };
             if !is_due {
@@ -218,6 +219,15 @@
         reports
     }
 
+    /// Returns the shortest time between reports of nothing but a changed state to one entry.
+    ///
+    /// The load that this is for: each task changes the state a few times, and each change would be
+    /// told to every entry, so that what an entry reads would grow with the tasks of all others.
+    fn state_pause(&self) -> Duration {
+        let entries = self.links.by_link.len() as u32;
+        Duration::from_secs(1) * entries / self.policy.state_reports_per_s
+    }
+
     /// Returns what entries are told of the upstream; `None` if there is none.
     pub fn state(&self, now: Instant) -> Option<UpstreamState> {
         let upstream = self.upstream.as_ref()?;
--- a/hemlockhook-dispatch/src/guard/policy.rs
+++ b/hemlockhook-dispatch/src/guard/policy.rs
@@ -45,8 +45,8 @@
     pub busy_ping: Duration,
     /// Time between signs of life to the other entries.
     pub idle_ping: Duration,
-    /// Shortest time between reports of nothing but a changed state.
-    pub state_pause: Duration,
+    /// Most reports of nothing but a changed state in a second, to all entries together.
+    pub state_reports_per_s: u32,
     /// Time between attempts to stop a run.
     pub stop_retry: Duration,
     /// Time for which ends and run numbers are kept.
@@ -68,7 +68,7 @@
             look_wait: Duration::from_millis(120),
             busy_ping: Duration::from_millis(100),
             idle_ping: Duration::from_millis(500),
-            state_pause: Duration::from_millis(10),
+            state_reports_per_s: 300,
             stop_retry: Duration::from_millis(40),
             memory: Duration::from_secs(15),
             announcement_silence: Duration::from_secs(6),
--- a/hemlockhook-dispatch/tests/dispatcher.rs
+++ b/hemlockhook-dispatch/tests/dispatcher.rs
@@ -346,3 +346,32 @@
         some(eq(Unsupported::Recommendation))
     );
 }
+
+/// The load: a crest at which jobs wait at an entry of sixty agents without room, each of which reports
+/// many times a second.
+#[gtest]
+fn a_report_at_a_crest_does_not_weigh_each_agent_for_each_job() {
+    let mut desk = Desk::new(&[1.0; 60], 4);
+    for index in 0..1000 {
+        if desk
+            .submit(job(&format!("job-{index}"), 4, 2), &rule(0))
+            .is_err()
+        {
+            break;
+        }
+    }
+    desk.orders();
+    expect_that!(desk.dispatcher.jobs(), ge(90));
+
+    let before = desk.dispatcher.weighed();
+    let report = AgentReport {
+        orders_seen: 0,
+        state: Some(state(1.0, 4, 0)),
+        ends: Vec::new(),
+        held: None,
+    };
+    let agent = desk.agents[0];
+    desk.dispatcher.reported(desk.now, agent, report);
+    let weighed = desk.dispatcher.weighed() - before;
+    expect_that!(weighed, le(60));
+}
--- a/hemlockhook-dispatch/tests/guard.rs
+++ b/hemlockhook-dispatch/tests/guard.rs
@@ -19,6 +19,7 @@
     starts: Vec<StartCall>,
     stops: usize,
     ends: Vec<Ended>,
+    reports: usize,
     seen: u64,
     born_ms: u64,
 }
@@ -33,6 +34,7 @@
             starts: Vec::new(),
             stops: 0,
             ends: Vec::new(),
+            reports: 0,
             seen: 0,
             born_ms: 1,
         };
@@ -138,9 +140,10 @@
                 Action::Hold(_) => {}
             }
         }
-        let reports = self.guard.take_reports(self.now).into_iter();
+        let reports = self.guard.take_reports(self.now);
+        self.reports += reports.len();
         self.ends
-            .extend(reports.flat_map(|report: Report| report.ends));
+            .extend(reports.into_iter().flat_map(|report: Report| report.ends));
     }
 
     fn outcomes(&self) -> Vec<(&str, Outcome)> {
@@ -334,3 +337,29 @@
     agent.order("b", 1);
     expect_that!(agent.starts.len(), eq(5));
 }
+
+/// The load: nine entries share an agent whose state changes with each task of any of them.
+#[gtest]
+fn changes_of_state_are_told_to_all_entries_within_a_bounded_rate() {
+    let mut agent = Agent::new();
+    for other in 1..9 {
+        let (link, entry) = (LINK + other, ENTRY + other);
+        agent.guard.linked(agent.now, link, entry, None, agent.now);
+    }
+    agent.collect();
+
+    agent.reports = 0;
+    for step in 0..1000_u64 {
+        agent.now += Duration::from_millis(1);
+        for other in 0..9 {
+            let (seq, now) = (step + 1, agent.now);
+            agent.guard.heard(now, LINK + other, seq, now);
+        }
+        // An announcement counts as a change, as a task's start and end do.
+        agent.announce("up-1", 1, false);
+    }
+
+    let most = GuardPolicy::default().state_reports_per_s as usize;
+    expect_that!(agent.reports, le(most + 9));
+    expect_that!(agent.reports, ge(most / 2));
+}
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -181,7 +181,7 @@
                 log_refusal(&state, now, &queue, &id, refusal);
             }
         }
-        self.flush(now, &mut state);
+        self.flush_to(now, &mut state, &[]);
         taken
     }
 
@@ -205,7 +205,7 @@
             self.metrics.abandoned(queue);
         }
         state.dispatcher.abandon(now, key);
-        self.flush(now, &mut state);
+        self.flush_to(now, &mut state, &[]);
     }
 
     /// Cancels a job by its name. Returns false if it is not known here.
@@ -214,7 +214,7 @@
         let mut state = self.lock();
         let is_known = state.dispatcher.cancel(now, id);
         spdlog::info!("a job is cancelled", kv: { job = id, is_known });
-        self.flush(now, &mut state);
+        self.flush_to(now, &mut state, &[]);
         is_known
     }
 
@@ -228,7 +228,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         self.configure(&mut state, document, source);
-        self.flush(now, &mut state);
+        self.flush_to_all(now, &mut state);
     }
 
     fn configure(&self, state: &mut State, document: Bytes, source: &str) {
@@ -331,7 +331,7 @@
             held,
         };
         state.dispatcher.reported(now, key, report);
-        self.flush(now, &mut state);
+        self.flush_to(now, &mut state, &[key]);
     }
 
     /// Does what has come due. Returns whether it will soon be needed again.
@@ -339,12 +339,18 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.dispatcher.tick(now);
-        self.flush(now, &mut state);
+        self.flush_to_all(now, &mut state);
         state.dispatcher.jobs() > 0
     }
 
-    /// Carries out what was decided: one frame for each agent that something is for.
-    fn flush(&self, now: Instant, state: &mut State) {
+    fn flush_to_all(&self, now: Instant, state: &mut State) {
+        let keys: Vec<_> = state.links.keys().copied().collect();
+        self.flush_to(now, state, &keys);
+    }
+
+    /// Carries out what was decided: one frame for each agent that something is for, and for those
+    /// of `others` that are due one.
+    fn flush_to(&self, now: Instant, state: &mut State, others: &[AgentKey]) {
         let mut frames: HashMap<AgentKey, v1::EntryOrders> = HashMap::new();
         for action in state.dispatcher.take_actions() {
             match action {
@@ -362,9 +368,13 @@
         let version = state.configuration.version;
         let has_version = |link: &&Link| link.config_version >= version;
         let mut keepers = state.links.values().filter(has_version).count();
-        let keys: Vec<_> = state.links.keys().copied().collect();
+        let mut keys: Vec<_> = frames.keys().chain(others).copied().collect();
+        keys.sort_unstable();
+        keys.dedup();
         for key in keys {
-            let link = state.links.get_mut(&key).expect("a key of this map");
+            let Some(link) = state.links.get_mut(&key) else {
+                continue;
+            };
             let frame = frames.remove(&key);
             let is_quiet = link
                 .sent_at
