Count agents without room for a moment as upstreams that do work

Cause: an agent that refuses an order for want of room is sent nothing for 10 ms, and was left out of admission for that time too.

Ruled out: agents that were lost or cut off; the refusals fall together with orders returned unstarted.

Change: a pause holds back orders, not admission.

--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -65,12 +65,16 @@
         }
     }
 
-    /// Returns the upstream's state if work may be sent there.
+    /// Returns the upstream's state if it takes work, be it that it has no room at the moment.
     pub(super) fn usable(&self, now: Instant, silence: Duration) -> Option<&UpstreamState> {
         let is_fresh = now.saturating_duration_since(self.heard) < silence;
-        let is_paused = self.pause_until.is_some_and(|until| until > now);
         let state = self.state.as_ref()?;
-        (self.is_linked && is_fresh && !is_paused && state.is_usable).then_some(state)
+        (self.is_linked && is_fresh && state.is_usable).then_some(state)
+    }
+
+    /// Returns whether no order is sent there for a moment, since one was refused for want of room.
+    pub(super) fn is_paused(&self, now: Instant) -> bool {
+        self.pause_until.is_some_and(|until| until > now)
     }
 
     /// Returns the upstream's room as far as it is known, less the orders under way.
--- a/hemlockhook-dispatch/src/entry/dispatcher/room.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/room.rs
@@ -72,7 +72,7 @@
             }
             let share = f64::from(state.entries.max(1));
             rate += state.capacity.cpu as f64 / 1000.0 / state.pace / share;
-            has_room |= job.spec.steps[0].need.fits(&agent.free());
+            has_room |= !agent.is_paused(now) && job.spec.steps[0].need.fits(&agent.free());
         }
         let rank = self.rank(now, job, JobKey::default());
         let mut ahead = 0.0;
--- a/hemlockhook-dispatch/src/entry/offers.rs
+++ b/hemlockhook-dispatch/src/entry/offers.rs
@@ -35,7 +35,7 @@
     pub(super) fn new(agents: &SlotMap<AgentKey, Agent>, now: Instant, silence: Duration) -> Self {
         let offer = |(key, agent): (AgentKey, &Agent)| {
             agent.usable(now, silence)?;
-            Some(Offer::new(key, agent))
+            (!agent.is_paused(now)).then(|| Offer::new(key, agent))
         };
         Self {
             offers: agents.iter().filter_map(offer).collect(),
--- a/hemlockhook-dispatch/tests/dispatcher.rs
+++ b/hemlockhook-dispatch/tests/dispatcher.rs
@@ -375,3 +375,36 @@
     let weighed = desk.dispatcher.weighed() - before;
     expect_that!(weighed, le(60));
 }
+
+/// The load: a crest at which agents refuse orders for want of room, a few milliseconds each.
+#[gtest]
+fn agents_without_room_for_a_moment_count_as_upstreams_that_do_work() {
+    let mut desk = Desk::new(&[1.0; 4], 4);
+    desk.dispatcher.tick(desk.now);
+    desk.now += Duration::from_secs(3);
+    let agents = desk.agents.clone();
+    for agent in agents {
+        let report = AgentReport {
+            orders_seen: 0,
+            state: None,
+            ends: Vec::new(),
+            held: None,
+        };
+        desk.dispatcher.reported(desk.now, agent, report);
+    }
+    for index in 0..4 {
+        let submitted = desk.submit(job(&format!("first-{index}"), 4, 50), &rule(0));
+        expect_that!(submitted, ok(anything()));
+    }
+    let mut orders = desk.orders();
+    orders.sort_by_key(|order| order.agent);
+    orders.dedup_by_key(|order| order.agent);
+    expect_that!(orders.len(), eq(4));
+    for order in &orders {
+        desk.end(order, Outcome::NotStarted);
+    }
+
+    // A fifth of a second's work is ahead at most: the job can be answered within its objective.
+    let submitted = desk.submit(job("next", 1, 50), &rule(0));
+    expect_that!(submitted, ok(anything()));
+}
