--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -11,8 +11,9 @@
 use crate::guard::RunOrder;
 use crate::{TaskId, TaskRef};
 
-/// Class of jobs that can still be answered in time, and of those that can't.
-const IN_TIME: u32 = 0;
+/// Class of jobs that can still be answered in time or have begun, and of those that are late and
+/// have not.
+const FIRST: u32 = 0;
 const LATE: u32 = 1;
 
 /// Part by which a chain of work may take longer than expected, for the order of jobs: it may be
@@ -21,11 +22,14 @@
 
 impl Dispatcher {
     /// Returns a job's place in the queue.
+    ///
+    /// The load that this is for: crests at which more is due than can be done. What has begun is
+    /// finished, so that the work done for it is not lost, before anything else is begun late.
     pub(super) fn rank(&self, now: Instant, job: &Job, key: JobKey) -> Rank {
         let start_by = job.due.checked_sub(job.chain()).unwrap_or(now);
         let safe_start = job.due.checked_sub(job.chain().mul_f64(CAUTION));
-        let class = match start_by >= now {
-            true => IN_TIME,
+        let class = match start_by >= now || job.has_begun {
+            true => FIRST,
             false => LATE,
         };
         Rank {
--- a/hemlockhook-dispatch/tests/dispatcher.rs
+++ b/hemlockhook-dispatch/tests/dispatcher.rs
@@ -96,6 +96,19 @@
         self.dispatcher.reported(self.now, order.agent, report);
     }
 
+    /// Takes a sign of life of each agent.
+    fn hear(&mut self) {
+        for &agent in &self.agents {
+            let report = AgentReport {
+                orders_seen: 0,
+                state: None,
+                ends: Vec::new(),
+                held: None,
+            };
+            self.dispatcher.reported(self.now, agent, report);
+        }
+    }
+
     fn index(&self, agent: AgentKey) -> usize {
         let is_it = |known: &AgentKey| *known == agent;
         self.agents
@@ -382,16 +395,7 @@
     let mut desk = Desk::new(&[1.0; 4], 4);
     desk.dispatcher.tick(desk.now);
     desk.now += Duration::from_secs(3);
-    let agents = desk.agents.clone();
-    for agent in agents {
-        let report = AgentReport {
-            orders_seen: 0,
-            state: None,
-            ends: Vec::new(),
-            held: None,
-        };
-        desk.dispatcher.reported(desk.now, agent, report);
-    }
+    desk.hear();
     for index in 0..4 {
         let submitted = desk.submit(job(&format!("first-{index}"), 4, 50), &rule(0));
         expect_that!(submitted, ok(anything()));
@@ -408,3 +412,27 @@
     let submitted = desk.submit(job("next", 1, 50), &rule(0));
     expect_that!(submitted, ok(anything()));
 }
+
+/// The load: a crest at which more is due than can be done, and half-done jobs become late.
+#[gtest]
+fn a_late_job_that_has_begun_is_finished_before_another_begins() {
+    let mut desk = Desk::new(&[1.0], 1);
+    let submitted = desk.submit(job("begun", 3, 50), &rule(0));
+    expect_that!(submitted, ok(anything()));
+    let orders = desk.orders();
+    expect_that!(orders.len(), eq(2));
+
+    desk.now += Duration::from_millis(400);
+    desk.hear();
+    let submitted = desk.submit(job("fresh", 1, 50), &rule(0));
+    expect_that!(submitted, ok(anything()));
+    expect_that!(desk.orders().len(), eq(0));
+    desk.end(&orders[0], Outcome::Done);
+
+    let next: Vec<_> = desk.orders().iter().map(job_of).collect();
+    expect_that!(next.first(), some(eq("begun")));
+}
+
+fn job_of(order: &Order) -> String {
+    order.run.task.task.job.to_string()
+}
