Refuse queued jobs once the work ahead shows that they come too late

Ruled out: a tighter bound at admission (the work ahead was short when these came).

Change: each look at the queue adds up the work ahead of each job, by the rate of its service, and refuses what has not begun and will not be answered in use. Retry-After is the wait that it would have had.

--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::room::queued_work;
 use super::{Action, Dispatcher, OVERHEAD, Order};
+use crate::entry::admission::Load;
 use crate::entry::job::{Job, Rank, Task};
 use crate::entry::offers::{Offer, Offers};
 use crate::entry::placement::{Candidate, choose};
@@ -209,17 +211,36 @@
         }));
     }
 
-    /// Refuses jobs of which nothing has begun and that would not be answered while that is of use.
-    /// What has begun is finished as long as its caller waits.
+    /// Refuses jobs of which nothing has begun and that will not be answered while that is of use, by
+    /// the work ahead of them. What has begun is finished as long as its caller waits.
+    ///
+    /// The load that this is for: a burst that outlasts what was expected when the jobs were taken.
+    /// Their callers learn it when it is known, not when the time is over.
     pub(super) fn give_up_queued(&mut self, now: Instant) {
-        let retry_after = self.policy.min_retry_after;
-        let is_hopeless = |key: &JobKey| {
-            let job = &self.jobs[*key];
-            !job.has_begun && now + job.chain() > job.last_use
-        };
-        let queued = self.queue.iter().map(|rank| rank.job);
-        let hopeless: Vec<_> = queued.filter(is_hopeless).collect();
-        for key in hopeless {
+        let mut loads: Vec<(Arc<str>, Load)> = Vec::new();
+        let mut hopeless = Vec::new();
+        for rank in &self.queue {
+            let job = &self.jobs[rank.job];
+            let service = &job.rule.service;
+            let known = loads.iter().position(|(known, _)| known == service);
+            let index = known.unwrap_or_else(|| {
+                loads.push((service.clone(), self.capacity_for(now, job)));
+                loads.len() - 1
+            });
+            let load = &mut loads[index].1;
+            // Without any agent, those to come are waited for.
+            let wait = match load.rate > 0.0 {
+                true => load.wait(),
+                false => Duration::ZERO,
+            };
+            let is_hopeless = !job.has_begun && now + wait + job.chain() > job.last_use;
+            match is_hopeless {
+                true => hopeless.push((rank.job, wait)),
+                false => load.ahead += queued_work(job),
+            }
+        }
+        for (key, wait) in hopeless {
+            let retry_after = self.policy.retry_after(wait);
             self.answer(key, Answer::NotRun(Refusal::Overload { retry_after }));
         }
     }
--- a/hemlockhook-dispatch/src/entry/dispatcher/room.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/room.rs
@@ -46,7 +46,7 @@
         let objective = job.due.saturating_duration_since(now);
         let patience = objective.mul_f64(self.policy.admitted_within);
         if wait.saturating_add(chain).saturating_add(OVERHEAD) > patience {
-            let retry_after = wait.clamp(retry_after, Duration::from_secs(10));
+            let retry_after = self.policy.retry_after(wait);
             return Err(Refusal::Overload { retry_after });
         }
         Ok(())
@@ -60,6 +60,19 @@
 
     /// Returns the work ahead of a job, and how fast it is done.
     pub(super) fn load(&self, now: Instant, job: &Job) -> Load {
+        let rank = self.rank(now, job, JobKey::default());
+        let mut load = self.capacity_for(now, job);
+        for other in self.queue.range(..rank) {
+            let other = &self.jobs[other.job];
+            if other.rule.service == job.rule.service {
+                load.ahead += queued_work(other);
+            }
+        }
+        load
+    }
+
+    /// Returns how fast the work of a job's service is done, with none ahead.
+    pub(super) fn capacity_for(&self, now: Instant, job: &Job) -> Load {
         let silence = self.policy.agent_silence;
         let mut rate = 0.0;
         let mut has_room = false;
@@ -74,16 +87,8 @@
             rate += state.capacity.cpu as f64 / 1000.0 / state.pace / share;
             has_room |= !agent.is_paused(now) && job.spec.steps[0].need.fits(&agent.free());
         }
-        let rank = self.rank(now, job, JobKey::default());
-        let mut ahead = 0.0;
-        for other in self.queue.range(..rank) {
-            let other = &self.jobs[other.job];
-            if other.rule.service == job.rule.service {
-                ahead += queued_work(other);
-            }
-        }
         Load {
-            ahead,
+            ahead: 0.0,
             rate,
             has_room,
         }
@@ -91,7 +96,7 @@
 }
 
 /// Returns the work of a job's queued tasks, in core-seconds on an upstream of pace 1.
-fn queued_work(job: &Job) -> f64 {
+pub(super) fn queued_work(job: &Job) -> f64 {
     let work = |&(step, _): &(u32, u32)| {
         let need = job.spec.steps[step as usize].need;
         need.cpu as f64 / 1000.0 * job.steps[step as usize].expected.as_secs_f64()
--- a/hemlockhook-dispatch/src/entry/policy.rs
+++ b/hemlockhook-dispatch/src/entry/policy.rs
@@ -30,6 +30,15 @@
     pub distance_factor: f64,
     /// What a refused caller waits at least.
     pub min_retry_after: Duration,
+    /// What a refused caller waits at most.
+    pub max_retry_after: Duration,
+}
+
+impl DispatchPolicy {
+    /// Returns when a caller should come back who would wait for `wait` now.
+    pub(super) fn retry_after(&self, wait: Duration) -> Duration {
+        wait.clamp(self.min_retry_after, self.max_retry_after)
+    }
 }
 
 impl Default for DispatchPolicy {
@@ -47,6 +56,7 @@
             look_ahead: 24,
             distance_factor: 1.5,
             min_retry_after: Duration::from_secs(1),
+            max_retry_after: Duration::from_secs(10),
         }
     }
 }
--- a/hemlockhook-dispatch/tests/dispatcher.rs
+++ b/hemlockhook-dispatch/tests/dispatcher.rs
@@ -436,3 +436,29 @@
 fn job_of(order: &Order) -> String {
     order.run.task.task.job.to_string()
 }
+
+/// The load: a burst that was taken when four upstreams worked, of which three are lost.
+#[gtest]
+fn queued_jobs_are_refused_once_the_work_ahead_shows_that_they_come_too_late() {
+    let mut desk = Desk::new(&[1.0; 4], 1);
+    desk.dispatcher.tick(desk.now);
+    desk.now += Duration::from_secs(3);
+    desk.hear();
+    let submit = |index| desk.submit(job(&format!("job-{index}"), 1, 100), &rule(0));
+    let taken = (0..30).map(submit).filter(|taken| taken.is_ok()).count();
+    expect_that!(taken, ge(12));
+    expect_that!(desk.answers(), is_empty());
+
+    for &agent in &desk.agents.clone()[1..] {
+        desk.dispatcher.unlinked(agent);
+    }
+    desk.dispatcher.tick(desk.now);
+
+    let answers = desk.answers();
+    expect_that!(answers, not(is_empty()));
+    for answer in answers {
+        let is_refused = matches!(&answer, Answer::NotRun(Refusal::Overload { retry_after })
+            if *retry_after >= DispatchPolicy::default().min_retry_after);
+        expect_true!(is_refused);
+    }
+}
