Send tasks to the fastest upstreams while those have ample room

A task with time to spare went to the slowest upstream that was in time by its estimate, and one in thirty runs seven times longer than that.

Ruled out: processor time of the entries (0.035 of 0.25 of a core), waiting (half start within 6 ms).

Change: while the fastest upstreams with room have three tenths of it free, tasks go there.

--- a/hemlockhook-dispatch/src/entry/placement.rs
+++ b/hemlockhook-dispatch/src/entry/placement.rs
@@ -22,13 +22,20 @@
 /// Part by which an expected run time is exceeded without harm, for a task to have time to spare.
 const SPARE: f64 = 1.35;
 
-/// Chooses where a task goes that should end within `slack`: among the upstreams with room the
-/// slowest that is in time, so that the fast ones are left to tasks without time to spare, else the
-/// one that ends it first.
+/// Part of the fastest upstreams' room that is free while nothing has to be left to other tasks.
+const AMPLE: f64 = 0.3;
+
+/// Chooses where a task goes that should end within `slack`. While the fastest upstreams have ample
+/// room it goes there, since some tasks run many times longer than expected. Else it goes to the
+/// slowest upstream with room that is in time, so that the fast ones are left to tasks without time to
+/// spare, or to the one that ends it first.
 pub(super) fn choose<K>(candidates: &[Candidate<K>], slack: Duration) -> Option<K>
 where
     K: Copy,
 {
+    if let Some(best) = fastest_with_ample_room(candidates) {
+        return Some(best);
+    }
     let is_in_time = |c: &&Candidate<K>| c.wait.is_zero() && c.run_time.mul_f64(SPARE) <= slack;
     let by_spare = |a: &&Candidate<K>, b: &&Candidate<K>| {
         let order = rough(a.run_time).cmp(&rough(b.run_time));
@@ -46,6 +53,25 @@
     candidates.iter().min_by(by_end).map(|best| best.key)
 }
 
+/// Returns the emptiest of the fastest upstreams, if they have ample room together.
+fn fastest_with_ample_room<K>(candidates: &[Candidate<K>]) -> Option<K>
+where
+    K: Copy,
+{
+    let fastest = candidates.iter().map(|c| rough(c.run_time)).min()?;
+    let group = || candidates.iter().filter(|c| rough(c.run_time) == fastest);
+    let free: f64 = group().map(|c| c.free_part).sum();
+    if free < AMPLE * group().count() as f64 {
+        return None;
+    }
+    let by_room = |a: &&Candidate<K>, b: &&Candidate<K>| {
+        let order = a.free_part.total_cmp(&b.free_part);
+        order.then(a.is_near.cmp(&b.is_near))
+    };
+    let with_room = group().filter(|c| c.wait.is_zero());
+    with_room.max_by(by_room).map(|best| best.key)
+}
+
 /// Returns a run time in steps of about a fifth, in which upstreams count as equally fast.
 fn rough(run_time: Duration) -> i32 {
     (run_time.as_secs_f64().max(0.001).ln() * 5.0).round() as i32
--- a/hemlockhook-dispatch/tests/dispatcher.rs
+++ b/hemlockhook-dispatch/tests/dispatcher.rs
@@ -96,6 +96,18 @@
         self.dispatcher.reported(self.now, order.agent, report);
     }
 
+    /// Takes an agent's report of its upstream's state.
+    fn set_state(&mut self, index: usize, state: UpstreamState) {
+        let report = AgentReport {
+            orders_seen: 0,
+            state: Some(state),
+            ends: Vec::new(),
+            held: None,
+        };
+        self.dispatcher
+            .reported(self.now, self.agents[index], report);
+    }
+
     /// Takes a sign of life of each agent.
     fn hear(&mut self) {
         for &agent in &self.agents {
@@ -173,8 +185,10 @@
 
 #[gtest]
 fn a_task_with_time_to_spare_leaves_the_fast_upstream_to_others() {
-    // Upstreams whose speeds differ by a factor of two, and work of which some has no time to spare.
+    // Upstreams whose speeds differ by a factor of two, of which the fast one is nearly full, and work of
+    // which some has no time to spare.
     let mut desk = Desk::new(&[0.7, 1.5], 10);
+    desk.set_state(0, state(0.7, 10, 2));
     desk.submit(job("spare", 1, 50), &rule(0))
         .expect("there is room");
     let orders = desk.orders();
@@ -186,6 +200,18 @@
     expect_that!(desk.index(orders[0].agent), eq(0));
 }
 
+#[gtest]
+fn while_the_fast_upstreams_have_ample_room_all_tasks_go_there() {
+    // A quiet day, and tasks that may run many times longer than expected.
+    let mut desk = Desk::new(&[0.7, 1.5], 10);
+    for index in 0..6 {
+        desk.submit(job(&format!("spare-{index}"), 1, 50), &rule(0))
+            .expect("there is room");
+        let orders = desk.orders();
+        expect_that!(desk.index(orders[0].agent), eq(0), "task {index}");
+    }
+}
+
 #[gtest]
 fn room_that_nobody_wants_is_never_refused() {
     let mut desk = Desk::new(&[1.0], 10);
