Try every way in which the store fails on real processes

It now fails in each of these ways, in a test that starts an entry meanwhile, has jobs answered and sees the configuration in force once the store is back, and in the soak.

--- a/hemlockhook/tests/platform/main.rs
+++ b/hemlockhook/tests/platform/main.rs
@@ -11,6 +11,8 @@
 use http::Method;
 
 use site::{Site, configuration, job};
+use store::StoreFault;
+use strum::IntoEnumIterator;
 
 #[gtest]
 fn a_job_is_answered_when_all_its_tasks_have_ended() {
@@ -157,7 +159,7 @@
     // An older one that is written later does not count.
     site.store.publish("config", configuration(3, "desk", &[]));
     site.store.compact();
-    site.store.set_down(true);
+    site.store.set_fault(StoreFault::Refuses);
     site.entries[1].replace();
     // The process that starts while the store is away has it from the agents.
     site.wait_for(|site| site.is_ready(1));
@@ -168,6 +170,35 @@
     expect_that!(site.submit(1, "g1", 2, 10), some(eq(200)));
 }
 
+#[gtest]
+fn however_the_store_fails_work_goes_on_and_it_is_followed_again() {
+    let mut site = Site::start("store-faults", 2, 2);
+    let mut version = 10;
+    for (index, fault) in StoreFault::iter().enumerate() {
+        site.store.set_fault(fault);
+        version += 1;
+        let added = format!("added{index}");
+        site.store
+            .publish("config", configuration(version, "desk", &[&added]));
+        // A process that starts meanwhile has what it needs from the others.
+        site.entries[1].replace();
+        site.wait_for(|site| site.is_ready(1));
+        for entry in 0..2 {
+            let id = format!("f{index}e{entry}");
+            expect_that!(site.submit(entry, &id, 2, 10), some(eq(200)), "{fault:?}");
+        }
+        site.store.set_fault(StoreFault::None);
+        for entry in 0..2 {
+            let path = format!("/{added}/");
+            site.wait_for(|site| {
+                let answer = site.call(entry, Method::GET, &path, String::new());
+                answer.is_some_and(|(status, ..)| status == 200)
+            });
+        }
+    }
+    expect_that!(site.breaches(), is_empty());
+}
+
 #[gtest]
 fn a_shutdown_cuts_nothing_off() {
     let mut site = Site::start("shutdown", 1, 1);
--- a/hemlockhook/tests/platform/soak.rs
+++ b/hemlockhook/tests/platform/soak.rs
@@ -9,8 +9,10 @@
 
 use fastrand::Rng;
 use googletest::prelude::*;
+use strum::IntoEnumIterator;
 
 use crate::site::Site;
+use crate::store::StoreFault;
 
 const ENTRIES: usize = 2;
 const WORKERS: usize = 3;
@@ -77,11 +79,14 @@
                     all.for_each(|daemon| daemon.replace());
                 }
                 6 => site.store.compact(),
-                _ => site.store.set_down(rng.bool()),
+                _ => {
+                    let faults: Vec<_> = StoreFault::iter().collect();
+                    site.store.set_fault(faults[rng.usize(0..faults.len())]);
+                }
             }
             thread::sleep(pause);
         }
-        site.store.set_down(false);
+        site.store.set_fault(StoreFault::None);
         is_over.store(true, Ordering::Relaxed);
     });
     expect_that!(site.breaches(), is_empty(), "seed {seed}");
--- a/hemlockhook/tests/platform/store.rs
+++ b/hemlockhook/tests/platform/store.rs
@@ -1,6 +1,7 @@
 //! A stand-in of the platform's store: a log whose topics keep the newest record of each key.
 
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -9,10 +10,12 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hemlockhook_runtime::http::read_body;
+use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde_json::json;
+use strum::EnumIter;
 
 /// Time for a request's body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -20,6 +23,25 @@
 /// Time between looks for a record that a reader waits for.
 const LOOK_AGAIN: Duration = Duration::from_millis(5);
 
+/// Time that a slow store takes to answer: sixty times its usual 4 ms.
+const SLOWNESS: Duration = Duration::from_millis(240);
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, EnumIter)]
+pub enum StoreFault {
+    /// It does not fail.
+    #[default]
+    None,
+    /// It refuses every call, and does nothing.
+    Refuses,
+    /// It does nothing, and does not answer.
+    IsSilent,
+    /// It answers after [`SLOWNESS`].
+    IsSlow,
+    /// It does what it is told, and does not answer.
+    LosesAnswers,
+}
+
 #[derive(Clone, Default)]
 pub struct StoreStandin {
     state: Arc<Mutex<State>>,
@@ -29,7 +51,7 @@
 struct State {
     /// Records of each topic: key and value.
     topics: BTreeMap<String, Vec<(String, Bytes)>>,
-    is_down: bool,
+    fault: StoreFault,
     /// Records before this offset are gone, in each topic.
     first: BTreeMap<String, usize>,
 }
@@ -42,12 +64,19 @@
         topic.push((key.to_owned(), value.into()));
     }
 
-    /// Refuses every call from now on, or no longer.
-    pub fn set_down(&self, is_down: bool) {
+    /// Fails from now on, or no longer.
+    pub fn set_fault(&self, fault: StoreFault) {
         self.state
             .lock()
             .expect("no test panics with the lock")
-            .is_down = is_down;
+            .fault = fault;
+    }
+
+    fn fault(&self) -> StoreFault {
+        self.state
+            .lock()
+            .expect("no test panics with the lock")
+            .fault
     }
 
     /// Deletes all records but the newest of each key.
@@ -72,14 +101,27 @@
             .filter_map(|arg| arg.split_once('='))
             .collect();
         let topic = args.get("topic").copied().unwrap_or_default().to_owned();
-        if self
-            .state
-            .lock()
-            .expect("no test panics with the lock")
-            .is_down
-        {
-            return status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        let fault = self.fault();
+        match fault {
+            StoreFault::Refuses => return status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+            StoreFault::IsSilent => return pending().await,
+            StoreFault::IsSlow => _ = Timer::after(SLOWNESS).await,
+            StoreFault::None | StoreFault::LosesAnswers => {}
         }
+        let res = self.carry_out(&head, &args, topic, body).await;
+        match fault {
+            StoreFault::LosesAnswers => pending().await,
+            _ => res,
+        }
+    }
+
+    async fn carry_out(
+        &self,
+        head: &Parts,
+        args: &BTreeMap<&str, &str>,
+        topic: String,
+        body: Bytes,
+    ) -> Response<Full<Bytes>> {
         match (&head.method, head.uri.path()) {
             (&Method::POST, "/hemlockhook/log-append") => self.append(topic, body),
             (&Method::GET, "/hemlockhook/log-newest") => self.newest(&topic),
