--- a/hemlockhook-dispatch/src/entry/placement.rs
+++ b/hemlockhook-dispatch/src/entry/placement.rs
@@ -23,6 +23,7 @@
 const SPARE: f64 = 1.35;
 
 /// Part of the fastest upstreams' room that is free while nothing has to be left to other tasks.
+/// Source: the quiet days and crests of docs/MEASUREMENTS.md, "Leased work".
 const AMPLE: f64 = 0.3;
 
 /// Chooses where a task goes that should end within `slack`. While the fastest upstreams have ample
--- a/hemlockhook-dispatch/src/guard/policy.rs
+++ b/hemlockhook-dispatch/src/guard/policy.rs
@@ -45,7 +45,8 @@
     pub busy_ping: Duration,
     /// Time between signs of life to the other entries.
     pub idle_ping: Duration,
-    /// Most reports of nothing but a changed state in a second, to all entries together.
+    /// Most reports of nothing but a changed state in a second, to all entries together. Source: the
+    /// processor time of an entry in docs/CAPACITY.md, "Leased work".
     pub state_reports_per_s: u32,
     /// Time between attempts to stop a run.
     pub stop_retry: Duration,
--- a/hemlockhook-dispatch/tests/dispatcher.rs
+++ b/hemlockhook-dispatch/tests/dispatcher.rs
@@ -253,13 +253,7 @@
     let agent = desk.dispatcher.linked(desk.now, 1, "here".into());
     desk.agents.push(agent);
     desk.seen.push(0);
-    let report = AgentReport {
-        orders_seen: 0,
-        state: Some(state(1.0, 10, 10)),
-        ends: Vec::new(),
-        held: None,
-    };
-    desk.dispatcher.reported(desk.now, agent, report);
+    desk.set_state(0, state(1.0, 10, 10));
     expect_that!(desk.orders().len(), eq(1));
 
     desk.dispatcher.unlinked(agent);
@@ -403,14 +397,7 @@
     expect_that!(desk.dispatcher.jobs(), ge(90));
 
     let before = desk.dispatcher.weighed();
-    let report = AgentReport {
-        orders_seen: 0,
-        state: Some(state(1.0, 4, 0)),
-        ends: Vec::new(),
-        held: None,
-    };
-    let agent = desk.agents[0];
-    desk.dispatcher.reported(desk.now, agent, report);
+    desk.set_state(0, state(1.0, 4, 0));
     let weighed = desk.dispatcher.weighed() - before;
     expect_that!(weighed, le(60));
 }
