Keep the ports of tests free while other tests start programs

A test looks for a free port by listening on it for a moment. A program that another test thread starts just then has that listener until it runs its own code, and keeps the port for longer on a busy machine. The same explains outcomes::a_job_that_can_never_run_is_refused_at_once, where the log stand-in never listened (seen once in five).

Ruled out: outgoing connections (the ports lie below their range), other test processes (blocks by process id; the port was the eighth of its process).

Change: trying a port and starting a program exclude each other.

--- a/hemlockhook/tests/cli/daemons.rs
+++ b/hemlockhook/tests/cli/daemons.rs
@@ -1,7 +1,6 @@
 //! The daemons as processes, operated by the command.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
@@ -9,6 +8,7 @@
 use hemlockhook_standin::{LogFaults, LogStandin, Outage};
 
 use crate::fixture::{Output, Scratch, Servers, run};
+use crate::ports::{self, free_address};
 
 /// Time for something to come true that the test waits for.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -52,11 +52,8 @@
 
 fn spawn(program: &str, settings: &str, log_file: &str) -> Child {
     let log_file = File::create(log_file).expect("the scratch directory can be written");
-    Command::new(program)
-        .args(["--settings", settings])
-        .stderr(log_file)
-        .spawn()
-        .expect("the daemon starts")
+    let mut command = Command::new(program);
+    ports::spawn(command.args(["--settings", settings]).stderr(log_file))
 }
 
 /// Two entries and two agents over a log stand-in.
@@ -168,11 +165,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("the listener is bound")
-}
-
 #[gtest]
 fn a_version_comes_in_force_everywhere_and_outlives_an_outage() {
     let mut deployment = Deployment::start("daemons");
--- a/hemlockhook/tests/cli/docs.rs
+++ b/hemlockhook/tests/cli/docs.rs
@@ -5,7 +5,7 @@
 
 use googletest::prelude::*;
 
-use crate::fixture::{Scratch, Servers, root, run};
+use crate::fixture::{Scratch, Servers, output, root, run};
 use crate::reports::entry_in_force;
 
 /// Pages whose fenced `sh` blocks are run.
@@ -123,12 +123,8 @@
     ];
     for (program, name) in programs {
         let settings = root().join(format!("settings/{name}.yaml"));
-        let output = Command::new(program)
-            .arg("--settings")
-            .arg(&settings)
-            .arg("--check")
-            .output()
-            .expect("the program starts");
+        let mut command = Command::new(program);
+        let output = output(command.arg("--settings").arg(&settings).arg("--check"));
         expect_that!(
             output.status.success(),
             eq(true),
--- a/hemlockhook/tests/cli/fixture.rs
+++ b/hemlockhook/tests/cli/fixture.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Command, Stdio};
 use std::sync::Arc;
 
 use async_channel::Sender;
@@ -16,6 +16,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use crate::ports::spawn;
+
 /// An address on which nothing listens.
 pub const NOWHERE: &str = "127.0.0.1:1";
 
@@ -40,14 +42,14 @@
 
 /// Runs the command in the repository's root.
 pub fn run(args: &[&str]) -> Output {
-    let output = Command::new(env!("CARGO_BIN_EXE_hemlockhook"))
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hemlockhook"));
+    command
         .args(args)
         .current_dir(root())
         .env_remove("HEMLOCKHOOK_LOG")
         .env_remove("HEMLOCKHOOK_ENTRIES")
-        .env("USER", "marija")
-        .output()
-        .expect("the command starts");
+        .env("USER", "marija");
+    let output = output(&mut command);
     Output {
         stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
         stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
@@ -55,6 +57,14 @@
     }
 }
 
+/// Runs a program to its end.
+pub fn output(command: &mut Command) -> std::process::Output {
+    let command = command.stdin(Stdio::null());
+    let command = command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    let child = spawn(command);
+    child.wait_with_output().expect("the process is ours")
+}
+
 /// Returns the repository's root.
 pub fn root() -> PathBuf {
     let package = Path::new(env!("CARGO_MANIFEST_DIR"));
--- a/hemlockhook/tests/cli/main.rs
+++ b/hemlockhook/tests/cli/main.rs
@@ -5,4 +5,6 @@
 mod daemons;
 mod docs;
 mod fixture;
+#[path = "../support/ports.rs"]
+mod ports;
 mod reports;
--- a/hemlockhook/tests/support/cluster.rs
+++ b/hemlockhook/tests/support/cluster.rs
@@ -14,7 +14,8 @@
 use serde_json::{Value, json};
 
 use super::caller::{Job, Outcome, Submitter};
-use super::process::{Process, free_address};
+use super::ports::free_address;
+use super::process::Process;
 use super::relay::Relay;
 
 /// Generous, for a busy machine.
--- a/hemlockhook/tests/support/mod.rs
+++ b/hemlockhook/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod cluster;
+mod ports;
 mod process;
 mod relay;
 
--- a/hemlockhook/tests/support/process.rs
+++ b/hemlockhook/tests/support/process.rs
@@ -1,38 +1,19 @@
 //! A program of the workspace as a process.
 
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
-/// Ports are taken from below the range that the system takes outgoing ports from.
-const FIRST_PORT: u16 = 10_240;
-
-/// Ports of one test process.
-const PORTS: u16 = 400;
+use super::ports::spawn;
 
 /// Longest time for a process to end by itself.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// Returns a loopback address on which nothing listens.
-pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let block = (std::process::id() % 55) as u16 * PORTS;
-    loop {
-        let port = FIRST_PORT + block + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
-        let addr = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(addr).is_ok() {
-            return addr;
-        }
-    }
-}
-
 /// A process that is killed when it is dropped.
 pub struct Process {
     child: Child,
@@ -50,14 +31,14 @@
             .append(true)
             .open(dir.join(format!("{name}.log")))
             .expect("the log is opened");
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        let command = command
             .arg("--settings")
             .arg(path)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .expect("the program starts");
+            .stderr(log);
+        let child = spawn(command);
         Self {
             child,
             name: name.to_owned(),
