--- a/hemlockhook-bench/src/replay/agent.rs
+++ b/hemlockhook-bench/src/replay/agent.rs
@@ -15,6 +15,7 @@
         if let Chooser::Push(_) = self.chooser {
             return;
         }
+        assert!(!self.agents[agent].lost, "a lost agent says nothing more");
         let now = self.now();
         let started = Instant::now();
         let actions = self.agents[agent].slots.actions(now);
