Log what tells the causes of a late configuration apart

Now a version in force is logged with its size and the number of copies ignored since the last; a tick that is 250 ms late or more is logged; the end of a series of failed reads has their number and time.

No decision changes.

--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -38,6 +38,9 @@
 /// Time for which the entry stays ready after it last had an agent that accepts work.
 const READY_WITHOUT_AGENTS: Duration = Duration::from_secs(4);
 
+/// Minimum delay of a tick that is logged.
+const LOGGED_TICK_DELAY: Duration = Duration::from_millis(250);
+
 /// The entry's state. Each event is handled completely under one lock.
 pub(crate) struct Core {
     incarnation: u64,
@@ -56,6 +59,8 @@
     /// The encoded form of `configuration`.
     config_document: Bytes,
     decode_configuration: Option<ConfigurationDecoder>,
+    /// Number of received configurations that were not newer, since the last that was.
+    ignored_configurations: u64,
     /// Addresses of the known entries, including this one.
     entries: BTreeSet<String>,
     is_leaving: bool,
@@ -101,6 +106,7 @@
                 configuration: Arc::default(),
                 config_document: Bytes::new(),
                 decode_configuration: None,
+                ignored_configurations: 0,
                 entries: BTreeSet::from([address.clone()]),
                 is_leaving: false,
                 last_usable: None,
@@ -250,12 +256,23 @@
         match decode(&document) {
             Ok(fresh) if fresh.version > old => {
                 let version = fresh.version;
-                spdlog::info!("a configuration is in force", kv: { version, old, source });
+                let bytes = document.len();
+                let ignored = std::mem::take(&mut state.ignored_configurations);
+                spdlog::info!("a configuration is in force", kv: {
+                    version,
+                    old,
+                    source,
+                    bytes,
+                    ignored,
+                });
                 assert!(version > old, "the configuration version must increase");
                 state.configuration = Arc::new(fresh);
                 state.config_document = document;
             }
-            Ok(_) => {}
+            Ok(_) => {
+                state.ignored_configurations += 1;
+                self.metrics.record_ignored_configuration();
+            }
             Err(err) => {
                 let reason = err.to_string();
                 let reason = reason.as_str();
@@ -355,6 +372,15 @@
         state.dispatcher.jobs() > 0
     }
 
+    /// Records how late a tick was. All events of the process wait in the same queue as the ticks.
+    pub(crate) fn record_tick_delay(&self, delay: Duration) {
+        self.metrics.record_tick_delay(delay);
+        if delay >= LOGGED_TICK_DELAY {
+            let delay_ms = delay.as_millis() as u64;
+            spdlog::warn!("the event loop fell behind", kv: { delay_ms });
+        }
+    }
+
     fn flush_to_all(&self, now: Instant, state: &mut State) {
         let keys: Vec<_> = state.links.keys().copied().collect();
         self.flush_to(now, state, &keys);
--- a/hemlockhook-leased/src/entry/metrics.rs
+++ b/hemlockhook-leased/src/entry/metrics.rs
@@ -12,8 +12,11 @@
     answers: Counter<u64>,
     abandoned_jobs: Counter<u64>,
     task_ends: Counter<u64>,
+    ignored_configurations: Counter<u64>,
     /// Time from the submission of a job to its answer, in milliseconds.
     duration: Histogram<u64>,
+    /// Delay of the ticks, in milliseconds.
+    tick_delay: Histogram<u64>,
 }
 
 impl EntryMetrics {
@@ -27,6 +30,11 @@
                 .u64_histogram("leased_job_duration")
                 .with_unit("ms")
                 .build(),
+            ignored_configurations: meter.u64_counter("leased_configurations_ignored").build(),
+            tick_delay: meter
+                .u64_histogram("leased_tick_delay")
+                .with_unit("ms")
+                .build(),
         }
     }
 
@@ -46,4 +54,12 @@
     pub(crate) fn record_task_end(&self, outcome: &'static str) {
         self.task_ends.add(1, &[KeyValue::new("outcome", outcome)]);
     }
+
+    pub(crate) fn record_ignored_configuration(&self) {
+        self.ignored_configurations.add(1, &[]);
+    }
+
+    pub(crate) fn record_tick_delay(&self, delay: Duration) {
+        self.tick_delay.record(delay.as_millis() as u64, &[]);
+    }
 }
--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -6,7 +6,7 @@
 mod metrics;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::Bytes;
@@ -193,7 +193,9 @@
             true => BUSY_TICK_INTERVAL,
             false => IDLE_TICK_INTERVAL,
         };
-        Timer::after(interval).await;
+        let due = Instant::now() + interval;
+        Timer::at(due).await;
+        core.record_tick_delay(due.elapsed());
     }
 }
 
--- a/hemlockhook-leased/src/watch.rs
+++ b/hemlockhook-leased/src/watch.rs
@@ -1,6 +1,6 @@
 //! Follows and writes records of the platform's store, with retries.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::Bytes;
@@ -22,7 +22,8 @@
 {
     let mut position = None;
     let mut backoff = MIN_BACKOFF;
-    let mut is_failing = false;
+    let mut failing_since = None;
+    let mut failures = 0_u64;
     loop {
         let read = match position {
             None => store.read_latest(records).await,
@@ -30,10 +31,14 @@
         };
         match read {
             Ok(batch) => {
-                if std::mem::take(&mut is_failing) {
+                if let Some(since) = failing_since.take() {
+                    let failed_ms = Instant::elapsed(&since).as_millis() as u64;
                     spdlog::info!("reading from the store succeeded again", kv: {
                         records:? = records,
+                        failures,
+                        failed_ms,
                     });
+                    failures = 0;
                 }
                 backoff = MIN_BACKOFF;
                 position = Some(batch.next);
@@ -43,7 +48,9 @@
             }
             Err(StoreError::Deleted) => position = None,
             Err(err) => {
-                if !std::mem::replace(&mut is_failing, true) {
+                failures += 1;
+                if failing_since.is_none() {
+                    failing_since = Some(Instant::now());
                     let reason = err.to_string();
                     let reason = reason.as_str();
                     spdlog::warn!("reading from the store failed; retrying", kv: {
--- a/hemlockhook-runtime/src/lib.rs
+++ b/hemlockhook-runtime/src/lib.rs
@@ -11,6 +11,7 @@
 mod io;
 pub mod log;
 pub mod metrics;
+mod rate_limit;
 pub mod settings;
 pub mod signal;
 mod tasks;
--- a/hemlockhook-runtime/src/log.rs
+++ b/hemlockhook-runtime/src/log.rs
@@ -5,9 +5,7 @@
 use std::panic::{self, PanicHookInfo};
 use std::process;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
-use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::{Sink, WriteSink};
 use spdlog::{Level, LevelFilter, Logger};
@@ -15,6 +13,9 @@
 
 use hemlockhook_types::TaskIndex;
 
+use crate::rate_limit::RateLimitedSink;
+pub use crate::rate_limit::{LineBudget, LineKind};
+
 /// Exit status of a process that is stopped by a panic.
 const PANIC_STATUS: i32 = 70;
 
@@ -35,108 +36,33 @@
 /// broken, and a process that continued without one of its tasks would appear healthy but would not
 /// work.
 pub fn init(level: &str) -> Result<(), LogError> {
-    init_daemon(level, io::stderr())
+    init_with_writer(level, io::stderr())?;
+    stop_on_panic();
+    Ok(())
 }
 
-/// Like [`init`], but on stdout, rate-limited and non-blocking: lines above the limit per second,
+/// Like [`init`], but on stdout, rate-limited and non-blocking: lines above the limits per second,
 /// and lines that the reader of a full pipe would delay, are dropped and counted.
 pub fn init_rate_limited(level: &str) -> Result<(), LogError> {
-    init_daemon(level, RateLimitedStdout::default())
-}
-
-fn init_daemon<W>(level: &str, writer: W) -> Result<(), LogError>
-where
-    W: Write + Send + 'static,
-{
-    init_with_writer(level, writer)?;
-    panic::set_hook(Box::new(|info| {
-        log_panic(info);
-        process::exit(PANIC_STATUS);
-    }));
+    init_with_sink(level, Arc::new(RateLimitedSink::new(JsonFormatter::new())))?;
+    stop_on_panic();
     Ok(())
 }
 
-/// Maximum number of lines written per second; further lines are dropped and counted.
-const MAX_LINES_PER_SECOND: u32 = 500;
-
-/// Writes lines to stdout up to the rate limit and without blocking.
-#[derive(Debug)]
-struct RateLimitedStdout {
-    window_start: Instant,
-    lines_in_window: u32,
-    dropped: u64,
-}
-
-impl Default for RateLimitedStdout {
-    fn default() -> Self {
-        Self {
-            window_start: Instant::now(),
-            lines_in_window: 0,
-            dropped: 0,
-        }
-    }
-}
-
-impl RateLimitedStdout {
-    fn admit_line(&mut self) -> bool {
-        if self.window_start.elapsed() >= Duration::from_secs(1) {
-            self.window_start = Instant::now();
-            self.lines_in_window = 0;
-        }
-        self.lines_in_window += 1;
-        self.lines_in_window <= MAX_LINES_PER_SECOND && is_stdout_writable()
-    }
-}
-
-impl Write for RateLimitedStdout {
-    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if !self.admit_line() {
-            self.dropped += 1;
-            return Ok(buf.len());
-        }
-        let mut out = io::stdout().lock();
-        if self.dropped > 0 {
-            writeln!(
-                out,
-                "{{\"level\":\"warn\",\"dropped_lines\":{}}}",
-                self.dropped
-            )?;
-            self.dropped = 0;
-        }
-        out.write_all(buf)?;
-        Ok(buf.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        io::stdout().lock().flush()
-    }
-}
-
-/// Returns whether stdout accepts a write without blocking.
-fn is_stdout_writable() -> bool {
-    let out = io::stdout();
-    let mut fds = [PollFd::new(&out, PollFlags::OUT)];
-    let timeout = Timespec {
-        tv_sec: 0,
-        tv_nsec: 0,
-    };
-    // Error conditions on the pipe make it ready, and the write that follows reports them. A poll
-    // that fails says nothing about the pipe; the line counts as dropped.
-    poll(&mut fds, Some(&timeout)).is_ok_and(|ready| ready > 0)
-}
-
 /// Sets up logging in JSON lines on `writer`, for messages of `level` and above.
 pub fn init_with_writer<W>(level: &str, writer: W) -> Result<(), LogError>
 where
     W: Write + Send + 'static,
 {
+    let sink = WriteSink::builder()
+        .target(writer)
+        .formatter(JsonFormatter::new())
+        .build()?;
+    init_with_sink(level, Arc::new(sink))
+}
+
+fn init_with_sink(level: &str, sink: Arc<dyn Sink>) -> Result<(), LogError> {
     let filter = parse_level(level)?;
-    let sink: Arc<dyn Sink> = Arc::new(
-        WriteSink::builder()
-            .target(writer)
-            .formatter(JsonFormatter::new())
-            .build()?,
-    );
     let logger = Logger::builder().sink(sink).level_filter(filter).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
@@ -158,6 +84,13 @@
     }
 }
 
+fn stop_on_panic() {
+    panic::set_hook(Box::new(|info| {
+        log_panic(info);
+        process::exit(PANIC_STATUS);
+    }));
+}
+
 fn log_panic(info: &PanicHookInfo<'_>) {
     let message = info.payload_as_str().unwrap_or("no message");
     let location = info.location().map(ToString::to_string);
