Reproduce late configurations: restarted reads, and copies that nobody needs

In the first the store is behind a link on which a document of 240 KB takes 3 s: it doesn't come into force within 60 s. In the second three entries with nine agents get ten small versions: each entry is sent more than ten copies of versions that it has.

The relay of the tests can limit the rate of a link.

--- /dev/null
+++ b/hemlockhook/tests/platform/configurations.rs
@@ -0,0 +1,72 @@
+//! How soon a configuration is in force at the entries, and what that costs.
+
+use std::thread;
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use crate::deployment::{Deployment, configuration};
+
+/// Size of a document near the maximum of the store, in bytes.
+const LARGE_DOCUMENT: usize = 240 * 1024;
+
+/// Rate of a slow link, in bytes per second. A large document takes 3 s.
+const SLOW_RATE: u64 = 80 * 1024;
+
+/// Returns a configuration of the given size with the queue `/desk/` and another one.
+fn large_configuration(version: u64, added: &str) -> String {
+    let idle: Vec<_> = (0..2000).map(|index| format!("idle{index}")).collect();
+    let mut queues = vec![added];
+    let size = |queues: &[&str]| configuration(version, "desk", queues).len();
+    let queue_size = size(&["idle0000"]) - size(&[]);
+    let count = LARGE_DOCUMENT / queue_size;
+    queues.extend(idle.iter().take(count).map(String::as_str));
+    configuration(version, "desk", &queues)
+}
+
+/// Reads of the store that took over 1.5 s were restarted, so that none was ever complete.
+#[gtest]
+fn a_configuration_that_takes_long_to_read_comes_into_force() {
+    let deployment = Deployment::start("slow-read", 1, 1);
+    deployment.store_links[0].set_rate(SLOW_RATE);
+    deployment
+        .store
+        .publish("config", large_configuration(2, "added"));
+    deployment.wait_for(|deployment| deployment.has_queue(0, "added"));
+}
+
+/// Each agent sent each version to each entry, over links that were then full.
+#[gtest]
+fn an_entry_is_not_sent_configurations_that_it_has() {
+    const ENTRIES: usize = 3;
+    const VERSIONS: u64 = 10;
+    let deployment = Deployment::start("copies", ENTRIES, 9);
+    for version in 2..2 + VERSIONS {
+        let added = format!("added{version}");
+        deployment
+            .store
+            .publish("config", configuration(version, "desk", &[&added]));
+        for entry in 0..ENTRIES {
+            deployment.wait_for(|deployment| deployment.has_queue(entry, &added));
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    for entry in 0..ENTRIES {
+        let ignored = deployment.counter(entry, "leased_configurations_ignored");
+        // A copy that was asked for and the read of the store may arrive at the same time.
+        expect_that!(ignored, le(VERSIONS), "entry {entry}");
+    }
+}
+
+#[gtest]
+fn an_entry_cut_off_from_the_store_gets_configurations_from_agents() {
+    let deployment = Deployment::start("cut-off", 3, 4);
+    deployment.store_links[2].set_partitioned(true);
+    for version in 2..6 {
+        let added = format!("added{version}");
+        deployment
+            .store
+            .publish("config", configuration(version, "desk", &[&added]));
+        deployment.wait_for(|deployment| deployment.has_queue(2, &added));
+    }
+}
--- a/hemlockhook/tests/platform/deployment.rs
+++ b/hemlockhook/tests/platform/deployment.rs
@@ -16,6 +16,7 @@
 use http::{Method, Request, Response};
 use http_body_util::Full;
 
+use crate::relay::Relay;
 use crate::store::StoreStandin;
 use crate::worker::{Observations, WorkerStandin};
 
@@ -105,6 +106,9 @@
     pub observations: Arc<Mutex<Observations>>,
     pub entries: Vec<Daemon>,
     pub agents: Vec<Daemon>,
+    /// The links of the entries to the store.
+    pub store_links: Vec<Relay>,
+    metrics: Vec<HttpClient>,
     callers: Vec<HttpClient>,
     ready: Vec<HttpClient>,
     _stop: Sender<()>,
@@ -135,6 +139,8 @@
             observations: Arc::default(),
             entries: Vec::new(),
             agents: Vec::new(),
+            store_links: Vec::new(),
+            metrics: Vec::new(),
             callers: Vec::new(),
             ready: Vec::new(),
             _stop: stop,
@@ -142,11 +148,18 @@
         };
         let mut links = Vec::new();
         for index in 0..entries {
-            let [callers, ready, link] = [(); 3].map(|()| addresses.allocate());
+            let [callers, ready, link, metrics] = [(); 4].map(|()| addresses.allocate());
+            let store_link = Relay::start(&ex, addresses.allocate(), store_addr);
+            let store = store_link.addr;
             let text = format!(
                 "name: entry-{index}\ndata_center: here\ncallers_address: {callers}\n\
-                 ready_address: {ready}\nlinks_address: {link}\nstore_address: {store_addr}\n"
+                 ready_address: {ready}\nlinks_address: {link}\nmetrics_address: {metrics}\n\
+                 store_address: {store}\n"
             );
+            deployment.store_links.push(store_link);
+            deployment
+                .metrics
+                .push(HttpClient::new(ex.clone(), metrics, 1));
             let settings = scratch.join(format!("entry-{index}.yaml"));
             std::fs::write(&settings, text).expect("the scratch directory can be written");
             let program = env!("CARGO_BIN_EXE_hemlockhook-entry");
@@ -226,6 +239,26 @@
         async_io::block_on(send).is_ok_and(|res| res.status().is_success())
     }
 
+    /// Returns the value of a counter of an entry; 0 if nothing was counted.
+    pub fn counter(&self, entry: usize, name: &str) -> u64 {
+        let req = Request::get("/metrics")
+            .body(Full::default())
+            .expect("a valid request");
+        let send = self.metrics[entry].send(req, 1 << 20, WAIT_TIMEOUT);
+        let res = async_io::block_on(send).expect("the entry serves its metrics");
+        let text = String::from_utf8_lossy(res.body()).into_owned();
+        let values = text.lines().filter(|line| line.starts_with(name));
+        let values = values.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+        values.sum()
+    }
+
+    /// Returns whether an entry has a queue with this prefix.
+    pub fn has_queue(&self, entry: usize, prefix: &str) -> bool {
+        let path = format!("/{prefix}/");
+        let answer = self.send_request(entry, Method::GET, &path, String::new());
+        answer.is_some_and(|(status, ..)| status == 200)
+    }
+
     /// Waits until a condition holds.
     pub fn wait_for<F>(&self, condition: F)
     where
--- a/hemlockhook/tests/platform/main.rs
+++ b/hemlockhook/tests/platform/main.rs
@@ -1,7 +1,10 @@
 //! End-to-end tests over the platform's protocol: the daemons as processes, with stand-ins for the
 //! store and the workers.
 
+mod configurations;
 mod deployment;
+#[path = "../support/relay.rs"]
+mod relay;
 mod soak;
 mod store;
 mod worker;
--- a/hemlockhook/tests/support/relay.rs
+++ b/hemlockhook/tests/support/relay.rs
@@ -1,8 +1,9 @@
-//! A TCP relay that simulates a network partition: it stops forwarding but closes no connection.
+//! A TCP relay that simulates a network partition, where it stops forwarding but closes no
+//! connection, or a slow link.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_executor::Task;
@@ -17,40 +18,49 @@
 /// Forwards connections to an address.
 pub struct Relay {
     pub addr: SocketAddr,
-    is_partitioned: Arc<AtomicBool>,
+    link: Arc<LinkState>,
     _serve: Task<()>,
 }
 
+#[derive(Default)]
+struct LinkState {
+    is_partitioned: AtomicBool,
+    /// Bytes per second in each direction of each connection; 0 means no limit.
+    rate: AtomicU64,
+}
+
 impl Relay {
     pub fn start(ex: &Arc<Executor>, addr: SocketAddr, to: SocketAddr) -> Self {
-        let is_partitioned = Arc::new(AtomicBool::new(false));
+        let link = Arc::<LinkState>::default();
         Self {
             addr,
-            _serve: ex.spawn(serve(ex.clone(), addr, to, is_partitioned.clone())),
-            is_partitioned,
+            _serve: ex.spawn(serve(ex.clone(), addr, to, link.clone())),
+            link,
         }
     }
 
     /// Stops forwarding, or resumes it.
     pub fn set_partitioned(&self, is_partitioned: bool) {
-        self.is_partitioned.store(is_partitioned, Ordering::SeqCst);
+        self.link
+            .is_partitioned
+            .store(is_partitioned, Ordering::SeqCst);
+    }
+
+    /// Limits each direction of each connection to a number of bytes per second.
+    pub fn set_rate(&self, rate: u64) {
+        self.link.rate.store(rate, Ordering::SeqCst);
     }
 }
 
-async fn serve(
-    ex: Arc<Executor>,
-    addr: SocketAddr,
-    to: SocketAddr,
-    is_partitioned: Arc<AtomicBool>,
-) {
+async fn serve(ex: Arc<Executor>, addr: SocketAddr, to: SocketAddr, link: Arc<LinkState>) {
     let listener = TcpListener::bind(addr).await.expect("the port is free");
     while let Ok((from, _)) = listener.accept().await {
-        let is_partitioned = is_partitioned.clone();
+        let link = link.clone();
         let forward = async move {
-            wait_until_connected(&is_partitioned).await;
+            wait_until_connected(&link).await;
             if let Ok(target) = TcpStream::connect(to).await {
-                let outbound = copy(from.clone(), target.clone(), &is_partitioned);
-                let inbound = copy(target, from, &is_partitioned);
+                let outbound = copy(from.clone(), target.clone(), &link);
+                let inbound = copy(target, from, &link);
                 future::or(outbound, inbound).await;
             }
         };
@@ -58,18 +68,22 @@
     }
 }
 
-async fn copy(mut from: TcpStream, mut to: TcpStream, is_partitioned: &AtomicBool) {
+async fn copy(mut from: TcpStream, mut to: TcpStream, link: &LinkState) {
     let mut buf = vec![0; 16 * 1024];
     while let Ok(len @ 1..) = from.read(&mut buf).await {
-        wait_until_connected(is_partitioned).await;
+        wait_until_connected(link).await;
+        let rate = link.rate.load(Ordering::SeqCst);
+        if rate > 0 {
+            Timer::after(Duration::from_secs_f64(len as f64 / rate as f64)).await;
+        }
         if to.write_all(&buf[..len]).await.is_err() {
             return;
         }
     }
 }
 
-async fn wait_until_connected(is_partitioned: &AtomicBool) {
-    while is_partitioned.load(Ordering::SeqCst) {
+async fn wait_until_connected(link: &LinkState) {
+    while link.is_partitioned.load(Ordering::SeqCst) {
         Timer::after(POLL_INTERVAL).await;
     }
 }
