Count the copies at an entry that gets its configuration from agents only

The test of superfluous copies passed once on the faulty code: with the store a millisecond away, each entry has a version before most agents can send it.

--- a/hemlockhook/tests/platform/configurations.rs
+++ b/hemlockhook/tests/platform/configurations.rs
@@ -35,38 +35,22 @@
     deployment.wait_for(|deployment| deployment.has_queue(0, "added"));
 }
 
-/// Each agent sent each version to each entry, over links that were then full.
+/// Each agent that had a version sent it to each entry, over links that were then full.
 #[gtest]
-fn an_entry_is_not_sent_configurations_that_it_has() {
-    const ENTRIES: usize = 3;
+fn an_entry_is_sent_each_configuration_by_one_agent() {
     const VERSIONS: u64 = 10;
-    let deployment = Deployment::start("copies", ENTRIES, 9);
-    for version in 2..2 + VERSIONS {
-        let added = format!("added{version}");
-        deployment
-            .store
-            .publish("config", configuration(version, "desk", &[&added]));
-        for entry in 0..ENTRIES {
-            deployment.wait_for(|deployment| deployment.has_queue(entry, &added));
-        }
-        thread::sleep(Duration::from_millis(100));
-    }
-    for entry in 0..ENTRIES {
-        let ignored = deployment.counter(entry, "leased_configurations_ignored");
-        // A copy that was asked for and the read of the store may arrive at the same time.
-        expect_that!(ignored, le(VERSIONS), "entry {entry}");
-    }
-}
-
-#[gtest]
-fn an_entry_cut_off_from_the_store_gets_configurations_from_agents() {
-    let deployment = Deployment::start("cut-off", 3, 4);
+    let deployment = Deployment::start("copies", 3, 9);
+    // Without the store, all that this entry gets comes from agents.
     deployment.store_links[2].set_partitioned(true);
-    for version in 2..6 {
+    for version in 2..2 + VERSIONS {
         let added = format!("added{version}");
         deployment
             .store
             .publish("config", configuration(version, "desk", &[&added]));
         deployment.wait_for(|deployment| deployment.has_queue(2, &added));
+        thread::sleep(Duration::from_millis(200));
     }
+    // A version may be requested a second time if the first copy is late.
+    let ignored = deployment.counter(2, "leased_configurations_ignored");
+    expect_that!(ignored, le(VERSIONS));
 }
