Let a read of the store go on for as long as it makes progress

Cause: a read had 1.5 s in all, 0.5 s for the latest records, whether or not its answer was arriving. A large document, a full link or an event loop that is 0.4 s behind made it take longer; it was dropped and begun again from the start on a new connection, which takes longer still. Nothing ended that but less load.

Now the timeout (1 s) counts from the last part of the answer that arrived, and a read after a failed one doesn't wait for records, so that it is answered within the timeout on an event loop that is late, too. The wait is shortened to 0.7 s: a connection that went silent is noticed after 1.7 s.

--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -35,7 +35,7 @@
 /// Time for which a read of the operators' records waits for a new one. The sum of it and the call
 /// timeout is below the time within which a configuration has to be in force, so that a dead
 /// connection is detected in time.
-const CONFIGURATION_READ_WAIT: Duration = Duration::from_millis(1000);
+const CONFIGURATION_READ_WAIT: Duration = Duration::from_millis(700);
 
 /// Time from SIGTERM until the entry stops accepting requests. The balancer stops sending new
 /// connections after two failed readiness checks, a second apart.
--- a/hemlockhook-leased/src/watch.rs
+++ b/hemlockhook-leased/src/watch.rs
@@ -25,6 +25,11 @@
     let mut failing_since = None;
     let mut failures = 0_u64;
     loop {
+        // After a failure, a read that doesn't wait shows soonest whether the store answers.
+        let wait = match failing_since {
+            None => wait,
+            Some(_) => Duration::ZERO,
+        };
         let read = match position {
             None => store.read_latest(records).await,
             Some(from) => store.read_since(records, from, wait).await,
--- a/hemlockhook-runtime/src/http/body.rs
+++ b/hemlockhook-runtime/src/http/body.rs
@@ -51,7 +51,19 @@
 }
 
 /// Reads a whole body of at most `max` bytes.
-pub(crate) async fn collect(mut body: Incoming, max: usize) -> Result<Bytes, BodyError> {
+async fn collect(body: Incoming, max: usize) -> Result<Bytes, BodyError> {
+    collect_with(body, max, || {}).await
+}
+
+/// Reads a whole body of at most `max` bytes. Calls `on_data` whenever a part of it has arrived.
+pub(crate) async fn collect_with<F>(
+    mut body: Incoming,
+    max: usize,
+    on_data: F,
+) -> Result<Bytes, BodyError>
+where
+    F: Fn(),
+{
     if body.size_hint().lower() > max as u64 {
         return Err(BodyError::TooLarge(max));
     }
@@ -59,6 +71,7 @@
     let mut first = Bytes::new();
     let mut rest = BytesMut::new();
     while let Some(frame) = body.frame().await {
+        on_data();
         let Ok(data) = frame?.into_data() else {
             continue;
         };
--- a/hemlockhook-runtime/src/http/client.rs
+++ b/hemlockhook-runtime/src/http/client.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
@@ -16,10 +17,10 @@
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use thiserror::Error;
 
-use super::body::{BodyError, collect};
+use super::body::{BodyError, collect_with};
 use crate::executor::Executor;
 use crate::io::{HyperIo, Stream};
-use crate::timer::Deadlines;
+use crate::timer::{Deadlines, MovableDeadline};
 
 /// Interval between checks for expired requests and idle connections.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(50);
@@ -42,6 +43,9 @@
     /// The response did not arrive in time.
     #[error("no response within {0:?}")]
     Timeout(Duration),
+    /// The response began, and the rest of it did not arrive.
+    #[error("the response stalled for {0:?}")]
+    Stalled(Duration),
     /// The connection failed during the exchange, or the response is malformed.
     #[error("the exchange broke: {0}")]
     Exchange(#[from] hyper::Error),
@@ -112,27 +116,59 @@
     where
         C: Fn(&Response<Bytes>) -> bool,
     {
-        let deadline = Instant::now() + timeout;
+        let deadline = MovableDeadline::new(Instant::now() + timeout);
+        let exchange = self.exchange(req, max_body, is_expected, || {});
+        self.send_until(&deadline, exchange)
+            .await
+            .unwrap_or(Err(HttpError::Timeout(timeout)))
+    }
+
+    /// Sends a request like [`HttpClient::send`], with limits on the time without progress instead
+    /// of the whole time: `start_timeout` until the response begins, and `stall_timeout` after each
+    /// part of it.
+    pub async fn send_with_progress(
+        &self,
+        req: Request<Full<Bytes>>,
+        max_body: usize,
+        start_timeout: Duration,
+        stall_timeout: Duration,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let deadline = MovableDeadline::new(Instant::now() + start_timeout);
+        let has_begun = AtomicBool::new(false);
+        let on_data = || {
+            has_begun.store(true, Ordering::Relaxed);
+            deadline.set(Instant::now() + stall_timeout);
+        };
+        let exchange = self.exchange(req, max_body, |_| true, on_data);
+        let res = self.send_until(&deadline, exchange).await;
+        res.unwrap_or_else(|| match has_begun.load(Ordering::Relaxed) {
+            true => Err(HttpError::Stalled(stall_timeout)),
+            false => Err(HttpError::Timeout(start_timeout)),
+        })
+    }
+
+    async fn send_until<F>(&self, deadline: &MovableDeadline, exchange: F) -> Option<F::Output>
+    where
+        F: Future,
+    {
         let on_wait = || {
             // If the channel is full, the expiry task has been notified already.
             let _ = self.pool.expiry_tx.try_send(());
         };
-        let exchange = self.exchange(req, max_body, is_expected);
         let deadlines = &self.pool.deadlines;
-        match deadlines.until(deadline, exchange, on_wait).await {
-            Some(res) => res,
-            None => Err(HttpError::Timeout(timeout)),
-        }
+        deadlines.until(deadline, exchange, on_wait).await
     }
 
-    async fn exchange<C>(
+    async fn exchange<C, F>(
         &self,
         mut req: Request<Full<Bytes>>,
         max_body: usize,
         is_expected: C,
+        on_data: F,
     ) -> Result<Response<Bytes>, HttpError>
     where
         C: Fn(&Response<Bytes>) -> bool,
+        F: Fn(),
     {
         let permit = self.pool.permit().await;
         req.headers_mut()
@@ -143,7 +179,7 @@
             Some(conn) => conn,
             None => Conn::open(self.addr).await?,
         };
-        let res = conn.exchange(req, max_body).await?;
+        let res = conn.exchange(req, max_body, on_data).await?;
         if is_expected(&res) {
             permit.keep(conn);
         }
@@ -272,15 +308,20 @@
         !ended && self.sender.is_ready()
     }
 
-    async fn exchange(
+    async fn exchange<F>(
         &mut self,
         req: Request<Full<Bytes>>,
         max_body: usize,
-    ) -> Result<Response<Bytes>, HttpError> {
+        on_data: F,
+    ) -> Result<Response<Bytes>, HttpError>
+    where
+        F: Fn(),
+    {
         let Self { sender, driver, .. } = self;
         let exchange = async {
             let (head, body) = sender.send_request(req).await?.into_parts();
-            let body = collect(body, max_body).await?;
+            on_data();
+            let body = collect_with(body, max_body, on_data).await?;
             Ok(Response::from_parts(head, body))
         };
         let drive = async {
--- a/hemlockhook-runtime/src/timer.rs
+++ b/hemlockhook-runtime/src/timer.rs
@@ -96,11 +96,11 @@
 }
 
 impl Deadlines {
-    /// Runs a future until a deadline, and returns `None` once it has passed. Calls `on_wait` the
-    /// first time that the future is pending.
+    /// Runs a future until a deadline, and returns `None` once it has passed. The future may move the
+    /// deadline. Calls `on_wait` the first time that the future is pending.
     pub(crate) async fn until<F, W>(
         &self,
-        deadline: Instant,
+        deadline: &MovableDeadline,
         fut: F,
         on_wait: W,
     ) -> Option<F::Output>
@@ -116,9 +116,9 @@
         };
         std::future::poll_fn(|cx| match fut.as_mut().poll(cx) {
             Poll::Ready(output) => Poll::Ready(Some(output)),
-            Poll::Pending if Instant::now() >= deadline => Poll::Ready(None),
+            Poll::Pending if Instant::now() >= deadline.get() => Poll::Ready(None),
             Poll::Pending => {
-                registration.register(deadline, cx.waker());
+                registration.register(deadline.get(), cx.waker());
                 if let Some(on_wait) = on_wait.take() {
                     on_wait();
                 }
@@ -147,6 +147,24 @@
     }
 }
 
+/// A deadline that a future can move while it runs.
+#[derive(Debug)]
+pub(crate) struct MovableDeadline(Mutex<Instant>);
+
+impl MovableDeadline {
+    pub(crate) fn new(at: Instant) -> Self {
+        Self(Mutex::new(at))
+    }
+
+    pub(crate) fn set(&self, at: Instant) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = at;
+    }
+
+    fn get(&self) -> Instant {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// A request's registration with [`Deadlines`], removed when it is dropped.
 struct Registration<'a> {
     deadlines: &'a Deadlines,
@@ -157,7 +175,10 @@
     fn register(&mut self, deadline: Instant, waker: &Waker) {
         let mut waiters = self.deadlines.lock();
         match self.key {
-            Some(key) => waiters[key].waker.clone_from(waker),
+            Some(key) => {
+                waiters[key].deadline = deadline;
+                waiters[key].waker.clone_from(waker);
+            }
             None => {
                 let waker = waker.clone();
                 self.key = Some(waiters.insert(Waiter { deadline, waker }));
--- a/hemlockhook-runtime/tests/loopback.rs
+++ b/hemlockhook-runtime/tests/loopback.rs
@@ -1,5 +1,6 @@
 //! HTTP and gRPC over loopback sockets on executor threads.
 
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -186,6 +187,40 @@
     expect_that!(res, err(matches_pattern!(HttpError::Connect(_))));
 }
 
+#[googletest::test]
+fn a_response_that_stalls_is_an_error_and_one_that_makes_progress_is_not() {
+    const PARTS: usize = 8;
+    let stall = Duration::from_millis(800);
+    let pause = stall / 4;
+    let threads = Threads::start("test", 1);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        for is_complete in [true, false] {
+            let (mut stream, _) = listener.accept().unwrap();
+            // The request is smaller than one read.
+            let _ = stream.read(&mut [0; 4096]).unwrap();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {PARTS}\r\n\r\n");
+            stream.write_all(head.as_bytes()).unwrap();
+            for _ in 0..if is_complete { PARTS } else { 1 } {
+                std::thread::sleep(pause);
+                stream.write_all(b"x").unwrap();
+            }
+            if !is_complete {
+                // Waits until the client closes the connection.
+                let _ = stream.read(&mut [0]);
+            }
+        }
+    });
+    let client = HttpClient::new(threads.traffic(), addr, 1);
+    let send = || client.send_with_progress(post(b""), MAX_BODY, TIMEOUT, stall);
+    let whole = async_io::block_on(send()).unwrap();
+    expect_that!(whole.body().len(), eq(PARTS));
+    let stalled = async_io::block_on(send());
+    expect_that!(stalled, err(matches_pattern!(HttpError::Stalled(_))));
+    server.join().unwrap();
+}
+
 struct EchoAgent;
 
 #[tonic::async_trait]
--- a/hemlockhook/src/bin/hemlockhook-agent.rs
+++ b/hemlockhook/src/bin/hemlockhook-agent.rs
@@ -30,8 +30,9 @@
 /// Maximum number of connections to the upstream.
 const UPSTREAM_CONNECTIONS: usize = 16;
 
-/// Timeout of a call to the platform's store, not counting the wait that the call asks for.
-const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without progress after which a call to the platform's store fails, not counting the wait that
+/// the call asks for.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Runs the agent of one upstream: it starts tasks there on request of the entries.
 #[derive(Bpaf, Clone, Debug)]
--- a/hemlockhook/src/bin/hemlockhook-entry.rs
+++ b/hemlockhook/src/bin/hemlockhook-entry.rs
@@ -22,8 +22,9 @@
 admin_address: 127.0.0.1:7203\n  \
 log_address: 127.0.0.1:7100";
 
-/// Timeout of a call to the platform's store, not counting the wait that the call asks for.
-const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without progress after which a call to the platform's store fails, not counting the wait that
+/// the call asks for.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Runs an entry: it accepts jobs from callers over HTTP and has agents start their tasks.
 #[derive(Bpaf, Clone, Debug)]
