Send a configuration only to agents that lack it and to entries that request it

Cause: every entry sent a new version to three agents of its own choice, and each of these sent it to every entry that it did not know to have it. With nine entries up to 27 agents sent the same document to each entry, while its own read of the store was on the same link. The work grew with entries, agents and the size of the document, and at a link of 25 Mbit/s it held up both copies and reads, and the orders of tasks.

Now all entries choose the same three agents. An agent reports the version that it has, and an entry that gets no further with its own reads for a second requests the document from one of them; one without a configuration does so at once. A document above 16 KB is sent after a random delay that grows with its size, so that one of the entries sends it, and at 256 KB/s at most.

an_entry_is_sent_each_configuration_by_one_agent failed before (23 to 33 copies, bound 10), and passes.

--- a/hemlockhook-dispatch/src/entry/mod.rs
+++ b/hemlockhook-dispatch/src/entry/mod.rs
@@ -1,4 +1,4 @@
-//! Admission, prioritisation and placement of jobs in an entry.
+//! Admission, prioritisation and placement of jobs in an entry, and sharing of its configuration.
 
 mod admission;
 mod agents;
@@ -8,9 +8,11 @@
 mod offers;
 mod placement;
 mod policy;
+mod sharing;
 
 pub use admission::Refusal;
 pub use agents::{AgentKey, AgentReport};
 pub use dispatcher::{Action, Dispatcher, Order, Submission};
 pub use job::{Answer, JobKey};
 pub use policy::DispatchPolicy;
+pub use sharing::ConfigurationSharing;
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -56,8 +56,6 @@
 
 struct Link {
     tx: Sender<v1::AgentReport>,
-    /// Highest configuration version that the entry is known to have.
-    config_version: u64,
     /// Number of entry addresses that the entry has been sent.
     sent_entries: usize,
     /// Whether the next report is the first one on the link.
@@ -216,12 +214,12 @@
             incarnation: self.incarnation,
             name: self.name.clone(),
             data_center: self.data_center.clone(),
-            config_version: state.config_version,
             last_entry: previous_incarnation,
         };
         let report = v1::AgentReport {
             hello: Some(hello),
             sent_ms: self.millis_since_epoch(now),
+            config_version: state.config_version,
             ..v1::AgentReport::default()
         };
         (report, now)
@@ -244,7 +242,6 @@
                 link,
                 Link {
                     tx,
-                    config_version: 0,
                     sent_entries: 0,
                     is_first_report: true,
                     previous_incarnation,
@@ -293,9 +290,10 @@
             {
                 state.config_version = shared.version;
                 state.config_document = shared.document.into();
+                self.announce_configuration(now, state);
             }
-            if let Some(link) = state.links.get_mut(&link) {
-                link.config_version = link.config_version.max(frame.config_version);
+            if frame.wants_config {
+                self.send_configuration(now, state, link);
             }
             for task in frame.cancels {
                 if let Some(task) = read_task(Some(task)) {
@@ -411,6 +409,7 @@
             orders_seen: report.orders_seen,
             state: report.state.as_ref().map(write_state),
             ends: report.ends.iter().map(write_end).collect(),
+            config_version: state.config_version,
             ..v1::AgentReport::default()
         };
         if let Some(held) = report.held {
@@ -422,25 +421,52 @@
                 incarnation: self.incarnation,
                 name: self.name.clone(),
                 data_center: self.data_center.clone(),
-                config_version: state.config_version,
                 last_entry: link.previous_incarnation,
             });
         }
-        if link.config_version < state.config_version {
-            link.config_version = state.config_version;
-            frame.config = Some(v1::SharedConfig {
-                version: state.config_version,
-                document: state.config_document.to_vec(),
-            });
-        }
         if link.sent_entries != entries.len() {
             link.sent_entries = entries.len();
             frame.entries = entries;
         }
-        if link.tx.try_send(frame).is_err() {
+        link.send(frame);
+    }
+
+    /// Tells all entries the version of the configuration that the agent keeps, so that no other
+    /// entry sends it.
+    fn announce_configuration(&self, now: Instant, state: &State) {
+        for link in state.links.values() {
+            link.send(self.configuration_frame(now, state));
+        }
+    }
+
+    /// Sends the configuration on a link.
+    fn send_configuration(&self, now: Instant, state: &State, link: LinkId) {
+        let Some(link) = state.links.get(&link).filter(|_| state.config_version > 0) else {
+            return;
+        };
+        let mut frame = self.configuration_frame(now, state);
+        frame.config = Some(v1::SharedConfig {
+            version: state.config_version,
+            document: state.config_document.to_vec(),
+        });
+        link.send(frame);
+    }
+
+    fn configuration_frame(&self, now: Instant, state: &State) -> v1::AgentReport {
+        v1::AgentReport {
+            sent_ms: self.millis_since_epoch(now),
+            config_version: state.config_version,
+            ..v1::AgentReport::default()
+        }
+    }
+}
+
+impl Link {
+    fn send(&self, frame: v1::AgentReport) {
+        if self.tx.try_send(frame).is_err() {
             // The entry does not keep up with its frames. Closing the queue ends the link, and the
             // agent opens a new one.
-            link.tx.close();
+            self.tx.close();
         }
     }
 }
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -7,7 +7,8 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use hemlockhook_dispatch::entry::{
-    Action, AgentKey, AgentReport, Answer, Dispatcher, JobKey, Refusal, Submission,
+    Action, AgentKey, AgentReport, Answer, ConfigurationSharing, Dispatcher, JobKey, Refusal,
+    Submission,
 };
 use hemlockhook_ports::leased::{Configuration, MalformedMessage};
 use hemlockhook_proto::v1;
@@ -31,10 +32,6 @@
 /// Minimum time between the last frame to an agent and one that only echoes its report.
 const MIN_ECHO_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Number of agents that are sent the configuration itself, for entries that start while the store
-/// is unavailable.
-const CONFIGURATION_COPIES: usize = 3;
-
 /// Time for which the entry stays ready after it last had an agent that accepts work.
 const READY_WITHOUT_AGENTS: Duration = Duration::from_secs(4);
 
@@ -52,6 +49,7 @@
 
 struct State {
     dispatcher: Dispatcher,
+    sharing: ConfigurationSharing,
     links: HashMap<AgentKey, Link>,
     /// Callers that wait for the answer to each job.
     waiters: HashMap<JobKey, Waiters>,
@@ -78,8 +76,10 @@
     echoed_ms: u64,
     /// When the last frame was queued.
     sent_at: Option<Instant>,
-    /// Highest configuration version that the agent is known to have.
-    config_version: u64,
+    /// Whether the agent is to be sent the configuration.
+    is_configuration_due: bool,
+    /// Whether the configuration is to be requested from the agent.
+    is_request_due: bool,
     /// Number of entry addresses that the agent has been sent.
     sent_entries: usize,
 }
@@ -101,6 +101,7 @@
             metrics: EntryMetrics::new(metrics),
             state: Mutex::new(State {
                 dispatcher: Dispatcher::new(settings.policy()),
+                sharing: ConfigurationSharing::default(),
                 links: HashMap::new(),
                 waiters: HashMap::new(),
                 configuration: Arc::default(),
@@ -240,20 +241,30 @@
         self.lock().decode_configuration = Some(decode);
     }
 
-    /// Applies a configuration if it is newer than the one in force.
-    pub(crate) fn update_configuration(&self, document: Bytes, source: &str) {
+    /// Applies a configuration if it is newer than the one in force. Returns whether it is valid.
+    pub(crate) fn update_configuration(&self, document: Bytes, source: &str) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
-        self.apply_configuration(&mut state, document, source);
+        let is_valid = self.apply_configuration(now, &mut state, document, source);
+        state.share_configuration(now);
         self.flush_to_all(now, &mut state);
+        is_valid
     }
 
-    fn apply_configuration(&self, state: &mut State, document: Bytes, source: &str) {
+    fn apply_configuration(
+        &self,
+        now: Instant,
+        state: &mut State,
+        document: Bytes,
+        source: &str,
+    ) -> bool {
         let Some(decode) = &state.decode_configuration else {
-            return;
+            return false;
         };
         let old = state.configuration.version;
-        match decode(&document) {
+        let decoded = decode(&document);
+        let is_valid = decoded.is_ok();
+        match decoded {
             Ok(fresh) if fresh.version > old => {
                 let version = fresh.version;
                 let bytes = document.len();
@@ -268,6 +279,7 @@
                 assert!(version > old, "the configuration version must increase");
                 state.configuration = Arc::new(fresh);
                 state.config_document = document;
+                state.sharing.changed(now, version, bytes, fastrand::f64());
             }
             Ok(_) => {
                 state.ignored_configurations += 1;
@@ -279,6 +291,7 @@
                 spdlog::error!("a configuration can't be decoded", kv: { old, source, reason });
             }
         }
+        is_valid
     }
 
     /// Registers a new link of the agent that sent `hello`.
@@ -300,10 +313,12 @@
             received_ms: 0,
             echoed_ms: 0,
             sent_at: None,
-            config_version: hello.config_version,
+            is_configuration_due: false,
+            is_request_due: false,
             sent_entries: 0,
         };
         state.links.insert(key, link);
+        state.sharing.linked(key, hello.incarnation);
         key
     }
 
@@ -313,6 +328,7 @@
         if state.links.get(&key).is_some_and(|link| link.id == id) {
             state.links.remove(&key);
             state.dispatcher.unlinked(key);
+            state.sharing.unlinked(key);
             spdlog::warn!("an agent's link has ended", kv: { link = id });
         }
     }
@@ -327,10 +343,12 @@
         link.received_ms = link.received_ms.max(report.sent_ms);
         state.entries.extend(report.entries);
         if let Some(shared) = report.config {
-            if let Some(link) = state.links.get_mut(&key) {
-                link.config_version = link.config_version.max(shared.version);
-            }
-            self.apply_configuration(&mut state, shared.document.into(), "agent");
+            self.apply_configuration(now, &mut state, shared.document.into(), "agent");
+        }
+        state.sharing.agent_has(now, key, report.config_version);
+        // Without a configuration the entry serves nobody, so that it doesn't wait for a tick.
+        if state.configuration.version == 0 {
+            state.share_configuration(now);
         }
         let ends: Vec<_> = report.ends.into_iter().filter_map(read_end).collect();
         for end in &ends {
@@ -368,6 +386,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.dispatcher.tick(now);
+        state.share_configuration(now);
         self.flush_to_all(now, &mut state);
         state.dispatcher.jobs() > 0
     }
@@ -404,8 +423,6 @@
             }
         }
         let version = state.configuration.version;
-        let has_configuration = |link: &&Link| link.config_version >= version;
-        let mut copies = state.links.values().filter(has_configuration).count();
         let mut keys: Vec<_> = frames.keys().chain(others).copied().collect();
         keys.sort_unstable();
         keys.dedup();
@@ -418,16 +435,14 @@
                 .sent_at
                 .is_none_or(|at| now.saturating_duration_since(at) >= MIN_ECHO_INTERVAL);
             let is_echo_due = link.received_ms > link.echoed_ms && is_quiet;
-            let is_configuration_due =
-                link.config_version < version && copies < CONFIGURATION_COPIES;
+            let is_sharing_due = link.is_configuration_due || link.is_request_due;
             let is_first = link.sent_at.is_none();
-            if frame.is_none() && !is_echo_due && !is_configuration_due && !is_first {
+            if frame.is_none() && !is_echo_due && !is_sharing_due && !is_first {
                 continue;
             }
             let mut frame = frame.unwrap_or_default();
-            if is_configuration_due {
-                link.config_version = version;
-                copies += 1;
+            frame.wants_config = std::mem::take(&mut link.is_request_due);
+            if std::mem::take(&mut link.is_configuration_due) {
                 frame.config = Some(v1::SharedConfig {
                     version,
                     document: state.config_document.to_vec(),
@@ -438,7 +453,6 @@
                 frame.entries = state.entries.iter().cloned().collect();
             }
             frame.incarnation = self.incarnation;
-            frame.config_version = version;
             frame.echo_ms = link.received_ms;
             frame.seq = state.dispatcher.next_seq(key);
             link.echoed_ms = link.received_ms;
@@ -474,6 +488,26 @@
     }
 }
 
+impl State {
+    /// Marks the links on which the configuration is to be sent or requested.
+    fn share_configuration(&mut self, now: Instant) {
+        for key in self.sharing.recipients(now) {
+            if let Some(link) = self.links.get_mut(&key) {
+                link.is_configuration_due = true;
+            }
+        }
+        let agent = self.sharing.request(now);
+        if let Some(link) = agent.and_then(|key| self.links.get_mut(&key)) {
+            let version = self.configuration.version;
+            spdlog::info!("an agent has a newer configuration; requesting it", kv: {
+                version,
+                link = link.id,
+            });
+            link.is_request_due = true;
+        }
+    }
+}
+
 /// Creates the queue of frames to an agent.
 pub(crate) fn outgoing_queue() -> (
     Sender<v1::EntryOrders>,
