Read only the latest of many configurations

Cause: an entry read and decoded every version, up to 1 MB a read without a pause, although only the latest counts. At 1,400 routes (240 KB) and ten changes a second that is more than a link of 19 Mbit/s carries.

After a read that returned records there is a pause of 0.4 s, and of the records of a batch the last valid one of each key is used.

of_many_changes_in_quick_succession_few_are_read fails before (all 60 versions are sent) and passes.

--- a/hemlockhook-leased/src/agent/mod.rs
+++ b/hemlockhook-leased/src/agent/mod.rs
@@ -24,7 +24,7 @@
 use crate::agent::core::{Core, SharedCore};
 use crate::process::{listen, serve_metrics};
 use crate::settings::AgentSettings;
-use crate::watch::{follow, put};
+use crate::watch::{FollowPolicy, follow, put};
 
 /// Tick interval while orders are held or orphaned runs are known.
 const BUSY_TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -32,8 +32,11 @@
 /// Tick interval otherwise.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time for which a read of the entries' records waits for a new one.
-const ENTRIES_READ_WAIT: Duration = Duration::from_millis(5000);
+/// How the entries' records are followed. They are small, and are written when entries start.
+const ENTRIES_POLICY: FollowPolicy = FollowPolicy {
+    wait: Duration::from_millis(5000),
+    pause: Duration::ZERO,
+};
 
 /// Part of the grace period that remains when the process exits at the latest.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
@@ -136,13 +139,20 @@
     U: UpstreamClient,
     S: Store,
 {
-    let on_record = |name: &str, value: &bytes::Bytes| match std::str::from_utf8(value)
-        .map(str::parse::<SocketAddr>)
-    {
-        Ok(Ok(addr)) => link::ensure(&core, addr),
-        _ => spdlog::warn!("an entry's record contains no valid address", kv: { name }),
+    let on_record = |name: &str, value: &bytes::Bytes| {
+        let addr = std::str::from_utf8(value).map(str::parse::<SocketAddr>);
+        match addr {
+            Ok(Ok(addr)) => {
+                link::ensure(&core, addr);
+                true
+            }
+            _ => {
+                spdlog::warn!("an entry's record contains no valid address", kv: { name });
+                false
+            }
+        }
     };
-    follow(&*store, RecordSet::Entries, ENTRIES_READ_WAIT, on_record).await;
+    follow(&*store, RecordSet::Entries, ENTRIES_POLICY, on_record).await;
 }
 
 /// Restores the upstream that the agent's previous incarnation stored, and stores its changes.
--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -24,7 +24,7 @@
 use crate::entry::links::LinkService;
 use crate::process::{listen, serve_metrics};
 use crate::settings::EntrySettings;
-use crate::watch::{follow, put};
+use crate::watch::{FollowPolicy, follow, put};
 
 /// Tick interval while jobs are unanswered.
 const BUSY_TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -32,10 +32,13 @@
 /// Tick interval otherwise.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time for which a read of the operators' records waits for a new one. The sum of it and the call
-/// timeout is below the time within which a configuration has to be in force, so that a dead
-/// connection is detected in time.
-const CONFIGURATION_READ_WAIT: Duration = Duration::from_millis(700);
+/// How the operators' records are followed. The sum of the wait and the call timeout is below the time
+/// within which a configuration has to be in force, so that a dead connection is detected in time.
+/// The pause bounds the share of a narrow link that configurations use when they change often.
+const CONFIGURATION_POLICY: FollowPolicy = FollowPolicy {
+    wait: Duration::from_millis(700),
+    pause: Duration::from_millis(400),
+};
 
 /// Time from SIGTERM until the entry stops accepting requests. The balancer stops sending new
 /// connections after two failed readiness checks, a second apart.
@@ -166,14 +169,12 @@
     };
     core.set_configuration_decoder(Box::new(decode));
     let on_record = |key: &str, value: &Bytes| {
-        if key == CONFIGURATION_KEY {
-            core.update_configuration(value.clone(), "store");
-        }
+        key != CONFIGURATION_KEY || core.update_configuration(value.clone(), "store")
     };
     follow(
         &*store,
         RecordSet::Operators,
-        CONFIGURATION_READ_WAIT,
+        CONFIGURATION_POLICY,
         on_record,
     )
     .await;
--- a/hemlockhook-leased/src/watch.rs
+++ b/hemlockhook-leased/src/watch.rs
@@ -1,5 +1,6 @@
 //! Follows and writes records of the platform's store, with retries.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
@@ -13,12 +14,27 @@
 /// short so that records written after the store has recovered are read soon.
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
 
-/// Calls `on_record` with the latest record of each key, and then with each new record. Never
+/// How a record set is followed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FollowPolicy {
+    /// Time for which a read waits for a new record.
+    pub(crate) wait: Duration,
+    /// Pause after a read that returned records. Of records written meanwhile, only the latest is
+    /// used.
+    pub(crate) pause: Duration,
+}
+
+/// Calls `on_record` with the latest record of each key, at first and after changes. If it returns
+/// false, the record isn't valid, and it is called with the one before, if that was read too. Never
 /// returns.
-pub(crate) async fn follow<S, F>(store: &S, records: RecordSet, wait: Duration, mut on_record: F)
-where
+pub(crate) async fn follow<S, F>(
+    store: &S,
+    records: RecordSet,
+    policy: FollowPolicy,
+    mut on_record: F,
+) where
     S: Store,
-    F: FnMut(&str, &Bytes),
+    F: FnMut(&str, &Bytes) -> bool,
 {
     let mut position = None;
     let mut backoff = MIN_BACKOFF;
@@ -27,7 +43,7 @@
     loop {
         // After a failure, a read that doesn't wait shows soonest whether the store answers.
         let wait = match failing_since {
-            None => wait,
+            None => policy.wait,
             Some(_) => Duration::ZERO,
         };
         let read = match position {
@@ -46,9 +62,15 @@
                     failures = 0;
                 }
                 backoff = MIN_BACKOFF;
-                position = Some(batch.next);
-                for (key, value) in &batch.items {
-                    on_record(key, value);
+                position = batch.is_complete.then_some(batch.next);
+                let mut done = HashSet::new();
+                for (key, value) in batch.items.iter().rev() {
+                    if !done.contains(key) && on_record(key, value) {
+                        done.insert(key);
+                    }
+                }
+                if !batch.items.is_empty() {
+                    Timer::after(policy.pause).await;
                 }
             }
             Err(StoreError::Deleted) => position = None,
--- a/hemlockhook-ports/src/leased.rs
+++ b/hemlockhook-ports/src/leased.rs
@@ -144,6 +144,8 @@
     pub items: Vec<(String, Bytes)>,
     /// Start of the next read.
     pub next: Position,
+    /// Whether there were no later records.
+    pub is_complete: bool,
 }
 
 /// An error from an operation of a [`Store`].
@@ -171,7 +173,8 @@
         records: RecordSet,
     ) -> impl Future<Output = Result<RecordBatch, StoreError>> + Send;
 
-    /// Reads the records from position `from` on. If there are none, waits up to `wait` for one.
+    /// Reads records from position `from` on; not all, if there are many. If there are none, waits up
+    /// to `wait` for one.
     fn read_since(
         &self,
         records: RecordSet,
--- a/hemlockhook/tests/platform/configurations.rs
+++ b/hemlockhook/tests/platform/configurations.rs
@@ -1,7 +1,7 @@
 //! How soon a configuration is in force at the entries, and what that costs.
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 
@@ -54,3 +54,30 @@
     let ignored = deployment.counter(2, "leased_configurations_ignored");
     expect_that!(ignored, le(VERSIONS));
 }
+
+/// All versions of a large document were read, although only the latest is used.
+#[gtest]
+fn of_many_changes_in_quick_succession_few_are_read() {
+    const VERSIONS: u64 = 60;
+    const GAP: Duration = Duration::from_millis(50);
+    // The pause between reads, after each of which an old version and the latest are read.
+    const READ_INTERVAL: Duration = Duration::from_millis(400);
+    let deployment = Deployment::start("many-changes", 1, 1);
+    let before = deployment.store.sent_operator_bytes();
+    let start = Instant::now();
+    for version in 2..2 + VERSIONS {
+        let added = format!("added{version}");
+        deployment
+            .store
+            .publish("config", large_configuration(version, &added));
+        thread::sleep(GAP);
+    }
+    let last = format!("added{}", 1 + VERSIONS);
+    deployment.wait_for(|deployment| deployment.has_queue(0, &last));
+    let rounds = start.elapsed().div_duration_f64(READ_INTERVAL).ceil() as usize + 1;
+    // The latest version is encoded in base64, which takes 4 bytes for 3.
+    let bytes_per_round = LARGE_DOCUMENT * 12 / 5;
+    let sent = deployment.store.sent_operator_bytes() - before;
+    expect_that!(sent, le(rounds * bytes_per_round));
+    expect_that!(sent, lt(VERSIONS as usize * LARGE_DOCUMENT));
+}
--- a/hemlockhook/tests/platform/store.rs
+++ b/hemlockhook/tests/platform/store.rs
@@ -14,7 +14,7 @@
 use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use serde_json::json;
 use strum::EnumIter;
 
@@ -22,6 +22,10 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Polling interval of a read that waits for a record.
+const OPERATORS_TOPIC: &str = "keyed.op";
+
+const DEFAULT_READ_KILOBYTES: usize = 1024;
+
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Response time of a slow store, 60 times the usual 4 ms.
@@ -54,13 +58,15 @@
     fault: StoreFault,
     /// First retained offset of each topic.
     first_retained: BTreeMap<String, usize>,
+    /// Bytes of the operators' records that were sent, in the encoding of the responses.
+    sent_operator_bytes: usize,
 }
 
 impl StoreStandin {
     /// Appends a record to the operators' topic, as an operator would.
     pub fn publish(&self, key: &str, value: String) {
         let mut state = self.state.lock().expect("no thread panicked with the lock");
-        let topic = state.topics.entry("keyed.op".to_owned()).or_default();
+        let topic = state.topics.entry(OPERATORS_TOPIC.to_owned()).or_default();
         topic.push((key.to_owned(), value.into()));
     }
 
@@ -72,6 +78,11 @@
             .fault = fault;
     }
 
+    pub fn sent_operator_bytes(&self) -> usize {
+        let state = self.state.lock().expect("no thread panicked with the lock");
+        state.sent_operator_bytes
+    }
+
     fn fault(&self) -> StoreFault {
         self.state
             .lock()
@@ -110,7 +121,13 @@
             StoreFault::Slow => _ = Timer::after(SLOW_RESPONSE_TIME).await,
             StoreFault::None | StoreFault::LosesResponses => {}
         }
+        let is_operators = topic == OPERATORS_TOPIC;
         let res = self.execute(&head, &args, topic, body).await;
+        if is_operators {
+            let bytes = res.body().size_hint().lower() as usize;
+            let mut state = self.state.lock().expect("no thread panicked with the lock");
+            state.sent_operator_bytes += bytes;
+        }
         match fault {
             StoreFault::LosesResponses => pending().await,
             _ => res,
@@ -130,14 +147,17 @@
             (&Method::GET, "/hemlockhook/log-read") => {
                 let from = args["from"].parse().expect("an offset");
                 let wait = Duration::from_millis(args["waitMs"].parse().expect("milliseconds"));
-                self.read(&topic, from, wait).await
+                let kilobytes = args.get("maximumKilobytes");
+                let kilobytes = kilobytes.map(|value| value.parse().expect("kilobytes"));
+                let max_bytes = 1024 * kilobytes.unwrap_or(DEFAULT_READ_KILOBYTES);
+                self.read(&topic, from, wait, max_bytes).await
             }
             _ => status(StatusCode::NOT_FOUND, Bytes::new()),
         }
     }
 
     fn append(&self, topic: String, mut body: Bytes) -> Response<Full<Bytes>> {
-        if topic == "keyed.op" {
+        if topic == OPERATORS_TOPIC {
             return status(StatusCode::FORBIDDEN, Bytes::new());
         }
         let mut state = self.state.lock().expect("no thread panicked with the lock");
@@ -169,7 +189,13 @@
         json_body(&json!({ "items": items, "hasMore": false, "end": records.len() }))
     }
 
-    async fn read(&self, topic: &str, from: usize, wait: Duration) -> Response<Full<Bytes>> {
+    async fn read(
+        &self,
+        topic: &str,
+        from: usize,
+        wait: Duration,
+        max_bytes: usize,
+    ) -> Response<Full<Bytes>> {
         let deadline = Instant::now() + wait;
         loop {
             let (records, first) = {
@@ -191,6 +217,9 @@
                 body.put_u64(records.len() as u64);
                 body.put_u64(first as u64);
                 for (key, value) in records.iter().skip(from) {
+                    if body.len() + key.len() + value.len() > max_bytes {
+                        break;
+                    }
                     body.put_u32((1 + key.len() + value.len()) as u32);
                     body.put_u8(key.len() as u8);
                     body.put_slice(key.as_bytes());
