Run calls to the store before the requests of callers

Cause: an entry has one queue of tasks.

Now calls to the store run on an executor of their own, whose tasks run first, and the reactor is polled after 64 tasks instead of 200. These are a few tasks a second, so callers do not notice.

--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -14,7 +14,7 @@
 use hemlockhook_ports::leased::{CONFIGURATION_KEY, CallerProtocol, RecordSet, Store};
 use hemlockhook_proto::v1::leased_server::LeasedServer;
 use hemlockhook_runtime::clock::BootClock;
-use hemlockhook_runtime::executor::Executor;
+use hemlockhook_runtime::executor::{Executor, run_with_priority};
 use hemlockhook_runtime::http::ServerLimits;
 use hemlockhook_runtime::metrics::Metrics;
 use hemlockhook_runtime::{grpc, http, signal};
@@ -61,12 +61,16 @@
     M: FnOnce(Arc<Executor>) -> S,
 {
     let ex = Arc::new(Executor::new());
-    let store = make_store(ex.clone());
-    async_io::block_on(ex.run(serve(ex.clone(), settings, protocol, store)))
+    // Calls to the store, which must not wait for the requests of callers.
+    let urgent = Arc::new(Executor::new());
+    let store = make_store(urgent.clone());
+    let serve = serve(ex.clone(), urgent.clone(), settings, protocol, store);
+    async_io::block_on(run_with_priority(&urgent, &ex, serve))
 }
 
 async fn serve<C, S>(
     ex: Arc<Executor>,
+    urgent: Arc<Executor>,
     settings: &EntrySettings,
     protocol: C,
     store: S,
@@ -102,18 +106,20 @@
         links,
     ))
     .detach();
-    ex.spawn(follow_configuration(
-        core.clone(),
-        protocol.clone(),
-        store.clone(),
-    ))
-    .detach();
-    ex.spawn(publish_address(
-        store,
-        settings.name.clone(),
-        core.address().to_owned(),
-    ))
-    .detach();
+    urgent
+        .spawn(follow_configuration(
+            core.clone(),
+            protocol.clone(),
+            store.clone(),
+        ))
+        .detach();
+    urgent
+        .spawn(publish_address(
+            store,
+            settings.name.clone(),
+            core.address().to_owned(),
+        ))
+        .detach();
     ex.spawn(run_ticks(core.clone())).detach();
     ex.spawn(ignore_reloads()).detach();
 
--- a/hemlockhook-runtime/src/executor.rs
+++ b/hemlockhook-runtime/src/executor.rs
@@ -1,11 +1,11 @@
-//! Executor threads: one for control state, the others for network traffic.
+//! Executors, and the threads that run them: one for control state, the others for network traffic.
 
 use std::future::Future;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 
 use async_channel::{Receiver, Sender};
-use futures_lite::future;
+use futures_lite::{FutureExt, future};
 
 /// The type of the executors that the tasks of a process run on.
 pub type Executor = async_executor::Executor<'static>;
@@ -100,6 +100,33 @@
     }
 }
 
+/// Number of tasks that run between two polls of the reactor. Until the next poll no socket or timer
+/// wakes an urgent task.
+const TASKS_PER_POLL: usize = 64;
+
+/// Runs a future and the tasks of two executors on the current thread, until the future completes.
+///
+/// A task of `ex` runs only when none of `urgent` can run. So few urgent tasks make progress under a
+/// load of `ex` that the thread doesn't keep up with, where one queue would make each of their steps
+/// wait for all other tasks.
+pub async fn run_with_priority<F>(urgent: &Executor, ex: &Executor, fut: F) -> F::Output
+where
+    F: Future,
+{
+    let run_tasks = async {
+        loop {
+            for _ in 0..TASKS_PER_POLL {
+                if !urgent.try_tick() && !ex.try_tick() {
+                    future::or(urgent.tick(), ex.tick()).await;
+                }
+            }
+            // The caller polls the reactor.
+            future::yield_now().await;
+        }
+    };
+    fut.or(run_tasks).await
+}
+
 /// Lets hyper spawn tasks on an [`Executor`].
 #[derive(Clone, Debug)]
 pub struct HyperExecutor(pub Arc<Executor>);
