Run links and ticks of an entry before the requests of callers

What callers saw: at an overloaded instance, work that was stopped and begun again, and answers after the deadline.

The echo of a report waited behind the requests of callers. An agent stops what an entry ordered that it has not heard of for 0.4 s; the event loop of a weak entry was up to 0.57 s behind. Reports of ends waited too, so that answers were late and slots idle.

Now links and ticks run before callers, as calls to the store do. The delay that is logged is that of callers' requests.

--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -35,8 +35,8 @@
 /// Time for which the entry stays ready after it last had an agent that accepts work.
 const READY_WITHOUT_AGENTS: Duration = Duration::from_secs(4);
 
-/// Minimum delay of a tick that is logged.
-const LOGGED_TICK_DELAY: Duration = Duration::from_millis(250);
+/// Minimum delay of requests that is logged.
+const LOGGED_DELAY: Duration = Duration::from_millis(250);
 
 /// The entry's state. Each event is handled completely under one lock.
 pub(crate) struct Core {
@@ -391,10 +391,10 @@
         state.dispatcher.jobs() > 0
     }
 
-    /// Records how late a tick was. All events of the process wait in the same queue as the ticks.
-    pub(crate) fn record_tick_delay(&self, delay: Duration) {
-        self.metrics.record_tick_delay(delay);
-        if delay >= LOGGED_TICK_DELAY {
+    /// Records how long requests of callers wait for the event loop.
+    pub(crate) fn record_delay(&self, delay: Duration) {
+        self.metrics.record_delay(delay);
+        if delay >= LOGGED_DELAY {
             let delay_ms = delay.as_millis() as u64;
             spdlog::warn!("the event loop fell behind", kv: { delay_ms });
         }
--- a/hemlockhook-leased/src/entry/metrics.rs
+++ b/hemlockhook-leased/src/entry/metrics.rs
@@ -15,8 +15,8 @@
     ignored_configurations: Counter<u64>,
     /// Time from the submission of a job to its answer, in milliseconds.
     duration: Histogram<u64>,
-    /// Delay of the ticks, in milliseconds.
-    tick_delay: Histogram<u64>,
+    /// Time for which requests of callers wait for the event loop, in milliseconds.
+    delay: Histogram<u64>,
 }
 
 impl EntryMetrics {
@@ -31,8 +31,8 @@
                 .with_unit("ms")
                 .build(),
             ignored_configurations: meter.u64_counter("leased_configurations_ignored").build(),
-            tick_delay: meter
-                .u64_histogram("leased_tick_delay")
+            delay: meter
+                .u64_histogram("leased_event_loop_delay")
                 .with_unit("ms")
                 .build(),
         }
@@ -59,7 +59,7 @@
         self.ignored_configurations.add(1, &[]);
     }
 
-    pub(crate) fn record_tick_delay(&self, delay: Duration) {
-        self.tick_delay.record(delay.as_millis() as u64, &[]);
+    pub(crate) fn record_delay(&self, delay: Duration) {
+        self.delay.record(delay.as_millis() as u64, &[]);
     }
 }
--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -32,6 +32,9 @@
 /// Tick interval otherwise.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which the delay of requests is measured.
+const DELAY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How the operators' records are followed. The sum of the wait and the call timeout is below the time
 /// within which a configuration has to be in force, so that a dead connection is detected in time.
 /// The pause bounds the share of a narrow link that configurations use when they change often.
@@ -61,7 +64,8 @@
     M: FnOnce(Arc<Executor>) -> S,
 {
     let ex = Arc::new(Executor::new());
-    // Calls to the store, which must not wait for the requests of callers.
+    // Calls to the store, links and ticks, which must not wait for the requests of callers: without
+    // them configurations come late, and agents stop the runs of an entry that they don't hear of.
     let urgent = Arc::new(Executor::new());
     let store = make_store(urgent.clone());
     let serve = serve(ex.clone(), urgent.clone(), settings, protocol, store);
@@ -97,15 +101,16 @@
         let listener = listen("metrics_address", addr).await?;
         serve_metrics(&ex, listener, stopped.clone(), metrics);
     }
-    let links = LinkService::new(ex.clone(), core.clone());
+    let links = LinkService::new(urgent.clone(), core.clone());
     let links = LeasedServer::new(links).max_decoding_message_size(MAX_FRAME_BYTES);
-    ex.spawn(grpc::serve(
-        ex.clone(),
-        links_listener,
-        stopped.clone(),
-        links,
-    ))
-    .detach();
+    urgent
+        .spawn(grpc::serve(
+            urgent.clone(),
+            links_listener,
+            stopped.clone(),
+            links,
+        ))
+        .detach();
     urgent
         .spawn(follow_configuration(
             core.clone(),
@@ -120,7 +125,8 @@
             core.address().to_owned(),
         ))
         .detach();
-    ex.spawn(run_ticks(core.clone())).detach();
+    urgent.spawn(run_ticks(core.clone())).detach();
+    ex.spawn(measure_delay(core.clone())).detach();
     ex.spawn(ignore_reloads()).detach();
 
     let service = CallerService::new(core.clone(), protocol);
@@ -200,9 +206,16 @@
             true => BUSY_TICK_INTERVAL,
             false => IDLE_TICK_INTERVAL,
         };
-        let due = Instant::now() + interval;
+        Timer::after(interval).await;
+    }
+}
+
+/// Measures how long requests of callers wait until they are handled.
+async fn measure_delay(core: SharedCore) {
+    loop {
+        let due = Instant::now() + DELAY_INTERVAL;
         Timer::at(due).await;
-        core.record_tick_delay(due.elapsed());
+        core.record_delay(due.elapsed());
     }
 }
 
