Let a read of the product's own log go on for as long as it makes progress

What operators would see: a process that never gets the configuration, where a read of the log takes over 2 s.

A read of up to 64 MB had 2 s in all and was restarted from the same offset; its timeout now counts from the last part of the response that arrived. Looked at too: calls to workers keep a timeout in all, since they are answered on the same machine with some 10 KB, and a call without an answer has to be settled in time.

--- a/hemlockhook-ports/src/http_log.rs
+++ b/hemlockhook-ports/src/http_log.rs
@@ -28,7 +28,8 @@
 }
 
 impl HttpLog {
-    /// Creates a client of the log service at `addr`, with a timeout for each request.
+    /// Creates a client of the log service at `addr`, with a timeout for each request. That of a read
+    /// counts from the last part of the response that arrived.
     pub fn new(ex: Arc<Executor>, addr: SocketAddr, timeout: Duration) -> Self {
         Self {
             client: HttpClient::new(ex, addr, MAX_CONNECTIONS),
@@ -61,7 +62,7 @@
         let req = request(Request::get(path), Bytes::new())?;
         let res = self
             .client
-            .send(req, MAX_RESPONSE_BYTES, self.timeout)
+            .send_with_progress(req, MAX_RESPONSE_BYTES, self.timeout, self.timeout)
             .await
             .map_err(|err| LogError::Unavailable(err.to_string()))?;
 
