Change the configuration in the soak, and check it

Now it publishes one to five versions at a time, checks before each fault that a process which served a queue still does, and at the end that the last version comes into force everywhere.

--- a/hemlockhook/tests/platform/deployment.rs
+++ b/hemlockhook/tests/platform/deployment.rs
@@ -254,9 +254,14 @@
 
     /// Returns whether an entry has a queue with this prefix.
     pub fn has_queue(&self, entry: usize, prefix: &str) -> bool {
+        self.queue_status(entry, prefix) == Some(200)
+    }
+
+    /// Returns the status of the response to a request for the number of waiting jobs.
+    pub fn queue_status(&self, entry: usize, prefix: &str) -> Option<u16> {
         let path = format!("/{prefix}/");
         let answer = self.send_request(entry, Method::GET, &path, String::new());
-        answer.is_some_and(|(status, ..)| status == 200)
+        answer.map(|(status, ..)| status)
     }
 
     /// Waits until a condition holds.
--- a/hemlockhook/tests/platform/soak.rs
+++ b/hemlockhook/tests/platform/soak.rs
@@ -11,7 +11,7 @@
 use googletest::prelude::*;
 use strum::IntoEnumIterator;
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, configuration};
 use crate::store::StoreFault;
 
 const ENTRIES: usize = 2;
@@ -48,17 +48,25 @@
         }
 
         let mut rng = Rng::with_seed(seed);
+        let mut configurations = Configurations::default();
         let end = Instant::now() + Duration::from_secs(seconds);
         while Instant::now() < end {
             let pause = Duration::from_millis(rng.u64(50..600));
-            match rng.u8(0..8) {
-                0 => entries[rng.usize(0..ENTRIES)].restart(),
+            configurations.check(deployment, &seed.to_string());
+            match rng.u8(0..10) {
+                0 => {
+                    let entry = rng.usize(0..ENTRIES);
+                    entries[entry].restart();
+                    configurations.forget(entry);
+                }
                 1 => agents[rng.usize(0..WORKERS)].restart(),
                 2 => {
-                    let entry = &mut entries[rng.usize(0..ENTRIES)];
+                    let index = rng.usize(0..ENTRIES);
+                    let entry = &mut entries[index];
                     entry.terminate();
                     entry.wait();
                     entry.restart();
+                    configurations.forget(index);
                 }
                 3 => {
                     let entry = &entries[rng.usize(0..ENTRIES)];
@@ -77,6 +85,12 @@
                     all.for_each(|daemon| daemon.kill());
                     let all = entries.iter_mut().chain(agents.iter_mut());
                     all.for_each(|daemon| daemon.restart());
+                    (0..ENTRIES).for_each(|entry| configurations.forget(entry));
+                }
+                8 | 9 => {
+                    for _ in 0..rng.u8(1..6) {
+                        configurations.publish(deployment);
+                    }
                 }
                 6 => deployment.store.compact(),
                 _ => {
@@ -90,11 +104,59 @@
         }
         deployment.store.set_fault(StoreFault::None);
         is_over.store(true, Ordering::Relaxed);
+        configurations.publish(deployment);
+        let last = configurations.last_queue();
+        for entry in 0..ENTRIES {
+            deployment.wait_for(|deployment| deployment.has_queue(entry, &last));
+        }
     });
     expect_that!(deployment.violations(), is_empty(), "seed {seed}");
     expect_that!(served.load(Ordering::Relaxed), ge(CALLERS), "seed {seed}");
 }
 
+/// Configurations, each of which adds a queue, and the last that each entry is known to have.
+#[derive(Default)]
+struct Configurations {
+    queues: Vec<String>,
+    /// Number of queues that the present process of each entry has served.
+    confirmed: [usize; ENTRIES],
+}
+
+impl Configurations {
+    fn publish(&mut self, deployment: &Deployment) {
+        self.queues.push(format!("added{}", self.queues.len()));
+        let queues: Vec<_> = self.queues.iter().map(String::as_str).collect();
+        let version = 1 + queues.len() as u64;
+        let document = configuration(version, "desk", &queues);
+        deployment.store.publish("config", document);
+    }
+
+    fn last_queue(&self) -> String {
+        self.queues.last().expect("one is published").clone()
+    }
+
+    /// Forgets what an entry had, since another process has taken its place.
+    fn forget(&mut self, entry: usize) {
+        self.confirmed[entry] = 0;
+    }
+
+    /// Checks that each entry still has all queues that it had before.
+    fn check(&mut self, deployment: &Deployment, seed: &str) {
+        for entry in 0..ENTRIES {
+            let served = |prefix: &String| deployment.queue_status(entry, prefix);
+            if let Some(last) = self.confirmed[entry].checked_sub(1) {
+                let status = served(&self.queues[last]);
+                expect_that!(status, not(some(eq(404))), "entry {entry}, seed {seed}");
+            }
+            let known = self
+                .queues
+                .iter()
+                .rposition(|prefix| served(prefix) == Some(200));
+            self.confirmed[entry] = self.confirmed[entry].max(known.map_or(0, |last| last + 1));
+        }
+    }
+}
+
 /// Submits jobs through random entries, each until it is answered.
 fn submit_jobs(
     deployment: &Deployment,
