Request the latest configuration soon after an agent gave an old one

Cause: since agents no longer send a configuration unasked, an entry that started without the store and got an old version from the first agent that linked waited a second for its own read before it requested a newer one, although that read had not helped it to the old one either.

Now the wait is a second only after an own read. After a version from an agent it is the time that the document takes at 256 KB/s: 40 ms for 10 KB.

an_entry_that_got_an_old_version_from_an_agent_requests_the_latest_soon replays it; without the change the request comes after 1 s. The limit of the rate is the same as before.

--- a/hemlockhook-dispatch/src/entry/mod.rs
+++ b/hemlockhook-dispatch/src/entry/mod.rs
@@ -15,4 +15,4 @@
 pub use dispatcher::{Action, Dispatcher, Order, Submission};
 pub use job::{Answer, JobKey};
 pub use policy::DispatchPolicy;
-pub use sharing::ConfigurationSharing;
+pub use sharing::{ConfigurationSharing, ConfigurationSource};
--- a/hemlockhook-dispatch/src/entry/sharing.rs
+++ b/hemlockhook-dispatch/src/entry/sharing.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
+use strum::IntoStaticStr;
+
 use crate::Incarnation;
 use crate::entry::AgentKey;
 
@@ -20,18 +22,30 @@
 /// Time after which a configuration that was requested is requested from another agent.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Maximum rate at which an entry sends the configuration to each agent, in bytes per second. All
-/// agents together take a third of a link of 19 Mbit/s.
+/// Maximum rate at which an entry sends the configuration to each agent, and requests it, in bytes per
+/// second. All agents together take a third of a link of 19 Mbit/s.
 const SHARE_RATE: f64 = 256.0 * 1024.0;
 
 /// Size of a document up to which all entries send it at once, in bytes: copies cost little.
 const SMALL_DOCUMENT: usize = 16 * 1024;
 
+/// Where an entry got a configuration from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ConfigurationSource {
+    /// Its own read of the store.
+    Store,
+    /// An agent.
+    Agent,
+}
+
 /// Decides from which agent an entry requests the configuration, and to which agents it sends it.
 #[derive(Debug, Default)]
 pub struct ConfigurationSharing {
     /// Version in force; 0 means none.
     version: u64,
+    /// Time for which the entry, once an agent has a newer version, waits for its own read.
+    patience: Duration,
     /// When the version in force may be sent to agents.
     share_at: Option<Instant>,
     last_share: Option<Instant>,
@@ -76,12 +90,24 @@
     /// Records that a newer version is in force, with a document of `bytes` bytes. A large one is sent
     /// to agents after a delay that depends on `random`, from 0 to 1, so that one of the entries
     /// sends it and the others learn of that.
-    pub fn changed(&mut self, now: Instant, version: u64, bytes: usize, random: f64) {
+    pub fn changed(
+        &mut self,
+        now: Instant,
+        version: u64,
+        bytes: usize,
+        source: ConfigurationSource,
+        random: f64,
+    ) {
         assert!(version > self.version, "the version must increase");
         self.version = version;
+        let interval = Duration::from_secs_f64(bytes as f64 / SHARE_RATE);
+        self.patience = match source {
+            ConfigurationSource::Store => READ_TIME,
+            // The entry's own reads fail, or are late. The agent may have had an old version.
+            ConfigurationSource::Agent => READ_TIME.min(interval),
+        };
         // A share that is pending sends the new version instead.
         if self.share_at.is_none_or(|at| at <= now) {
-            let interval = Duration::from_secs_f64(bytes as f64 / SHARE_RATE);
             let earliest = self.last_share.map(|at| at + interval);
             let delay = match bytes {
                 ..=SMALL_DOCUMENT => Duration::ZERO,
@@ -106,7 +132,7 @@
     /// Returns the agent to request the configuration from, if a request is due.
     pub fn request(&mut self, now: Instant) -> Option<AgentKey> {
         let behind_since = self.behind_since?;
-        let is_due = self.version == 0 || now.saturating_duration_since(behind_since) >= READ_TIME;
+        let is_due = now.saturating_duration_since(behind_since) >= self.patience;
         let last = self.last_request;
         let is_pending =
             last.is_some_and(|(_, at)| now.saturating_duration_since(at) < REQUEST_TIMEOUT);
--- a/hemlockhook-dispatch/tests/sharing.rs
+++ b/hemlockhook-dispatch/tests/sharing.rs
@@ -3,12 +3,15 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use hemlockhook_dispatch::entry::{AgentKey, ConfigurationSharing};
+use hemlockhook_dispatch::entry::{AgentKey, ConfigurationSharing, ConfigurationSource};
 use slotmap::SlotMap;
 
 /// Size of the documents, in bytes.
 const BYTES: usize = 256 * 1024;
 
+/// Size of a small document, in bytes.
+const SMALL_BYTES: usize = 10 * 1024;
+
 /// Time before a version is sent to agents. It is the longest for a document of this size.
 const DELAY: Duration = Duration::from_millis(1000);
 
@@ -48,7 +51,11 @@
     }
 
     fn change(&mut self, version: u64) {
-        self.sharing.changed(self.now, version, BYTES, 1.0);
+        self.change_to(version, BYTES, ConfigurationSource::Store);
+    }
+
+    fn change_to(&mut self, version: u64, bytes: usize, source: ConfigurationSource) {
+        self.sharing.changed(self.now, version, bytes, source, 1.0);
     }
 
     fn agent_has(&mut self, index: usize, version: u64) {
@@ -123,9 +130,10 @@
 fn a_small_document_is_sent_at_once() {
     let mut fixture = Fixture::new(8);
     for version in 1..=2 {
-        fixture.sharing.changed(fixture.now, version, 1024, 1.0);
+        fixture.change_to(version, SMALL_BYTES, ConfigurationSource::Store);
         expect_that!(fixture.recipients(), len(eq(3)));
-        fixture.pass(Duration::from_millis(20));
+        // Longer than a small document takes at the maximum rate.
+        fixture.pass(Duration::from_millis(60));
     }
 }
 
@@ -172,3 +180,15 @@
     expect_that!(second, not(eq(first)));
     expect_that!(fixture.now - published, lt(IN_FORCE_WITHIN - ANSWER_TIME));
 }
+
+/// An entry that started without the store got an old version from the first agent that linked.
+#[gtest]
+fn an_entry_that_got_an_old_version_from_an_agent_requests_the_latest_soon() {
+    let mut fixture = Fixture::new(3);
+    fixture.agent_has(0, 5);
+    expect_that!(fixture.request(), some(eq(0)));
+    fixture.change_to(5, SMALL_BYTES, ConfigurationSource::Agent);
+    fixture.agent_has(1, 7);
+    fixture.pass(Duration::from_millis(60));
+    expect_that!(fixture.request(), some(eq(1)));
+}
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -7,8 +7,8 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use hemlockhook_dispatch::entry::{
-    Action, AgentKey, AgentReport, Answer, ConfigurationSharing, Dispatcher, JobKey, Refusal,
-    Submission,
+    Action, AgentKey, AgentReport, Answer, ConfigurationSharing, ConfigurationSource, Dispatcher,
+    JobKey, Refusal, Submission,
 };
 use hemlockhook_ports::leased::{Configuration, MalformedMessage};
 use hemlockhook_proto::v1;
@@ -242,7 +242,11 @@
     }
 
     /// Applies a configuration if it is newer than the one in force. Returns whether it is valid.
-    pub(crate) fn update_configuration(&self, document: Bytes, source: &str) -> bool {
+    pub(crate) fn update_configuration(
+        &self,
+        document: Bytes,
+        source: ConfigurationSource,
+    ) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
         let is_valid = self.apply_configuration(now, &mut state, document, source);
@@ -256,12 +260,13 @@
         now: Instant,
         state: &mut State,
         document: Bytes,
-        source: &str,
+        source: ConfigurationSource,
     ) -> bool {
         let Some(decode) = &state.decode_configuration else {
             return false;
         };
         let old = state.configuration.version;
+        let source_name: &str = source.into();
         let decoded = decode(&document);
         let is_valid = decoded.is_ok();
         match decoded {
@@ -272,14 +277,15 @@
                 spdlog::info!("a configuration is in force", kv: {
                     version,
                     old,
-                    source,
+                    source = source_name,
                     bytes,
                     ignored,
                 });
                 assert!(version > old, "the configuration version must increase");
                 state.configuration = Arc::new(fresh);
                 state.config_document = document;
-                state.sharing.changed(now, version, bytes, fastrand::f64());
+                let random = fastrand::f64();
+                state.sharing.changed(now, version, bytes, source, random);
             }
             Ok(_) => {
                 state.ignored_configurations += 1;
@@ -288,7 +294,11 @@
             Err(err) => {
                 let reason = err.to_string();
                 let reason = reason.as_str();
-                spdlog::error!("a configuration can't be decoded", kv: { old, source, reason });
+                spdlog::error!("a configuration can't be decoded", kv: {
+                    old,
+                    source = source_name,
+                    reason,
+                });
             }
         }
         is_valid
@@ -343,7 +353,12 @@
         link.received_ms = link.received_ms.max(report.sent_ms);
         state.entries.extend(report.entries);
         if let Some(shared) = report.config {
-            self.apply_configuration(now, &mut state, shared.document.into(), "agent");
+            self.apply_configuration(
+                now,
+                &mut state,
+                shared.document.into(),
+                ConfigurationSource::Agent,
+            );
         }
         state.sharing.agent_has(now, key, report.config_version);
         // Without a configuration the entry serves nobody, so that it doesn't wait for a tick.
--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -11,6 +11,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use hemlockhook_dispatch::entry::ConfigurationSource;
 use hemlockhook_ports::leased::{CONFIGURATION_KEY, CallerProtocol, RecordSet, Store};
 use hemlockhook_proto::v1::leased_server::LeasedServer;
 use hemlockhook_runtime::clock::BootClock;
@@ -181,7 +182,8 @@
     };
     core.set_configuration_decoder(Box::new(decode));
     let on_record = |key: &str, value: &Bytes| {
-        key != CONFIGURATION_KEY || core.update_configuration(value.clone(), "store")
+        key != CONFIGURATION_KEY
+            || core.update_configuration(value.clone(), ConfigurationSource::Store)
     };
     follow(
         &*store,
