--- a/hemlockhook-dispatch/src/entry/sharing.rs
+++ b/hemlockhook-dispatch/src/entry/sharing.rs
@@ -45,7 +45,7 @@
     /// Version in force; 0 means none.
     version: u64,
     /// Time for which the entry, once an agent has a newer version, waits for its own read.
-    patience: Duration,
+    read_wait: Duration,
     /// When the version in force may be sent to agents.
     share_at: Option<Instant>,
     last_share: Option<Instant>,
@@ -101,7 +101,7 @@
         assert!(version > self.version, "the version must increase");
         self.version = version;
         let interval = Duration::from_secs_f64(bytes as f64 / SHARE_RATE);
-        self.patience = match source {
+        self.read_wait = match source {
             ConfigurationSource::Store => READ_TIME,
             // The entry's own reads fail, or are late. The agent may have had an old version.
             ConfigurationSource::Agent => READ_TIME.min(interval),
@@ -132,7 +132,7 @@
     /// Returns the agent to request the configuration from, if a request is due.
     pub fn request(&mut self, now: Instant) -> Option<AgentKey> {
         let behind_since = self.behind_since?;
-        let is_due = now.saturating_duration_since(behind_since) >= self.patience;
+        let is_due = now.saturating_duration_since(behind_since) >= self.read_wait;
         let last = self.last_request;
         let is_pending =
             last.is_some_and(|(_, at)| now.saturating_duration_since(at) < REQUEST_TIMEOUT);
--- a/hemlockhook-runtime/src/executor.rs
+++ b/hemlockhook-runtime/src/executor.rs
@@ -106,9 +106,9 @@
 
 /// Runs a future and the tasks of two executors on the current thread, until the future completes.
 ///
-/// A task of `ex` runs only when none of `urgent` can run. So few urgent tasks make progress under a
-/// load of `ex` that the thread doesn't keep up with, where one queue would make each of their steps
-/// wait for all other tasks.
+/// A task of `ex` runs only when no task of `urgent` can run. Urgent tasks make progress even if the
+/// thread doesn't keep up with those of `ex`; in one queue, each of their steps would wait for all
+/// other tasks.
 pub async fn run_with_priority<F>(urgent: &Executor, ex: &Executor, fut: F) -> F::Output
 where
     F: Future,
