--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -218,9 +218,7 @@
         };
         let report = v1::AgentReport {
             hello: Some(hello),
-            sent_ms: self.millis_since_epoch(now),
-            config_version: state.config_version,
-            ..v1::AgentReport::default()
+            ..self.empty_report(now, &state)
         };
         (report, now)
     }
@@ -326,6 +324,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns a frame with only what every frame has.
+    fn empty_report(&self, now: Instant, state: &State) -> v1::AgentReport {
+        v1::AgentReport {
+            sent_ms: self.millis_since_epoch(now),
+            config_version: state.config_version,
+            ..v1::AgentReport::default()
+        }
+    }
+
     fn millis_since_epoch(&self, now: Instant) -> u64 {
         now.saturating_duration_since(self.epoch).as_millis() as u64
     }
@@ -401,16 +408,15 @@
             self.metrics.record_end(end);
         }
         let entries: Vec<_> = state.linked_entries.iter().cloned().collect();
+        let empty = self.empty_report(now, state);
         let Some(link) = state.links.get_mut(&report.link) else {
             return;
         };
         let mut frame = v1::AgentReport {
-            sent_ms: self.millis_since_epoch(now),
             orders_seen: report.orders_seen,
             state: report.state.as_ref().map(write_state),
             ends: report.ends.iter().map(write_end).collect(),
-            config_version: state.config_version,
-            ..v1::AgentReport::default()
+            ..empty
         };
         if let Some(held) = report.held {
             frame.held = held.iter().map(write_task).collect();
@@ -435,7 +441,7 @@
     /// entry sends it.
     fn announce_configuration(&self, now: Instant, state: &State) {
         for link in state.links.values() {
-            link.send(self.configuration_frame(now, state));
+            link.send(self.empty_report(now, state));
         }
     }
 
@@ -444,21 +450,13 @@
         let Some(link) = state.links.get(&link).filter(|_| state.config_version > 0) else {
             return;
         };
-        let mut frame = self.configuration_frame(now, state);
+        let mut frame = self.empty_report(now, state);
         frame.config = Some(v1::SharedConfig {
             version: state.config_version,
             document: state.config_document.to_vec(),
         });
         link.send(frame);
     }
-
-    fn configuration_frame(&self, now: Instant, state: &State) -> v1::AgentReport {
-        v1::AgentReport {
-            sent_ms: self.millis_since_epoch(now),
-            config_version: state.config_version,
-            ..v1::AgentReport::default()
-        }
-    }
 }
 
 impl Link {
