--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -36,8 +36,9 @@
 /// Interval at which the delay of requests is measured.
 const DELAY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How the operators' records are followed. The sum of the wait and the call timeout is below the time
-/// within which a configuration has to be in force, so that a dead connection is detected in time.
+/// How the operators' records are followed. The sum of the wait and [`crate::STORE_TIMEOUT`] is below
+/// the time within which a configuration has to be in force, so that a dead connection is detected
+/// in time.
 /// The pause bounds the share of a narrow link that configurations use when they change often.
 const CONFIGURATION_POLICY: FollowPolicy = FollowPolicy {
     wait: Duration::from_millis(700),
--- a/hemlockhook-leased/src/lib.rs
+++ b/hemlockhook-leased/src/lib.rs
@@ -16,3 +16,4 @@
 mod watch;
 
 pub use settings::{AgentSettings, EntrySettings, LogLevel};
+pub use watch::STORE_TIMEOUT;
--- a/hemlockhook-leased/src/watch.rs
+++ b/hemlockhook-leased/src/watch.rs
@@ -7,6 +7,10 @@
 use bytes::Bytes;
 use hemlockhook_ports::leased::{RecordSet, Store, StoreError};
 
+/// Time without progress after which a call to the platform's store fails, not counting the wait that
+/// the call asks for.
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
+
 /// Initial delay after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 
--- a/hemlockhook/src/bin/hemlockhook-agent.rs
+++ b/hemlockhook/src/bin/hemlockhook-agent.rs
@@ -7,7 +7,7 @@
 use bpaf::Bpaf;
 use eyre::WrapErr;
 use hemlockhook_agent::Settings;
-use hemlockhook_leased::AgentSettings;
+use hemlockhook_leased::{AgentSettings, STORE_TIMEOUT};
 use hemlockhook_platform::{HeartbeatProtocol, LogStore, WorkerClient};
 use hemlockhook_runtime::{log, settings};
 
@@ -30,10 +30,6 @@
 /// Maximum number of connections to the upstream.
 const UPSTREAM_CONNECTIONS: usize = 16;
 
-/// Time without progress after which a call to the platform's store fails, not counting the wait that
-/// the call asks for.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// Runs the agent of one upstream: it starts tasks there on request of the entries.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version, footer(HELP_FOOTER))]
--- a/hemlockhook/src/bin/hemlockhook-entry.rs
+++ b/hemlockhook/src/bin/hemlockhook-entry.rs
@@ -1,12 +1,11 @@
 //! The hemlockhook-entry daemon.
 
 use std::path::PathBuf;
-use std::time::Duration;
 
 use bpaf::Bpaf;
 use eyre::WrapErr;
 use hemlockhook_entry::Settings;
-use hemlockhook_leased::EntrySettings;
+use hemlockhook_leased::{EntrySettings, STORE_TIMEOUT};
 use hemlockhook_platform::{JobProtocol, LogStore};
 use hemlockhook_runtime::{log, settings};
 
@@ -22,10 +21,6 @@
 admin_address: 127.0.0.1:7203\n  \
 log_address: 127.0.0.1:7100";
 
-/// Time without progress after which a call to the platform's store fails, not counting the wait that
-/// the call asks for.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// Runs an entry: it accepts jobs from callers over HTTP and has agents start their tasks.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version, footer(HELP_FOOTER))]
