Admit, refuse or leave out odd values, so that none ends a process

Cause: a caller's job with estimatedMs of 1e30, or a configuration with such a targetLatencyMs or a stretch of 1e300 or below 0, panicked in the conversion to a duration, and a panic in a task ends the entry. A job of 4,294,967,295 tasks was allocated at once. In the store, one record that is shorter than its key, or one value that is no base64, failed the read of all records again and again, and a key that is not plain ended the reading of further pages.

--- a/hemlockhook-dispatch/src/agent/runs.rs
+++ b/hemlockhook-dispatch/src/agent/runs.rs
@@ -112,7 +112,7 @@
         let clock_ms = upstream.clock_ms(now)?;
         let slack = lease * CLOCK_SLACK_PERCENT / 100;
         upstream.leased_until = upstream.leased_until.max(Some(now + lease + slack));
-        Some(clock_ms + lease.as_millis() as u64)
+        Some(clock_ms.saturating_add(lease.as_millis() as u64))
     }
 
     pub(super) fn raise_fence(&mut self) {
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -143,6 +143,6 @@
     pub(super) fn clock_ms(&self, now: Instant) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
         let passed = now.saturating_duration_since(at) * CLOCK_PERCENT / 100;
-        Some(clock_ms + passed.as_millis() as u64)
+        Some(clock_ms.saturating_add(passed.as_millis() as u64))
     }
 }
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -20,6 +20,9 @@
 /// Time to send a task to an agent and to receive its result.
 const DISPATCH_OVERHEAD: Duration = Duration::from_millis(8);
 
+/// Maximum time that a job may take, whatever its caller or the configuration of its queue allows.
+const MAX_JOB_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// A job that a caller submits.
 #[derive(Clone, Debug)]
 pub struct Submission {
@@ -148,10 +151,11 @@
             })
             .collect();
         let run_time: Duration = critical_path(&spec, &steps);
-        let objective = run_time.mul_f64(queue_config.stretch) + queue_config.latency_target;
+        let objective = latency_objective(run_time, &queue_config);
         // The timeout of the queue applies to callers that set none.
         let caller_timeout = caller_timeout.or(queue_config.timeout);
-        let deadline = now + caller_timeout.unwrap_or(Duration::from_secs(60));
+        let caller_timeout = caller_timeout.unwrap_or(Duration::from_secs(60));
+        let deadline = now + caller_timeout.min(MAX_JOB_TIME);
         let mut job = Job {
             due: now + objective,
             useful_until: (now + objective * self.policy.useful_factor).min(deadline),
@@ -329,6 +333,15 @@
     }
 }
 
+/// Returns the time within which a job should be answered.
+fn latency_objective(run_time: Duration, queue_config: &QueueConfig) -> Duration {
+    let stretched = run_time.as_secs_f64() * queue_config.stretch.max(0.0);
+    Duration::try_from_secs_f64(stretched)
+        .unwrap_or(MAX_JOB_TIME)
+        .saturating_add(queue_config.latency_target)
+        .min(MAX_JOB_TIME)
+}
+
 /// Returns the expected run time of the longest chain of dependent steps.
 fn critical_path(spec: &JobSpec, steps: &[Step]) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -190,8 +190,8 @@
         let expected = job.steps[position.0 as usize].expected;
         let wait = job.useful_until.saturating_duration_since(now);
         let due_ms = match rank.start_by.checked_duration_since(now) {
-            Some(left) => left.as_millis() as i32,
-            None => -(now.saturating_duration_since(rank.start_by).as_millis() as i32),
+            Some(left) => saturating_millis(left),
+            None => -saturating_millis(now.saturating_duration_since(rank.start_by)),
         };
         let run = RunOrder {
             task: TaskRef {
@@ -243,8 +243,9 @@
                 true => load.wait(),
                 false => Duration::ZERO,
             };
+            let left = job.useful_until.saturating_duration_since(now);
             let is_too_late =
-                !job.has_begun && now + wait + job.remaining_run_time() > job.useful_until;
+                !job.has_begun && wait.saturating_add(job.remaining_run_time()) > left;
             match is_too_late {
                 true => too_late.push((rank.job, wait)),
                 false => load.ahead += queued_work(job),
@@ -256,3 +257,7 @@
         }
     }
 }
+
+fn saturating_millis(duration: Duration) -> i32 {
+    i32::try_from(duration.as_millis()).unwrap_or(i32::MAX)
+}
--- a/hemlockhook-dispatch/src/entry/estimate.rs
+++ b/hemlockhook-dispatch/src/entry/estimate.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::MAX_RUN_TIME;
+
 /// Weight of one run in the moving averages of a queue.
 const LEARNING_RATE: f64 = 0.03;
 
@@ -39,15 +41,15 @@
     /// Returns the expected run time of a task.
     pub(super) fn expect(&self, queue: &Arc<str>, declared_run_time: Duration) -> Duration {
         let Some(learned) = self.queues.get(queue) else {
-            return declared_run_time;
+            return declared_run_time.min(MAX_RUN_TIME);
         };
-        let log_declared = declared_run_time.as_secs_f64().max(0.001).ln() + learned.log_bias;
+        let log_declared = log_seconds(declared_run_time) + learned.log_bias;
         let weight = match (log_declared - learned.log_mean).abs() {
             distance if distance > OUTLIER_DISTANCE => OUTLIER_DECLARED_WEIGHT,
             _ => DECLARED_WEIGHT,
         };
         let log = weight * log_declared + (1.0 - weight) * learned.log_mean;
-        Duration::from_secs_f64(log.exp())
+        Duration::from_secs_f64(log.exp().min(MAX_RUN_TIME.as_secs_f64()))
     }
 
     /// Records the run time of a task on an upstream of the given pace.
@@ -58,7 +60,7 @@
         run_time: Duration,
         pace: f64,
     ) {
-        let log_declared = declared_run_time.as_secs_f64().max(0.001).ln();
+        let log_declared = log_seconds(declared_run_time);
         let log_run_time = (run_time.as_secs_f64() / pace).max(0.001).ln();
         let learned = self.queues.entry(queue.clone()).or_insert(QueueEstimate {
             log_mean: log_declared,
@@ -73,3 +75,9 @@
         learned.log_bias += LEARNING_RATE * (log_run_time - log_declared - learned.log_bias);
     }
 }
+
+/// Returns the logarithm of a declared run time in seconds.
+fn log_seconds(declared_run_time: Duration) -> f64 {
+    let seconds = declared_run_time.min(MAX_RUN_TIME).as_secs_f64();
+    seconds.max(0.001).ln()
+}
--- a/hemlockhook-dispatch/src/job.rs
+++ b/hemlockhook-dispatch/src/job.rs
@@ -7,6 +7,12 @@
 
 use crate::{Amounts, JobId};
 
+/// Maximum number of tasks of a job.
+pub const MAX_TASKS: u64 = 4096;
+
+/// Maximum expected run time of a task. Declared run times beyond it count as this one.
+pub const MAX_RUN_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// A job as specified by its caller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobSpec {
@@ -61,9 +67,16 @@
     Recommendation,
     /// The job has no steps, or a step has no tasks or depends on itself or on a later one.
     Steps,
+    /// The job has more than [`MAX_TASKS`] tasks.
+    Tasks,
 }
 
 impl JobSpec {
+    /// Returns the number of tasks of all steps.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum()
+    }
+
     /// Returns the first unsupported feature of the job, if any.
     pub fn unsupported(&self, queue_config: &QueueConfig) -> Option<Unsupported> {
         let is_misordered = |(index, step): (usize, &StepSpec)| {
@@ -83,6 +96,7 @@
             _ if queue_config.needs_recommendation => Some(Unsupported::Recommendation),
             _ if self.steps.is_empty() => Some(Unsupported::Steps),
             _ if self.steps.iter().enumerate().any(is_misordered) => Some(Unsupported::Steps),
+            _ if self.tasks() > MAX_TASKS => Some(Unsupported::Tasks),
             _ => None,
         }
     }
--- a/hemlockhook-dispatch/src/lib.rs
+++ b/hemlockhook-dispatch/src/lib.rs
@@ -12,5 +12,7 @@
 mod task;
 
 pub use amounts::Amounts;
-pub use job::{JobSpec, QueueConfig, ServiceConfig, StepSpec, Unsupported};
+pub use job::{
+    JobSpec, MAX_RUN_TIME, MAX_TASKS, QueueConfig, ServiceConfig, StepSpec, Unsupported,
+};
 pub use task::{AttemptEnd, Incarnation, JobId, Outcome, RunNumber, TaskId, TaskRef};
--- a/hemlockhook-leased/src/watch.rs
+++ b/hemlockhook-leased/src/watch.rs
@@ -67,6 +67,12 @@
                 }
                 backoff = MIN_BACKOFF;
                 position = batch.is_complete.then_some(batch.next);
+                if batch.malformed > 0 {
+                    spdlog::warn!("records that can't be decoded are left out", kv: {
+                        records:? = records,
+                        count = batch.malformed,
+                    });
+                }
                 let mut done = HashSet::new();
                 for (key, value) in batch.items.iter().rev() {
                     if !done.contains(key) && on_record(key, value) {
--- a/hemlockhook-ports/src/leased.rs
+++ b/hemlockhook-ports/src/leased.rs
@@ -142,6 +142,8 @@
 pub struct RecordBatch {
     /// Keys and values, oldest first.
     pub items: Vec<(String, Bytes)>,
+    /// Number of records that can't be decoded, and are left out.
+    pub malformed: usize,
     /// Start of the next read.
     pub next: Position,
     /// Whether there were no later records.
--- a/hemlockhook/tests/platform/deployment.rs
+++ b/hemlockhook/tests/platform/deployment.rs
@@ -54,6 +54,12 @@
         self.child.wait().expect("the process is a child");
     }
 
+    /// Returns whether the process has not ended.
+    pub fn is_alive(&mut self) -> bool {
+        let status = self.child.try_wait().expect("the process is a child");
+        status.is_none()
+    }
+
     /// Kills the process without waiting until it has exited.
     pub fn send_kill(&self) {
         self.signal(rustix::process::Signal::KILL);
@@ -111,6 +117,8 @@
     metrics: Vec<HttpClient>,
     callers: Vec<HttpClient>,
     ready: Vec<HttpClient>,
+    /// Clients of the addresses at which the agents receive announcements.
+    announcements: Vec<HttpClient>,
     _stop: Sender<()>,
     _threads: Threads,
 }
@@ -143,6 +151,7 @@
             metrics: Vec::new(),
             callers: Vec::new(),
             ready: Vec::new(),
+            announcements: Vec::new(),
             _stop: stop,
             _threads: threads,
         };
@@ -189,6 +198,9 @@
             std::fs::write(&settings, text).expect("the scratch directory can be written");
             let program = env!("CARGO_BIN_EXE_hemlockhook-agent");
             deployment.agents.push(Daemon::start(program, settings));
+            deployment
+                .announcements
+                .push(HttpClient::new(ex.clone(), announcements, 2));
             ex.spawn(send_heartbeats(ex.clone(), announcements, worker.clone()))
                 .detach();
             ex.spawn(update_worker(worker.clone())).detach();
@@ -231,6 +243,17 @@
             .map(|(status, _, _)| status)
     }
 
+    /// Sends a request to the address at which an agent receives announcements, and returns the status
+    /// of the response.
+    pub fn announce(&self, agent: usize, path: &str, body: Vec<u8>) -> Option<u16> {
+        let req = Request::post(path)
+            .body(Full::new(Bytes::from(body)))
+            .expect("a valid request");
+        let send = self.announcements[agent].send(req, 1 << 16, WAIT_TIMEOUT);
+        let res = async_io::block_on(send).ok()?;
+        Some(res.status().as_u16())
+    }
+
     pub fn is_ready(&self, entry: usize) -> bool {
         let req = Request::get("/hemlockhook/ready")
             .body(Full::default())
--- a/hemlockhook/tests/platform/main.rs
+++ b/hemlockhook/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod configurations;
 mod deployment;
+mod malformed;
 #[path = "../support/relay.rs"]
 mod relay;
 mod soak;
--- a/hemlockhook/tests/platform/store.rs
+++ b/hemlockhook/tests/platform/store.rs
@@ -70,6 +70,13 @@
         topic.push((key.to_owned(), value.into()));
     }
 
+    /// Appends a record to any topic, as another writer would.
+    pub fn put(&self, topic: &str, key: &str, value: Bytes) {
+        let mut state = self.state.lock().expect("no thread panicked with the lock");
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.push((key.to_owned(), value));
+    }
+
     /// Sets the current fault.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state
