Link agents to an entry as soon as it starts, and admit jobs meanwhile

Jobs were refused as overload by the capacity of the first one to eight agents.

Change: the record that a starting entry writes to the store ends the agents' pause, or an attempt that began before. While agents keep linking right after a start, at most 0.5 s, jobs aren't refused for the capacity known so far.

--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -68,6 +68,8 @@
     is_leaving: bool,
     /// When the first tick was handled.
     started: Option<Instant>,
+    /// When an agent last linked for the first time.
+    last_new_agent: Option<Instant>,
     /// Number of the last attempt at any task. Attempts are numbered across jobs, so that a late
     /// report is never attributed to a later job with the same ID.
     attempts: u32,
@@ -88,6 +90,7 @@
             estimates: Estimates::default(),
             is_leaving: false,
             started: None,
+            last_new_agent: None,
             attempts: 0,
             evaluated_candidates: 0,
             actions: Vec::new(),
@@ -218,6 +221,7 @@
                 key
             }
             None => {
+                self.last_new_agent = Some(now);
                 let agent = Agent::new(now, incarnation, data_center);
                 self.agents.insert(agent)
             }
--- a/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
@@ -26,6 +26,9 @@
             let states = agents.filter_map(|agent| agent.usable(now, timeout));
             states.filter(|state| state.service == job.queue_config.service)
         };
+        if self.is_gathering_agents(now) {
+            return Ok(());
+        }
         if states().next().is_none() {
             // Right after a start the agents have yet to link, which takes a fraction of a second.
             return match self.is_starting(now) {
@@ -62,6 +65,18 @@
             .is_none_or(|started| age(started) < self.policy.startup_grace)
     }
 
+    /// Returns whether the entry started so recently that more agents are about to link.
+    ///
+    /// After a loss of all power, callers resubmit while the first agents link. What these few could
+    /// complete says little about what all will.
+    pub(super) fn is_gathering_agents(&self, now: Instant) -> bool {
+        let is_within = |since: Option<Instant>, limit| {
+            since.is_some_and(|since| now.saturating_duration_since(since) < limit)
+        };
+        is_within(self.started, self.policy.gathering_limit)
+            && is_within(self.last_new_agent, self.policy.gathering_pause)
+    }
+
     /// Returns the work ahead of a job, and the rate at which it is completed.
     pub(super) fn load(&self, now: Instant, job: &Job) -> Load {
         let rank = self.rank(now, job, JobKey::default());
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -227,6 +227,9 @@
     /// A burst can last longer than expected when the jobs were admitted. Their callers are told as
     /// soon as this is known, not at the deadline.
     pub(super) fn refuse_late_jobs(&mut self, now: Instant) {
+        if self.is_gathering_agents(now) {
+            return;
+        }
         let mut loads: Vec<(Arc<str>, Load)> = Vec::new();
         let mut too_late = Vec::new();
         for rank in &self.queue {
--- a/hemlockhook-dispatch/src/entry/policy.rs
+++ b/hemlockhook-dispatch/src/entry/policy.rs
@@ -19,6 +19,10 @@
     pub admission_factor: f64,
     /// Time after the start during which jobs are admitted although no agent has linked yet.
     pub startup_grace: Duration,
+    /// Time after the start during which jobs are admitted for agents that are about to link.
+    pub gathering_limit: Duration,
+    /// Time without a new agent after which no more are expected to link.
+    pub gathering_pause: Duration,
     /// Time by which each priority level below the highest delays a job in the queue.
     pub priority_step: Duration,
     /// Time without orders to an agent after it returned one unstarted, for example for
@@ -53,6 +57,8 @@
             useful_factor: 3,
             admission_factor: 1.5,
             startup_grace: Duration::from_millis(1500),
+            gathering_limit: Duration::from_millis(500),
+            gathering_pause: Duration::from_millis(120),
             priority_step: Duration::from_millis(100),
             full_agent_pause: Duration::from_millis(10),
             waiting_percent: 25,
--- /dev/null
+++ b/hemlockhook-dispatch/tests/dispatcher/fixture.rs
@@ -0,0 +1,188 @@
+//! An entry with agents, whose events a test delivers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlockhook_dispatch::agent::UpstreamState;
+use hemlockhook_dispatch::entry::{
+    Action, AgentKey, AgentReport, Answer, DispatchPolicy, Dispatcher, Order, Refusal, Submission,
+};
+use hemlockhook_dispatch::{Amounts, AttemptEnd, JobSpec, Outcome, QueueConfig, StepSpec};
+
+pub const CORE: u64 = 1000;
+
+pub struct Fixture {
+    pub now: Instant,
+    pub dispatcher: Dispatcher,
+    pub agents: Vec<AgentKey>,
+    /// Sequence number of the last frame to each agent.
+    pub sent_seqs: Vec<u64>,
+}
+
+impl Fixture {
+    /// Creates an entry with one agent per given pace, each of whose upstreams has `cores` cores.
+    pub fn new(paces: &[f64], cores: u64) -> Self {
+        let now = Instant::now();
+        let mut dispatcher = Dispatcher::new(DispatchPolicy::default());
+        let mut agents = Vec::new();
+        for (index, pace) in paces.iter().enumerate() {
+            let key = dispatcher.linked(now, index as u64 + 1, "here".into());
+            let report = AgentReport {
+                orders_seen: 0,
+                state: Some(state(*pace, cores, cores)),
+                ends: Vec::new(),
+                held: None,
+            };
+            dispatcher.reported(now, key, report);
+            agents.push(key);
+        }
+        let sent_seqs = vec![0; agents.len()];
+        Self {
+            now,
+            dispatcher,
+            agents,
+            sent_seqs,
+        }
+    }
+
+    pub fn submit(
+        &mut self,
+        job: JobSpec,
+        queue_config: &Arc<QueueConfig>,
+    ) -> std::result::Result<(), Refusal> {
+        let submission = Submission {
+            spec: job,
+            queue_config: queue_config.clone(),
+            caller_timeout: Some(Duration::from_secs(20)),
+        };
+        self.dispatcher.submit(self.now, submission).map(|_| ())
+    }
+
+    /// Takes the orders, and assigns sequence numbers to the frames that carry them.
+    pub fn orders(&mut self) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for action in self.dispatcher.take_actions() {
+            if let Action::Run(order) = action {
+                orders.push(order);
+            }
+        }
+        let mut agents: Vec<_> = orders.iter().map(|order| order.agent).collect();
+        agents.dedup();
+        for agent in agents {
+            let seq = self.dispatcher.next_seq(agent);
+            let index = self.index(agent);
+            self.sent_seqs[index] = seq;
+        }
+        orders
+    }
+
+    pub fn answers(&mut self) -> Vec<Answer> {
+        let actions = self.dispatcher.take_actions().into_iter();
+        let answer = |action| match action {
+            Action::Answer(_, answer) => Some(answer),
+            _ => None,
+        };
+        actions.filter_map(answer).collect()
+    }
+
+    pub fn end(&mut self, order: &Order, outcome: Outcome) {
+        let index = self.index(order.agent);
+        let report = AgentReport {
+            orders_seen: self.sent_seqs[index],
+            state: None,
+            ends: vec![AttemptEnd {
+                task: order.run.task.clone(),
+                outcome,
+                run_ms: 50,
+            }],
+            held: None,
+        };
+        self.dispatcher.reported(self.now, order.agent, report);
+    }
+
+    /// Delivers a report with the state of an agent's upstream.
+    pub fn set_state(&mut self, index: usize, state: UpstreamState) {
+        let report = AgentReport {
+            orders_seen: 0,
+            state: Some(state),
+            ends: Vec::new(),
+            held: None,
+        };
+        self.dispatcher
+            .reported(self.now, self.agents[index], report);
+    }
+
+    /// Delivers an empty report of each agent.
+    pub fn report_all(&mut self) {
+        for &agent in &self.agents {
+            let report = AgentReport {
+                orders_seen: 0,
+                state: None,
+                ends: Vec::new(),
+                held: None,
+            };
+            self.dispatcher.reported(self.now, agent, report);
+        }
+    }
+
+    pub fn index(&self, agent: AgentKey) -> usize {
+        let is_same = |known: &AgentKey| *known == agent;
+        self.agents
+            .iter()
+            .position(is_same)
+            .expect("the agent belongs to the test")
+    }
+}
+
+pub fn state(pace: f64, cores: u64, free: u64) -> UpstreamState {
+    let amounts = |cores| Amounts {
+        cpu: cores * CORE,
+        memory_mb: 100_000,
+        gpus: 0,
+    };
+    UpstreamState {
+        is_usable: true,
+        service: "desk".into(),
+        instance: "up".into(),
+        capacity: amounts(cores),
+        free: amounts(free),
+        labels: Vec::new(),
+        waiting: 0,
+        pace,
+        entries: 1,
+    }
+}
+
+pub fn queue_config(priority: u32) -> Arc<QueueConfig> {
+    Arc::new(QueueConfig {
+        name: format!("queue-{priority}").into(),
+        host: "desk".into(),
+        path_prefix: "/".into(),
+        service: "desk".into(),
+        priority,
+        attempts: 2,
+        stretch: 1.6,
+        latency_target: Duration::from_millis(60),
+        timeout: None,
+        needs_recommendation: false,
+    })
+}
+
+pub fn job(id: &str, tasks: u32, millis: u64) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        payload: "".into(),
+        steps: vec![StepSpec {
+            tasks,
+            need: Amounts {
+                cpu: CORE,
+                memory_mb: 1,
+                gpus: 0,
+            },
+            declared_run_time: Duration::from_millis(millis),
+            ..StepSpec::default()
+        }],
+        is_stored: false,
+        repetitions: 0,
+    }
+}
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -1,6 +1,7 @@
 //! The agent's state, and the conversion of the supervisor's actions to calls and frames.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, UNIX_EPOCH};
@@ -46,8 +47,8 @@
     supervisor: Supervisor,
     links: HashMap<LinkId, Link>,
     last_link: LinkId,
-    /// Entries to which links are maintained.
-    entries: BTreeSet<SocketAddr>,
+    /// Entries to which links are maintained, and the channels that end their pauses.
+    entries: BTreeMap<SocketAddr, Sender<()>>,
     /// Addresses of the linked entries.
     linked_entries: BTreeSet<String>,
     config_version: u64,
@@ -95,7 +96,7 @@
                 supervisor: Supervisor::new(settings.policy(), fence),
                 links: HashMap::new(),
                 last_link: 0,
-                entries: BTreeSet::new(),
+                entries: BTreeMap::new(),
                 linked_entries: BTreeSet::new(),
                 config_version: 0,
                 config_document: Bytes::new(),
@@ -127,9 +128,25 @@
         self.upstream_changes.1.clone()
     }
 
-    /// Adds an entry to which a link is maintained. Returns false if it was present.
-    pub(crate) fn add_entry(&self, entry: SocketAddr) -> bool {
-        self.lock().entries.insert(entry)
+    /// Adds an entry to which a link is maintained. Returns a channel of requests to open the link
+    /// at once, or `None` if the entry was present.
+    pub(crate) fn add_entry(&self, entry: SocketAddr) -> Option<Receiver<()>> {
+        match self.lock().entries.entry(entry) {
+            Entry::Occupied(_) => None,
+            Entry::Vacant(vacant) => {
+                let (tx, rx) = async_channel::bounded(1);
+                vacant.insert(tx);
+                Some(rx)
+            }
+        }
+    }
+
+    /// Requests that the link to an entry is opened at once, if it has none.
+    pub(crate) fn hurry_link(&self, entry: SocketAddr) {
+        if let Some(tx) = self.lock().entries.get(&entry) {
+            // If the channel is full, the same was requested before.
+            let _ = tx.try_send(());
+        }
     }
 
     /// Removes an entry that was added by [`Core::add_entry`].
--- a/hemlockhook-leased/src/agent/link.rs
+++ b/hemlockhook-leased/src/agent/link.rs
@@ -38,14 +38,26 @@
 where
     U: UpstreamClient,
 {
-    if core.add_entry(entry) {
+    if let Some(hurried) = core.add_entry(entry) {
         core.executor()
-            .spawn(maintain(core.clone(), entry))
+            .spawn(maintain(core.clone(), entry, hurried))
             .detach();
     }
 }
 
-async fn maintain<U>(core: SharedCore<U>, entry: SocketAddr)
+/// Maintains a link like [`ensure`], to an entry that has just started: if there is no link, it is
+/// opened at once.
+///
+/// After a loss of all power, the entries come back while the agents pause between two attempts.
+pub(crate) fn ensure_started<U>(core: &SharedCore<U>, entry: SocketAddr)
+where
+    U: UpstreamClient,
+{
+    core.hurry_link(entry);
+    ensure(core, entry);
+}
+
+async fn maintain<U>(core: SharedCore<U>, entry: SocketAddr, hurried: Receiver<()>)
 where
     U: UpstreamClient,
 {
@@ -53,12 +65,14 @@
     let mut backoff = MIN_BACKOFF;
     let mut link_ended_at = Instant::now();
     while link_ended_at.elapsed() < REMOVE_AFTER {
-        if let Some(incarnation) = run(&core, entry, previous_incarnation).await {
+        if let Some(incarnation) = run(&core, entry, previous_incarnation, &hurried).await {
             previous_incarnation = incarnation;
             link_ended_at = Instant::now();
             backoff = MIN_BACKOFF;
         }
-        Timer::after(backoff.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+        let pause = Timer::after(backoff.mul_f64(0.75 + fastrand::f64() / 2.0));
+        let pause = async { _ = pause.await };
+        pause.or(wait_for_hurry(&hurried)).await;
         backoff = (backoff * 2).min(MAX_BACKOFF);
     }
     let address = entry.to_string();
@@ -68,12 +82,23 @@
 
 /// Runs a link until it ends. Returns the incarnation of the entry, or `None` if the link could not
 /// be opened.
-async fn run<U>(core: &SharedCore<U>, entry: SocketAddr, previous_incarnation: u64) -> Option<u64>
+async fn run<U>(
+    core: &SharedCore<U>,
+    entry: SocketAddr,
+    previous_incarnation: u64,
+    hurried: &Receiver<()>,
+) -> Option<u64>
 where
     U: UpstreamClient,
 {
     let ex = core.executor().clone();
-    let channel = grpc::connect(ex, entry, CONNECT_TIMEOUT).await.ok()?;
+    let connect = async { grpc::connect(ex, entry, CONNECT_TIMEOUT).await.ok() };
+    // An attempt from before the entry started would wait until it times out.
+    let interrupt = async {
+        wait_for_hurry(hurried).await;
+        None
+    };
+    let channel = connect.or(interrupt).await?;
     let mut client = LeasedClient::new(channel).max_decoding_message_size(MAX_FRAME_BYTES);
     let (hello, hello_sent) = core.hello(previous_incarnation);
     let (tx, rx) = async_channel::bounded::<Receiver<v1::AgentReport>>(1);
@@ -113,6 +138,14 @@
     Some(incarnation)
 }
 
+/// Waits for a request to open the link at once.
+async fn wait_for_hurry(hurried: &Receiver<()>) {
+    if hurried.recv().await.is_err() {
+        // The entry is no longer maintained by anyone else; the link ends by itself.
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn with_timeout<F, T>(timeout: Duration, fut: F) -> Option<T>
 where
     F: Future<Output = Option<T>>,
--- a/hemlockhook-leased/src/agent/mod.rs
+++ b/hemlockhook-leased/src/agent/mod.rs
@@ -143,7 +143,7 @@
         let addr = std::str::from_utf8(value).map(str::parse::<SocketAddr>);
         match addr {
             Ok(Ok(addr)) => {
-                link::ensure(&core, addr);
+                link::ensure_started(&core, addr);
                 true
             }
             _ => {
--- a/hemlockhook/tests/platform/deployment.rs
+++ b/hemlockhook/tests/platform/deployment.rs
@@ -54,6 +54,17 @@
         self.child.wait().expect("the process is a child");
     }
 
+    /// Returns the times, in milliseconds, of the log lines with this text since the last start.
+    pub fn logged_at(&self, text: &str) -> Vec<u64> {
+        let log = std::fs::read_to_string(self.settings.with_extension("log"));
+        let log = log.expect("the log file can be read");
+        let lines = log.lines().filter(|line| line.contains(text));
+        let lines = lines.filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+        lines
+            .filter_map(|line| line["timestamp"].as_u64())
+            .collect()
+    }
+
     /// Returns whether the process has not ended.
     pub fn is_alive(&mut self) -> bool {
         let status = self.child.try_wait().expect("the process is a child");
--- a/hemlockhook/tests/platform/main.rs
+++ b/hemlockhook/tests/platform/main.rs
@@ -248,6 +248,30 @@
     expect_that!(deployment.violations(), is_empty());
 }
 
+#[gtest]
+fn an_entry_that_starts_is_linked_without_a_pause() {
+    const AGENTS: usize = 6;
+    // Stated for the time from the start of an entry until it is linked.
+    const LIMIT_MS: u64 = 100;
+    let mut deployment = Deployment::start("linked", 1, AGENTS);
+    // A busy machine can delay some of the starts, but not all.
+    let delay = |_| {
+        deployment.entries[0].kill();
+        // The pauses between attempts have grown to their maximum by then.
+        thread::sleep(std::time::Duration::from_millis(1500));
+        deployment.entries[0].restart();
+        deployment.wait_for(|deployment| {
+            let entry = &deployment.entries[0];
+            entry.logged_at("an agent has linked").len() >= AGENTS
+        });
+        let started = deployment.entries[0].logged_at("starting the entry");
+        let linked = deployment.entries[0].logged_at("an agent has linked");
+        linked[AGENTS - 1] - started[0]
+    };
+    let delays: Vec<_> = (0..5).map(delay).collect();
+    expect_that!(delays.iter().min(), some(lt(&LIMIT_MS)), "{delays:?}");
+}
+
 #[gtest]
 fn jobs_run_again_after_all_processes_were_killed() {
     let mut deployment = Deployment::start("all", 2, 2);
