Ask the known upstream before another one takes its place, and store that one left

Cause: an announcement of another instance, which another writer may have sent, ended all runs of the known upstream as lost at once, while they went on; their tasks were then run again elsewhere. And that an upstream has deregistered was not stored: an agent that restarted used it again for as long as it answered calls.

Change: an announcement of another instance counts once the known one answers under another name or no longer answers. What the agent stores follows its state, so that a deregistration is stored too.

Tests: an_announcement_of_another_writer_ends_no_runs and an_upstream_that_has_left_gets_no_tasks_after_a_restart_of_its_agent.

--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -172,7 +172,8 @@
             .values()
             .any(|order| order.phase.run().is_some());
         let needs_hold = self.upstream.as_ref().is_some_and(Upstream::needs_hold);
-        if !(renews || needs_hold || !self.orphans.is_empty()) {
+        let has_cause = renews || needs_hold || !self.orphans.is_empty();
+        if !has_cause && self.candidate.is_none() {
             return;
         }
         let until_ms = match &self.upstream {
@@ -186,7 +187,10 @@
             .upstream
             .as_ref()
             .expect("an upstream was matched above");
-        let waits = renews && upstream.are_ends_acknowledged && upstream.unanswered_holds == 0;
+        let waits = renews
+            && upstream.are_ends_acknowledged
+            && upstream.unanswered_holds == 0
+            && self.candidate.is_none();
         let wait = if waits { wait } else { Duration::ZERO };
         // An immediate hold call is not delayed by one that waits for an end.
         let is_pending = match wait.is_zero() {
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -30,7 +30,7 @@
 pub use links::{FrameHeader, LinkId, LinkRank, Report};
 pub use order::{Order, Phase, RunOrder, StopCause};
 pub use policy::{SafetyRules, SupervisorPolicy};
-pub use upstream::{Announcement, UpstreamState};
+pub use upstream::{Announcement, AnnouncementStatus, UpstreamState};
 
 use links::Links;
 use upstream::Upstream;
@@ -55,6 +55,8 @@
 pub struct Supervisor {
     policy: SupervisorPolicy,
     upstream: Option<Upstream>,
+    /// Announcement of another upstream, while the known one is asked whether it still answers.
+    candidate: Option<Announcement>,
     /// Fencing token of this incarnation of the agent.
     fence: u64,
     orders: SlotMap<OrderKey, Order>,
@@ -85,6 +87,7 @@
         Self {
             policy,
             upstream: None,
+            candidate: None,
             fence,
             orders: SlotMap::with_key(),
             by_task: BTreeMap::new(),
@@ -121,24 +124,45 @@
         self.orders.is_empty() && self.orphans.is_empty()
     }
 
-    /// Handles an announcement of an upstream. Returns false if it is of an outdated incarnation.
-    pub fn announced(&mut self, now: Instant, announcement: Announcement) -> bool {
+    /// Handles an announcement of an upstream.
+    ///
+    /// One of another instance may be a mistake of another writer. The runs of the known instance are
+    /// given up only once that no longer answers.
+    pub fn announced(&mut self, now: Instant, announcement: Announcement) -> AnnouncementStatus {
         match &mut self.upstream {
             Some(upstream) if upstream.is_same_incarnation(&announcement) => {
                 upstream.refresh(now, announcement)
             }
-            Some(upstream) if !upstream.is_replaced_by(now, &announcement) => return false,
+            Some(upstream) if !upstream.is_replaced_by(now, &announcement) => {
+                return AnnouncementStatus::Outdated;
+            }
+            Some(upstream) if upstream.answers() && upstream.instance != announcement.instance => {
+                self.candidate = Some(announcement);
+                self.hold(now, Duration::ZERO);
+                return AnnouncementStatus::Unverified;
+            }
             _ => self.replace_upstream(now, announcement),
         }
         self.links.state_changed();
         self.start_waiting(now);
-        true
+        AnnouncementStatus::Accepted
+    }
+
+    /// Switches to the upstream that announced itself while the known one was asked.
+    fn accept_candidate(&mut self, now: Instant) {
+        if let Some(announcement) = self.candidate.take() {
+            self.replace_upstream(now, announcement);
+            self.links.state_changed();
+        }
     }
 
     /// Handles the notice that an upstream instance is leaving.
     pub fn upstream_left(&mut self, now: Instant, instance: &str) {
         match &mut self.upstream {
-            Some(upstream) if upstream.instance.as_ref() == instance => upstream.is_leaving = true,
+            Some(upstream) if upstream.instance.as_ref() == instance => {
+                upstream.is_leaving = true;
+                upstream.announcement.is_leaving = true;
+            }
             _ => return,
         }
         self.return_waiting(now);
@@ -163,6 +187,7 @@
     /// but a new one with the same name may have accepted calls that were meant for its
     /// predecessor.
     fn replace_upstream(&mut self, now: Instant, announcement: Announcement) {
+        self.candidate = None;
         let old = self.upstream.as_ref().map(|old| old.instance.clone());
         let is_same_name = old.is_some_and(|old| old == announcement.instance);
         self.return_waiting(now);
@@ -329,8 +354,13 @@
             false => self.is_long_poll_pending = false,
         }
         let Some(result) = result else {
-            if let Some(upstream) = &mut self.upstream {
+            let upstream = self.upstream.as_mut();
+            let is_silent = upstream.is_some_and(|upstream| {
                 upstream.unanswered_holds += 1;
+                upstream.unanswered_holds >= MAX_UNANSWERED_HOLDS
+            });
+            if is_silent {
+                self.accept_candidate(now);
             }
             self.links.state_changed();
             self.return_waiting_if_unusable(now);
@@ -343,7 +373,10 @@
                 self.raise_fence();
                 self.hold(now, Duration::ZERO);
             }
-            HoldResult::OtherInstance => self.upstream_replaced(now),
+            HoldResult::OtherInstance => {
+                self.upstream_replaced(now);
+                self.accept_candidate(now);
+            }
             // The upstream restarted under the same name, and has lost its earlier runs.
             HoldResult::Lists { started_ms, .. } if !self.is_same_start(started_ms) => {
                 self.upstream_restarted(now)
@@ -353,7 +386,10 @@
                 running,
                 ended,
                 ..
-            } => self.read_lists(now, sent, clock_ms, &running, &ended),
+            } => {
+                self.candidate = None;
+                self.read_lists(now, sent, clock_ms, &running, &ended);
+            }
         }
     }
 
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -34,6 +34,17 @@
     pub clock_ms: Option<u64>,
 }
 
+/// What an agent made of an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnnouncementStatus {
+    /// It is in force.
+    Accepted,
+    /// It is of an incarnation that another one has replaced.
+    Outdated,
+    /// It is in force once the known upstream no longer answers.
+    Unverified,
+}
+
 /// State of an upstream as reported to entries.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamState {
@@ -129,6 +140,11 @@
         self.announcement = announcement;
     }
 
+    /// Returns whether the upstream answers calls, as far as is known.
+    pub(super) fn answers(&self) -> bool {
+        self.are_runs_listed && self.unanswered_holds == 0 && !self.is_replaced
+    }
+
     /// Returns whether a hold call is needed even without runs.
     pub(super) fn needs_hold(&self) -> bool {
         !self.are_runs_listed || !self.are_ends_acknowledged || self.unanswered_holds > 0
--- a/hemlockhook-dispatch/tests/supervisor.rs
+++ b/hemlockhook-dispatch/tests/supervisor.rs
@@ -5,8 +5,8 @@
 
 use googletest::prelude::*;
 use hemlockhook_dispatch::agent::{
-    Action, ActiveRun, Announcement, EndedRun, FrameHeader, HoldResult, LinkId, Report, RunOrder,
-    RunOutcome, StartCall, StartResult, StopResult, Supervisor, SupervisorPolicy,
+    Action, ActiveRun, Announcement, AnnouncementStatus, EndedRun, FrameHeader, HoldResult, LinkId,
+    Report, RunOrder, RunOutcome, StartCall, StartResult, StopResult, Supervisor, SupervisorPolicy,
 };
 use hemlockhook_dispatch::{Amounts, AttemptEnd, Outcome, TaskId, TaskRef};
 
@@ -53,7 +53,12 @@
         agent
     }
 
-    fn announce(&mut self, instance: &str, started_ms: u64, is_leaving: bool) -> bool {
+    fn announce(
+        &mut self,
+        instance: &str,
+        started_ms: u64,
+        is_leaving: bool,
+    ) -> AnnouncementStatus {
         let announcement = Announcement {
             instance: instance.into(),
             started_ms,
@@ -68,12 +73,12 @@
             is_leaving,
             clock_ms: Some(10_000),
         };
-        let is_accepted = self.supervisor.announced(self.now, announcement);
-        if is_accepted {
+        let status = self.supervisor.announced(self.now, announcement);
+        if status == AnnouncementStatus::Accepted {
             self.started_ms = started_ms;
         }
         self.collect();
-        is_accepted
+        status
     }
 
     fn order(&mut self, job: &str, cores: u64) {
@@ -107,6 +112,12 @@
         self.answer_start(job, StartResult::Started { clock_ms: 10_000 });
     }
 
+    fn answer_hold_with(&mut self, result: Option<HoldResult>) {
+        self.supervisor
+            .hold_answered(self.now, self.now, Duration::ZERO, result);
+        self.collect();
+    }
+
     fn answer_hold(&mut self, running: &[(&str, u64)], ended: &[(&str, u64, RunOutcome)]) {
         let rows = ended.iter().map(|&(job, run, outcome)| {
             self.last_end += 1;
@@ -129,9 +140,7 @@
             running: running.collect(),
             ended,
         };
-        self.supervisor
-            .hold_answered(self.now, self.now, Duration::ZERO, Some(result));
-        self.collect();
+        self.answer_hold_with(Some(result));
     }
 
     /// Links more entries, each on the link with the next number, which is also its rank.
@@ -317,7 +326,10 @@
     let mut agent = Agent::new();
     agent.start("a");
     let before = agent.starts[0].fence;
-    expect_that!(agent.announce("up-1", 2, false), eq(true));
+    expect_that!(
+        agent.announce("up-1", 2, false),
+        eq(AnnouncementStatus::Accepted)
+    );
     // The start call may be in flight: the run is stopped before its task is placed elsewhere.
     expect_that!(agent.outcomes(), is_empty());
     agent.supervisor.stop_answered(
@@ -335,8 +347,48 @@
 #[gtest]
 fn an_announcement_of_an_earlier_incarnation_is_ignored() {
     let mut agent = Agent::new();
-    expect_that!(agent.announce("up-2", 5, false), eq(true));
-    expect_that!(agent.announce("up-1", 1, false), eq(false));
+    agent.announce("up-2", 5, false);
+    agent.answer_hold_with(Some(HoldResult::OtherInstance));
+    expect_that!(
+        agent.announce("up-1", 1, false),
+        eq(AnnouncementStatus::Outdated)
+    );
+}
+
+#[gtest]
+fn an_announcement_of_another_writer_ends_no_runs() {
+    let mut agent = Agent::new();
+    agent.start("a");
+    expect_that!(
+        agent.announce("stray", 5, false),
+        eq(AnnouncementStatus::Unverified)
+    );
+    expect_that!(agent.outcomes(), is_empty());
+    // The known upstream still answers.
+    agent.answer_hold(&[("a", 1)], &[]);
+    agent.start("b");
+    expect_that!(agent.outcomes(), is_empty());
+    expect_that!(agent.starts[1].instance.as_ref(), eq("up-1"));
+}
+
+#[gtest]
+fn an_upstream_that_took_the_place_of_the_known_one_is_used() {
+    for silent in [false, true] {
+        let mut agent = Agent::new();
+        agent.start("a");
+        agent.announce("up-2", 5, false);
+        match silent {
+            // Nothing listens any more, or does so under another name.
+            true => (0..2).for_each(|_| agent.answer_hold_with(None)),
+            false => agent.answer_hold_with(Some(HoldResult::OtherInstance)),
+        }
+        expect_that!(agent.outcomes(), elements_are![eq(&("a", Outcome::Lost))]);
+        agent.started_ms = 5;
+        agent.answer_hold(&[], &[]);
+        agent.order("b", 1);
+        let last = agent.starts.last().map(|call| call.instance.to_string());
+        expect_that!(last, some(eq("up-2")));
+    }
 }
 
 #[gtest]
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -9,8 +9,8 @@
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use hemlockhook_dispatch::agent::{
-    Action, Announcement, FrameHeader, HoldCall, LinkId, LinkRank, Report, StartCall, StartResult,
-    StopCall, StopResult, Supervisor,
+    Action, Announcement, AnnouncementStatus, FrameHeader, HoldCall, LinkId, LinkRank, Report,
+    StartCall, StartResult, StopCall, StopResult, Supervisor,
 };
 use hemlockhook_ports::leased::UpstreamClient;
 use hemlockhook_proto::v1;
@@ -46,6 +46,8 @@
 
 struct State {
     supervisor: Supervisor,
+    /// The announcement that was stored last.
+    stored_upstream: Option<Announcement>,
     links: HashMap<LinkId, Link>,
     last_link: LinkId,
     /// Entries to which links are maintained, and the channels that end their pauses.
@@ -95,6 +97,7 @@
             upstream_changes: async_channel::unbounded(),
             state: Mutex::new(State {
                 supervisor: Supervisor::new(settings.policy(), fence),
+                stored_upstream: None,
                 links: HashMap::new(),
                 last_link: 0,
                 entries: BTreeMap::new(),
@@ -179,35 +182,22 @@
 
     /// Handles an announcement of the upstream.
     pub(crate) fn handle_announcement(self: &Arc<Self>, announcement: Announcement) {
-        self.handle(|now, state| {
-            let before = state.supervisor.upstream().cloned();
-            let instance = announcement.instance.clone();
-            if !state.supervisor.announced(now, announcement.clone()) {
-                let instance = &*instance;
+        let instance = announcement.instance.clone();
+        let instance = &*instance;
+        let status = self.handle(|now, state| state.supervisor.announced(now, announcement));
+        match status {
+            AnnouncementStatus::Accepted => {}
+            AnnouncementStatus::Outdated => {
                 spdlog::warn!("ignored an announcement of an outdated upstream incarnation", kv: {
                     instance,
                 });
-                return;
             }
-            let is_same = |old: &Announcement| {
-                old.instance == announcement.instance
-                    && old.started_ms == announcement.started_ms
-                    && old.capacity == announcement.capacity
-                    && old.is_leaving == announcement.is_leaving
-            };
-            if !before.as_ref().is_some_and(is_same) {
-                let instance = &*instance;
-                let is_leaving = announcement.is_leaving;
-                let cpu = announcement.capacity.cpu;
-                spdlog::info!("the upstream announced a new state", kv: {
+            AnnouncementStatus::Unverified => {
+                spdlog::warn!("another upstream was announced; asking the known one", kv: {
                     instance,
-                    is_leaving,
-                    cpu,
                 });
-                // The channel is unbounded, and `self` holds a receiver, so this can't fail.
-                let _ = self.upstream_changes.0.try_send(announcement);
             }
-        });
+        }
     }
 
     /// Restores the upstream from the announcement that the agent's previous incarnation stored.
@@ -218,6 +208,7 @@
                 spdlog::info!("restored the upstream's last state from the store", kv: {
                     instance,
                 });
+                state.stored_upstream = Some(announcement.clone());
                 state.supervisor.announced(now, announcement);
             }
         });
@@ -229,6 +220,30 @@
         self.handle(|now, state| state.supervisor.upstream_left(now, instance));
     }
 
+    /// Has the upstream's state stored if it differs from what was stored last.
+    fn store_upstream(&self, state: &mut State) {
+        let Some(announcement) = state.supervisor.upstream() else {
+            return;
+        };
+        let is_same = |old: &Announcement| {
+            old.instance == announcement.instance
+                && old.started_ms == announcement.started_ms
+                && old.capacity == announcement.capacity
+                && old.is_leaving == announcement.is_leaving
+        };
+        if state.stored_upstream.as_ref().is_some_and(is_same) {
+            return;
+        }
+        let announcement = announcement.clone();
+        let instance = &*announcement.instance;
+        let is_leaving = announcement.is_leaving;
+        let cpu = announcement.capacity.cpu;
+        spdlog::info!("the upstream announced a new state", kv: { instance, is_leaving, cpu });
+        state.stored_upstream = Some(announcement.clone());
+        // The channel is unbounded, and `self` holds a receiver, so this can't fail.
+        let _ = self.upstream_changes.0.try_send(announcement);
+    }
+
     /// Stops accepting work.
     pub(crate) fn leave(self: &Arc<Self>) {
         self.handle(|now, state| state.supervisor.leave(now));
@@ -360,6 +375,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let outcome = event(now, &mut state);
+        self.store_upstream(&mut state);
         self.flush(now, &mut state);
         outcome
     }
--- a/hemlockhook/tests/platform/deployment.rs
+++ b/hemlockhook/tests/platform/deployment.rs
@@ -380,6 +380,9 @@
 async fn send_heartbeats(ex: Arc<Executor>, agent: SocketAddr, worker: WorkerStandin) {
     let client = HttpClient::new(ex, agent, 2);
     loop {
+        if worker.has_left() {
+            return;
+        }
         let path = format!("/hemlockhook/Instances.Heartbeat/{}", worker.id);
         let req = Request::post(path).body(Full::new(Bytes::from(worker.next_heartbeat())));
         // An agent that is down misses this heartbeat and gets the next one.
--- a/hemlockhook/tests/platform/main.rs
+++ b/hemlockhook/tests/platform/main.rs
@@ -151,6 +151,33 @@
     expect_that!(deployment.workers[0].starts(), eq(before));
 }
 
+#[gtest]
+fn an_upstream_that_has_left_gets_no_tasks_after_a_restart_of_its_agent() {
+    let mut deployment = Deployment::start("left", 1, 2);
+    expect_that!(deployment.submit(0, "l0", 8, 20), some(eq(200)));
+    // It announces itself no more, but still answers calls.
+    deployment.workers[0].leave();
+    let path = format!("/hemlockhook/Instances.Leave/{}", deployment.workers[0].id);
+    expect_that!(deployment.announce(0, &path, Vec::new()), some(eq(200)));
+    let is_stored = |deployment: &Deployment| {
+        let record = deployment.store.newest_value("keyed.upstreams", "agent-0");
+        record.is_some_and(|value| String::from_utf8_lossy(&value).contains("\"is_leaving\":true"))
+    };
+    deployment.wait_for(is_stored);
+    let before = deployment.workers[0].starts();
+    deployment.agents[0].restart();
+    deployment.wait_for(|deployment| {
+        let agent = &deployment.agents[0];
+        !agent.logged_at("linked with an entry").is_empty()
+            && !agent.logged_at("restored the upstream").is_empty()
+    });
+    for index in 0..20 {
+        let id = format!("l1{index}");
+        expect_that!(deployment.submit(0, &id, 4, 5), some(eq(200)));
+    }
+    expect_that!(deployment.workers[0].starts(), eq(before));
+}
+
 #[gtest]
 fn a_job_resubmitted_after_its_entry_was_killed_runs_once_at_a_time() {
     let mut deployment = Deployment::start("killed", 2, 2);
--- a/hemlockhook/tests/platform/store.rs
+++ b/hemlockhook/tests/platform/store.rs
@@ -77,6 +77,14 @@
         topic.push((key.to_owned(), value));
     }
 
+    /// Returns the newest value of a key.
+    pub fn newest_value(&self, topic: &str, key: &str) -> Option<Bytes> {
+        let state = self.state.lock().expect("no thread panicked with the lock");
+        let records = state.topics.get(topic)?.iter().rev();
+        let mut values = records.filter(|(known, _)| known == key);
+        values.next().map(|(_, value)| value.clone())
+    }
+
     /// Sets the current fault.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state
--- a/hemlockhook/tests/platform/worker.rs
+++ b/hemlockhook/tests/platform/worker.rs
@@ -46,6 +46,7 @@
     next_end: u64,
     sequence: u64,
     is_draining: bool,
+    has_left: bool,
     /// One in this many starts is executed without a response.
     lose_response_every: usize,
     starts: usize,
@@ -66,6 +67,7 @@
                 next_end: 1,
                 sequence: 0,
                 is_draining: false,
+                has_left: false,
                 lose_response_every: usize::MAX,
                 starts: 0,
             })),
@@ -78,6 +80,15 @@
         self.end_due_tasks(&mut state);
     }
 
+    /// Sends no more heartbeats.
+    pub fn leave(&self) {
+        self.lock().has_left = true;
+    }
+
+    pub fn has_left(&self) -> bool {
+        self.lock().has_left
+    }
+
     pub fn drain(&self) {
         self.lock().is_draining = true;
     }
