Wait for ends in the call that acknowledges others, and place wide steps by width

Cause: after each end an agent made a hold call only to acknowledge it, beside the one that waits for the next: two for each task. A step of eight tasks ends with its slowest; the factor by which a task's run time may exceed the estimate was that of a single task, so that at a crest wide urgent jobs went to slow upstreams.

Change: a hold call acknowledges and waits; busy links ping every 130 ms; the factor grows with the fifth root of the number of a step's tasks.

--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -187,10 +187,8 @@
             .upstream
             .as_ref()
             .expect("an upstream was matched above");
-        let waits = renews
-            && upstream.are_ends_acknowledged
-            && upstream.unanswered_holds == 0
-            && self.candidate.is_none();
+        // A call that waits acknowledges ends when it arrives.
+        let waits = renews && upstream.unanswered_holds == 0 && self.candidate.is_none();
         let wait = if waits { wait } else { Duration::ZERO };
         // An immediate hold call is not delayed by one that waits for an end.
         let is_pending = match wait.is_zero() {
--- a/hemlockhook-dispatch/src/agent/policy.rs
+++ b/hemlockhook-dispatch/src/agent/policy.rs
@@ -77,7 +77,7 @@
             lease_duration: Duration::from_millis(450),
             owner_timeout: Duration::from_millis(400),
             hold_wait: Duration::from_millis(120),
-            busy_ping_interval: Duration::from_millis(100),
+            busy_ping_interval: Duration::from_millis(130),
             idle_ping_interval: Duration::from_millis(250),
             standby_ping_interval: Duration::from_secs(2),
             active_links: 8,
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -174,7 +174,7 @@
             candidates.retain(|other| !task.avoid.contains(&other.key));
         }
         let slack = job.due.saturating_duration_since(now + DISPATCH_OVERHEAD);
-        choose_upstream(&candidates, slack)
+        choose_upstream(&candidates, slack, state.tasks.len())
     }
 
     fn place_task(&mut self, now: Instant, key: JobKey, position: (u32, u32), agent_key: AgentKey) {
--- a/hemlockhook-dispatch/src/entry/placement.rs
+++ b/hemlockhook-dispatch/src/entry/placement.rs
@@ -22,25 +22,33 @@
 /// Safety factor on the expected run time when it is compared with the slack of a task.
 const RUN_TIME_MARGIN: f64 = 1.35;
 
+/// Exponent of the number of a step's tasks in the safety factor. A step ends with its slowest task,
+/// which is the slower the more there are.
+const WIDTH_EXPONENT: f64 = 0.2;
+
 /// Free fraction of the fastest upstreams' capacity above which none is kept for other tasks.
 /// Source: the measurements at low and peak load in docs/MEASUREMENTS.md, "Leased work".
 const AMPLE_FREE_FRACTION: f64 = 0.3;
 
-/// Chooses the upstream for a task that should end within `slack`.
+/// Chooses the upstream for a task, of a step of `width` tasks, that should end within `slack`.
 ///
 /// While the fastest upstreams have ample free capacity they are preferred, since some tasks run
 /// many times longer than expected. Otherwise the slowest upstream with free capacity that meets
 /// the slack is chosen, so that fast upstreams remain free for tasks without slack. If none meets
 /// it, the upstream with the earliest expected end is chosen.
-pub(super) fn choose_upstream<K>(candidates: &[Candidate<K>], slack: Duration) -> Option<K>
+pub(super) fn choose_upstream<K>(
+    candidates: &[Candidate<K>],
+    slack: Duration,
+    width: usize,
+) -> Option<K>
 where
     K: Copy,
 {
     if let Some(best) = fastest_with_ample_capacity(candidates) {
         return Some(best);
     }
-    let is_in_time =
-        |c: &&Candidate<K>| c.wait.is_zero() && c.run_time.mul_f64(RUN_TIME_MARGIN) <= slack;
+    let margin = RUN_TIME_MARGIN * (width.max(1) as f64).powf(WIDTH_EXPONENT);
+    let is_in_time = |c: &&Candidate<K>| c.wait.is_zero() && c.run_time.mul_f64(margin) <= slack;
     let by_slowness = |a: &&Candidate<K>, b: &&Candidate<K>| {
         let order = speed_class(a.run_time).cmp(&speed_class(b.run_time));
         order
