--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 mod odd_jobs;
+mod standby;
 mod start;
 
 use std::time::Duration;
--- /dev/null
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -0,0 +1,242 @@
+//! An agent whose upstream and entries a test plays.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hemlockhook_dispatch::agent::{
+    Action, ActiveRun, Announcement, AnnouncementStatus, EndedRun, FrameHeader, HoldCall,
+    HoldResult, LinkId, Report, RunOrder, RunOutcome, StartCall, StartResult, Supervisor,
+    SupervisorPolicy,
+};
+use hemlockhook_dispatch::{Amounts, AttemptEnd, Outcome, TaskId, TaskRef};
+
+pub const LINK: u64 = 1;
+pub const ENTRY: u64 = 7;
+pub const CORE: u64 = 1000;
+
+pub struct Agent {
+    pub now: Instant,
+    pub supervisor: Supervisor,
+    pub starts: Vec<StartCall>,
+    pub holds: Vec<HoldCall>,
+    pub stops: usize,
+    pub ends: Vec<AttemptEnd>,
+    pub reports: usize,
+    /// Links of all reports.
+    pub reported_links: Vec<LinkId>,
+    /// The last share reported on each link.
+    pub shares: BTreeMap<LinkId, f64>,
+    /// Number of the last listed end.
+    pub last_end: u64,
+    pub started_ms: u64,
+}
+
+impl Agent {
+    /// Creates an agent whose upstream has four cores and no active runs.
+    pub fn new() -> Self {
+        let now = Instant::now();
+        let mut agent = Self {
+            now,
+            supervisor: Supervisor::new(SupervisorPolicy::default(), 100),
+            starts: Vec::new(),
+            holds: Vec::new(),
+            stops: 0,
+            ends: Vec::new(),
+            reports: 0,
+            reported_links: Vec::new(),
+            shares: BTreeMap::new(),
+            last_end: 0,
+            started_ms: 1,
+        };
+        agent.announce("up-1", 1, false);
+        agent.answer_hold(&[], &[]);
+        agent.supervisor.linked(now, LINK, ENTRY, None, now, 0);
+        agent.collect();
+        agent
+    }
+
+    pub fn announce(
+        &mut self,
+        instance: &str,
+        started_ms: u64,
+        is_leaving: bool,
+    ) -> AnnouncementStatus {
+        let announcement = Announcement {
+            instance: instance.into(),
+            started_ms,
+            sequence: 1,
+            service: "desk".into(),
+            capacity: Amounts {
+                cpu: 4 * CORE,
+                memory_mb: 100,
+                gpus: 0,
+            },
+            labels: Vec::new(),
+            is_leaving,
+            clock_ms: Some(10_000),
+        };
+        let status = self.supervisor.announced(self.now, announcement);
+        if status == AnnouncementStatus::Accepted {
+            self.started_ms = started_ms;
+        }
+        self.collect();
+        status
+    }
+
+    pub fn order(&mut self, job: &str, cores: u64) {
+        let order = RunOrder {
+            task: attempt(job),
+            payload: "".into(),
+            need: Amounts {
+                cpu: cores * CORE,
+                memory_mb: 1,
+                gpus: 0,
+            },
+            expected: Duration::from_millis(50),
+            class: 0,
+            due_ms: 100,
+            wait: Duration::from_secs(1),
+        };
+        self.supervisor.ordered(self.now, LINK, order);
+        self.collect();
+    }
+
+    /// Answers the start call of a job's task.
+    pub fn answer_start(&mut self, job: &str, result: StartResult) {
+        let call = self.starts.iter().rev().find(|call| &*call.task.job == job);
+        let key = call.expect("the task was started").key;
+        self.supervisor.start_answered(self.now, key, result);
+        self.collect();
+    }
+
+    pub fn start(&mut self, job: &str) {
+        self.order(job, 1);
+        self.answer_start(job, StartResult::Started { clock_ms: 10_000 });
+    }
+
+    pub fn answer_hold_with(&mut self, result: Option<HoldResult>) {
+        self.supervisor
+            .hold_answered(self.now, self.now, Duration::ZERO, result);
+        self.collect();
+    }
+
+    pub fn answer_hold(&mut self, running: &[(&str, u64)], ended: &[(&str, u64, RunOutcome)]) {
+        let result = self.lists(running, ended);
+        self.answer_hold_with(Some(result));
+    }
+
+    /// Answers the call that waits for an end.
+    pub fn answer_long_hold(&mut self, running: &[(&str, u64)], ended: &[(&str, u64, RunOutcome)]) {
+        let result = self.lists(running, ended);
+        let wait = SupervisorPolicy::default().hold_wait;
+        self.supervisor
+            .hold_answered(self.now, self.now, wait, Some(result));
+        self.collect();
+    }
+
+    pub fn lists(
+        &mut self,
+        running: &[(&str, u64)],
+        ended: &[(&str, u64, RunOutcome)],
+    ) -> HoldResult {
+        let rows = ended.iter().map(|&(job, run, outcome)| {
+            self.last_end += 1;
+            EndedRun {
+                number: self.last_end,
+                task: task(job),
+                run,
+                outcome,
+            }
+        });
+        let ended = rows.collect();
+        let running = running.iter().map(|&(job, run)| ActiveRun {
+            task: task(job),
+            run,
+            percent: 50,
+        });
+        HoldResult::Lists {
+            clock_ms: 10_000,
+            started_ms: self.started_ms,
+            running: running.collect(),
+            ended,
+        }
+    }
+
+    /// Links more entries, each on the link with the next number, which is also its rank.
+    pub fn link_others(&mut self, count: u64) {
+        for other in 1..=count {
+            let (link, entry) = (LINK + other, ENTRY + other);
+            self.supervisor
+                .linked(self.now, link, entry, None, self.now, other);
+        }
+        self.collect();
+    }
+
+    pub fn header(&self, state_interval: Duration) -> FrameHeader {
+        FrameHeader {
+            seq: 1,
+            echoed: self.now,
+            state_interval,
+            wants_state: false,
+        }
+    }
+
+    /// Delivers a frame of each of `count` entries, which echoes what was sent until now.
+    pub fn echo_all(&mut self, count: u64, state_interval: Duration) {
+        let header = self.header(state_interval);
+        for other in 0..count {
+            self.supervisor
+                .frame_received(self.now, LINK + other, &header);
+        }
+    }
+
+    pub fn advance(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        self.supervisor.tick(self.now);
+        self.collect();
+    }
+
+    pub fn collect(&mut self) {
+        for action in self.supervisor.take_actions() {
+            match action {
+                Action::Start(call) => self.starts.push(call),
+                Action::Stop(_) => self.stops += 1,
+                Action::Hold(call) => self.holds.push(call),
+            }
+        }
+        let reports = self.supervisor.take_reports(self.now);
+        self.reports += reports.len();
+        for report in &reports {
+            self.reported_links.push(report.link);
+            if let Some(state) = &report.state {
+                self.shares.insert(report.link, state.share);
+            }
+        }
+        self.ends
+            .extend(reports.into_iter().flat_map(|report: Report| report.ends));
+    }
+
+    pub fn outcomes(&self) -> Vec<(&str, Outcome)> {
+        let end = |end: &'_ AttemptEnd| end.outcome;
+        self.ends
+            .iter()
+            .map(|ended| (&*ended.task.task.job, end(ended)))
+            .collect()
+    }
+}
+
+pub fn task(job: &str) -> TaskId {
+    TaskId {
+        job: job.into(),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+pub fn attempt(job: &str) -> TaskRef {
+    TaskRef {
+        task: task(job),
+        attempt: 1,
+    }
+}
