Notice a silent link 1.1 s after the first report that is not echoed

Change: the wait ends when the oldest report that is not echoed gets that old. Test: a_link_is_silent_once_a_report_is_not_echoed.

--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -315,14 +315,17 @@
         }
     }
 
-    /// Returns whether the entry on a link has not echoed a report for `timeout`.
-    pub fn is_link_silent(&self, now: Instant, link: LinkId, timeout: Duration) -> bool {
+    /// Returns the time after which the entry on a link has not echoed a report for `timeout`, unless
+    /// it echoes it until then; zero if that is so now.
+    pub fn time_until_silent(&self, now: Instant, link: LinkId, timeout: Duration) -> Duration {
         let owner = self.links.owner(link);
         let owner = owner.and_then(|owner| self.links.owners.get(&owner));
-        owner.is_none_or(|owner| {
-            let since = owner.unanswered_since;
-            since.is_some_and(|since| now.saturating_duration_since(since) > timeout)
-        })
+        let Some(owner) = owner else {
+            return Duration::ZERO;
+        };
+        // Nothing may be due for long on a link that stands by.
+        let since = owner.unanswered_since.unwrap_or(now);
+        timeout.saturating_sub(now.saturating_duration_since(since))
     }
 
     /// Returns the reports that are due.
--- a/hemlockhook-dispatch/tests/supervisor/links.rs
+++ b/hemlockhook-dispatch/tests/supervisor/links.rs
@@ -88,12 +88,15 @@
     let timeout = Duration::from_millis(1100);
     let mut agent = Agent::new();
     agent.echo_all(1, Duration::from_millis(10));
+    let left = |agent: &Agent| agent.supervisor.time_until_silent(agent.now, LINK, timeout);
     // Nothing is due for a while on a link that stands by.
-    expect_false!(agent.supervisor.is_link_silent(agent.now, LINK, timeout));
+    expect_that!(left(&agent), eq(timeout));
     agent.advance(2000);
-    expect_false!(agent.supervisor.is_link_silent(agent.now, LINK, timeout));
-    agent.advance(1200);
-    expect_true!(agent.supervisor.is_link_silent(agent.now, LINK, timeout));
+    expect_that!(left(&agent), eq(timeout));
+    agent.advance(1000);
+    expect_that!(left(&agent), eq(Duration::from_millis(100)));
+    agent.advance(200);
+    expect_that!(left(&agent), eq(Duration::ZERO));
     agent.echo_all(1, Duration::from_millis(10));
-    expect_false!(agent.supervisor.is_link_silent(agent.now, LINK, timeout));
+    expect_that!(left(&agent), eq(timeout));
 }
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -161,10 +161,11 @@
             .count()
     }
 
-    /// Returns whether the entry on a link has not echoed a report for `timeout`.
-    pub(crate) fn is_link_silent(&self, link: LinkId, timeout: Duration) -> bool {
+    /// Returns the time after which the entry on a link has not echoed a report for `timeout`, unless
+    /// it echoes it until then; zero if that is so now.
+    pub(crate) fn time_until_silent(&self, link: LinkId, timeout: Duration) -> Duration {
         let now = self.clock.now();
-        self.lock().supervisor.is_link_silent(now, link, timeout)
+        self.lock().supervisor.time_until_silent(now, link, timeout)
     }
 
     /// Requests that the link to an entry is opened at once, if it has none.
--- a/hemlockhook-leased/src/agent/link.rs
+++ b/hemlockhook-leased/src/agent/link.rs
@@ -141,13 +141,15 @@
                 }
             }
         }
+        let mut wait = LINK_TIMEOUT;
         frame = loop {
             let next = async { Some(incoming.message().await.ok().flatten()) };
-            match with_timeout(LINK_TIMEOUT, next).await {
-                Some(frame) => break frame,
-                None if core.is_link_silent(link, LINK_TIMEOUT) => break None,
-                // On a link that stands by, nothing may be due.
-                None => {}
+            if let Some(frame) = with_timeout(wait, next).await {
+                break frame;
+            }
+            wait = core.time_until_silent(link, LINK_TIMEOUT);
+            if wait.is_zero() {
+                break None;
             }
         };
     }
