Delay jobs of lower priority by a part of their objective

Cause: in a replay of large confirmations at 3.3 times the capacity beside short price lookups, 16 of 200 lookups were answered and the others refused: a job's priority delayed it by 100 ms a level, while confirmations that had waited for longer than that stood before each new lookup, up to 2.2 s of them.

Change: each priority level delays a job by half of its own latency objective.

--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -169,6 +169,7 @@
         let caller_timeout = caller_timeout.unwrap_or(Duration::from_secs(60));
         let deadline = now + caller_timeout.min(MAX_JOB_TIME);
         let mut job = Job {
+            objective,
             due: now + objective,
             useful_until: (now + objective * self.policy.useful_factor).min(deadline),
             deadline,
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -19,6 +19,9 @@
 /// Class of jobs that are late and have not begun.
 const CLASS_LATE: u32 = 1;
 
+/// Number of priority levels that delay a job; those beyond count as the last one.
+const MAX_PRIORITY_LEVELS: u32 = 4;
+
 /// Factor on the remaining run time of a job in the latest start by which the queue is ordered: its
 /// tasks may be placed on a slow upstream.
 const SLOW_UPSTREAM_FACTOR: f64 = 1.8;
@@ -39,12 +42,20 @@
         };
         Rank {
             class,
-            start_by: safe_start.unwrap_or(latest_start)
-                + self.policy.priority_step * job.queue_config.priority,
+            start_by: safe_start.unwrap_or(latest_start) + self.priority_delay(job),
             job: key,
         }
     }
 
+    /// Returns the time by which a job is delayed in the queue because of its priority.
+    ///
+    /// In a flood of jobs with long objectives, hundreds of them wait for longer than a short job
+    /// may take. So the delay is a part of the objective.
+    fn priority_delay(&self, job: &Job) -> Duration {
+        let levels = f64::from(job.queue_config.priority.min(MAX_PRIORITY_LEVELS));
+        job.objective.mul_f64(self.policy.priority_delay * levels)
+    }
+
     pub(super) fn enqueue(&mut self, now: Instant, key: JobKey) {
         let rank = self.rank(now, &self.jobs[key], key);
         let job = &mut self.jobs[key];
--- a/hemlockhook-dispatch/src/entry/job.rs
+++ b/hemlockhook-dispatch/src/entry/job.rs
@@ -35,6 +35,8 @@
 pub(super) struct Job {
     pub(super) spec: JobSpec,
     pub(super) queue_config: Arc<QueueConfig>,
+    /// Time within which the job should be answered.
+    pub(super) objective: Duration,
     /// When the job should be answered, by its latency objective.
     pub(super) due: Instant,
     /// When an answer stops being useful to the caller.
--- a/hemlockhook-dispatch/src/entry/policy.rs
+++ b/hemlockhook-dispatch/src/entry/policy.rs
@@ -23,8 +23,9 @@
     pub gathering_limit: Duration,
     /// Time without a new agent after which no more are expected to link.
     pub gathering_pause: Duration,
-    /// Time by which each priority level below the highest delays a job in the queue.
-    pub priority_step: Duration,
+    /// Part of its latency objective by which each priority level below the highest delays a job in
+    /// the queue.
+    pub priority_delay: f64,
     /// Time without orders to an agent after it returned one unstarted, for example for
     /// lack of capacity.
     pub full_agent_pause: Duration,
@@ -66,7 +67,7 @@
             startup_grace: Duration::from_millis(1500),
             gathering_limit: Duration::from_millis(500),
             gathering_pause: Duration::from_millis(120),
-            priority_step: Duration::from_millis(100),
+            priority_delay: 0.5,
             full_agent_pause: Duration::from_millis(10),
             reports_per_s: 200,
             wake_count: 4,
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher: admission, queue order, placement and the ends of attempts.
 
 mod fixture;
+mod flood;
 mod odd_jobs;
 mod standby;
 mod start;
