Bound the rate of reports to an entry that names no interval

Cause: an entry requests an interval of 0 until its first tick, and one of an earlier release names none; the agent then reported each change (1,000 of 1,000 in the test). The interval is at least 10 ms now.

--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -23,6 +23,9 @@
 /// Minimum time between reports that carry only a changed state, until the entry requests another.
 const DEFAULT_STATE_INTERVAL: Duration = Duration::from_millis(30);
 
+/// Minimum of the time between such reports. An entry requests none until its first tick.
+const MIN_STATE_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Maximum of the time between such reports that an entry may request.
 const MAX_STATE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -301,7 +304,9 @@
         let echoed = header.echoed.min(now);
         owner.fresh_until = owner.fresh_until.max(echoed + timeout);
         owner.is_silent = owner.fresh_until < now;
-        owner.state_interval = header.state_interval.min(MAX_STATE_INTERVAL);
+        owner.state_interval = header
+            .state_interval
+            .clamp(MIN_STATE_INTERVAL, MAX_STATE_INTERVAL);
         if owner
             .unanswered_since
             .is_some_and(|since| since < echoed + ECHO_RESOLUTION)
--- a/hemlockhook-dispatch/tests/supervisor/links.rs
+++ b/hemlockhook-dispatch/tests/supervisor/links.rs
@@ -27,6 +27,19 @@
     expect_that!(agent.reports, ge(active * REPORTS_PER_S / 2));
 }
 
+/// An entry that has just started, or one of an earlier release, names no interval.
+#[gtest]
+fn an_entry_that_names_no_interval_is_not_told_of_each_change() {
+    let mut agent = Agent::new();
+    agent.reports = 0;
+    for _ in 0..1000 {
+        agent.now += Duration::from_millis(1);
+        agent.echo_all(1, Duration::ZERO);
+        agent.announce("up-1", 1, false);
+    }
+    expect_that!(agent.reports, le(101));
+}
+
 /// Hundreds of entries know an agent, and few of them use it.
 #[gtest]
 fn what_an_agent_reports_does_not_grow_with_the_entries_that_do_not_use_it() {
