--- a/hemlockhook/tests/platform/main.rs
+++ b/hemlockhook/tests/platform/main.rs
@@ -155,6 +155,10 @@
 fn an_upstream_that_has_left_gets_no_tasks_after_a_restart_of_its_agent() {
     let mut deployment = Deployment::start("left", 1, 2);
     expect_that!(deployment.submit(0, "l0", 8, 20), some(eq(200)));
+    deployment.wait_for(|deployment| {
+        let record = deployment.store.newest_value("keyed.upstreams", "agent-0");
+        record.is_some()
+    });
     // It announces itself no more, but still answers calls.
     deployment.workers[0].leave();
     let path = format!("/hemlockhook/Instances.Leave/{}", deployment.workers[0].id);
