--- a/hemlockhook/tests/platform/malformed.rs
+++ b/hemlockhook/tests/platform/malformed.rs
@@ -7,9 +7,9 @@
 
 use crate::deployment::{Deployment, configuration, job};
 
-/// A JSON document that is nested far deeper than any message.
+/// A JSON document that is nested far deeper than any message, and within the size of each.
 fn nested() -> String {
-    format!("{}1{}", "[".repeat(50_000), "]".repeat(50_000))
+    format!("{}1{}", "[".repeat(20_000), "]".repeat(20_000))
 }
 
 /// Replaces the number of a field by odd values.
