--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,7 +18,7 @@
 
 
 def make(path):
-    workers = [dict(name=f"w{n}", labels=["a", f"r1-{n}"], cpu=8000) for n in range(1, 4)]
+    workers = [dict(name=f"w{n}", labels=["a", f"r1-{n}"], cpu=12000) for n in range(1, 11)]
     return Lab(path, entries=2, workers=workers)
 
 
@@ -38,9 +38,11 @@
         await asyncio.sleep(SUSPEND_S)
     # The machine is in touch again.
     await asyncio.sleep(BOUNDS["contactMs"] / 1000 + 0.5)
-    jobs = [Job(lab, WORK_MS, count=4, resend=False)]
+    jobs = [Job(lab, WORK_MS, count=20, resend=False)]
     clients = [asyncio.create_task(job.run([lab.entries[0]], attempts=1)) for job in jobs]
     await asyncio.sleep(1.0)
+    if not worker.runs:
+        raise RuntimeError("no task runs on the worker")
     if lab.trouble and ONLY != "suspend":
         lab.record(f"worker {worker.name} leaves its calls without an answer")
         worker.hook = mute
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,7 +17,7 @@
 
 
 def make(path):
-    workers = [dict(name=f"w{n}", labels=["a", f"r1-{n}"], cpu=8000) for n in range(1, 4)]
+    workers = [dict(name=f"w{n}", labels=["a", f"r1-{n}"], cpu=12000) for n in range(1, 11)]
     return Lab(path, entries=2, workers=workers)
 
 
@@ -37,7 +37,7 @@
 
 async def case(lab):
     worker = lab.workers[0]
-    job = Job(lab, WORK_MS, count=4, resend=False)
+    job = Job(lab, WORK_MS, count=20, resend=False)
     client = asyncio.create_task(job.run([lab.entries[0]], attempts=1))
     await asyncio.sleep(1.0)
     if not worker.runs:
