--- a/hemlockhook-dispatch/src/agent/call.rs
+++ b/hemlockhook-dispatch/src/agent/call.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::agent::OrderKey;
-use crate::{RunNumber, TaskId, TaskRef};
+use crate::agent::{OrderKey, StopCause};
+use crate::{Incarnation, RunNumber, TaskId, TaskRef};
 
 /// A call to the upstream, to be made by the agent.
 #[derive(Clone, Debug)]
@@ -26,6 +26,10 @@
     pub task: TaskId,
     /// Number of the run.
     pub run: RunNumber,
+    /// Number of the attempt, assigned by the entry.
+    pub attempt: u32,
+    /// Incarnation of the entry that gave the order.
+    pub owner: Incarnation,
     /// Payload of the job.
     pub payload: Arc<str>,
     /// End of the lease by the upstream's clock, in milliseconds.
@@ -43,6 +47,8 @@
     pub task: TaskRef,
     /// Number of the run.
     pub run: RunNumber,
+    /// Why the run is stopped.
+    pub cause: StopCause,
     /// Fencing token; the upstream refuses the call if it has seen a higher one.
     pub fence: u64,
     /// The upstream incarnation that the call is addressed to.
--- a/hemlockhook-dispatch/src/agent/due.rs
+++ b/hemlockhook-dispatch/src/agent/due.rs
@@ -36,18 +36,19 @@
             match &mut order.phase {
                 Phase::Stopping {
                     run,
+                    cause,
                     acked: None,
                     sent,
                     ..
                 } if now.saturating_duration_since(*sent) >= retry => {
                     *sent = now;
-                    retries.push((order.order.task.clone(), *run));
+                    retries.push((order.order.task.clone(), *run, *cause));
                 }
                 _ => {}
             }
         }
-        for (task, run) in retries {
-            self.call_stop(task, run);
+        for (task, run, cause) in retries {
+            self.call_stop(task, run, cause);
         }
     }
 
--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -160,7 +160,7 @@
                 task: row.task.clone(),
                 attempt: 0,
             };
-            self.call_stop(task, row.run);
+            self.call_stop(task, row.run, StopCause::Orphaned);
         }
     }
 
--- a/hemlockhook-dispatch/src/agent/order.rs
+++ b/hemlockhook-dispatch/src/agent/order.rs
@@ -42,6 +42,8 @@
     Restarted,
     /// The run made no progress.
     Stalled,
+    /// The run has no order, such as one that an earlier incarnation of the agent started.
+    Orphaned,
 }
 
 /// Phase of an order.
--- a/hemlockhook-dispatch/src/agent/runs.rs
+++ b/hemlockhook-dispatch/src/agent/runs.rs
@@ -59,6 +59,8 @@
             key,
             task: order.order.task.task.clone(),
             run,
+            attempt: order.order.task.attempt,
+            owner: order.owner,
             payload: order.order.payload.clone(),
             until_ms,
             fence,
@@ -86,20 +88,21 @@
             sent: now,
         };
         let task = order.order.task.clone();
-        self.call_stop(task, run);
+        self.call_stop(task, run, cause);
         if !self.policy.rules.reserves_stopping_runs {
             self.finish(now, key, Outcome::Lost);
         }
         self.hold(now, self.policy.hold_wait);
     }
 
-    pub(super) fn call_stop(&mut self, task: TaskRef, run: RunNumber) {
+    pub(super) fn call_stop(&mut self, task: TaskRef, run: RunNumber, cause: StopCause) {
         let Some(upstream) = &self.upstream else {
             return;
         };
         self.actions.push(Action::Stop(StopCall {
             task,
             run,
+            cause,
             fence: self.fence,
             instance: upstream.instance.clone(),
         }));
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -452,6 +452,7 @@
                 until_ms,
                 fence,
                 instance,
+                ..
             }) => {
                 let until_ms = match extends_lease {
                     true => upstream.clock_ms(now) + 450,
@@ -470,6 +471,7 @@
                 run,
                 fence,
                 instance,
+                ..
             }) => {
                 let result = upstream.stop(now, &instance, fence, &task.task, run);
                 (Answered::Stop(task, result), 1)
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -430,16 +430,39 @@
         let key = call.key;
         let task = call.task.clone();
         let run = call.run;
+        let attempt = call.attempt;
+        let entry = call.owner;
+        let called = self.clock.now();
         let result = self.upstreams.start(call).await;
-        if !matches!(result, StartResult::Started { .. }) {
-            let job = &*task.job;
-            let index = task.index;
-            spdlog::info!("the upstream did not confirm a start", kv: {
-                job,
-                task = index,
-                run,
-                result:? = result,
-            });
+        let took_ms = self
+            .clock
+            .now()
+            .saturating_duration_since(called)
+            .as_millis() as u64;
+        let job = &*task.job;
+        let index = task.index;
+        match result {
+            StartResult::Started { .. } => {
+                spdlog::info!("a task was started", kv: {
+                    job,
+                    task = index,
+                    run,
+                    attempt,
+                    entry,
+                    took_ms,
+                });
+            }
+            _ => {
+                spdlog::info!("the upstream did not confirm a start", kv: {
+                    job,
+                    task = index,
+                    run,
+                    attempt,
+                    entry,
+                    took_ms,
+                    result:? = result,
+                });
+            }
         }
         if result == StartResult::NoAnswer {
             self.metrics.record_unanswered("start");
@@ -450,10 +473,17 @@
     async fn stop(self: Arc<Self>, call: StopCall) {
         let task = call.task.clone();
         let run = call.run;
+        let cause: &str = call.cause.into();
         let result = self.upstreams.stop(call).await;
         let job = &*task.task.job;
         let index = task.task.index;
-        spdlog::info!("a stop call has ended", kv: { job, task = index, run, result:? = result });
+        spdlog::info!("a stop call has ended", kv: {
+            job,
+            task = index,
+            run,
+            cause,
+            result:? = result,
+        });
         if result == StopResult::Unsettled {
             self.metrics.record_unanswered("stop");
         }
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -181,6 +181,7 @@
         let submitted = state.dispatcher.submit(now, submission);
         match &submitted {
             Ok(key) => {
+                let open = state.dispatcher.jobs();
                 let waiters = state.waiters.entry(*key).or_insert(Waiters {
                     txs: Vec::new(),
                     submitted: now,
@@ -188,6 +189,9 @@
                     id,
                 });
                 waiters.txs.push(tx);
+                let (job, queue) = (&*waiters.id, &*waiters.queue);
+                let callers = waiters.txs.len();
+                spdlog::info!("a job is admitted", kv: { job, queue, callers, open });
             }
             Err(refusal) => {
                 let answer = Answer::NotRun(refusal.clone());
