Cancel what an agent holds on a new link and its entry no longer has

A cancel is sent once. If the link breaks at that moment, or the agent has none, it was lost: the first report on the new link was compared in one direction only, so that a task of a caller that left, of a cancelled job, of one past its deadline or with a failed sibling ran on. The entry now also cancels each attempt that the first report lists and that it does not have. The list is bounded by what the agent holds, and costs no further message.

--- a/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::Dispatcher;
+use super::{Action, Dispatcher};
 use crate::entry::agents::Agent;
 use crate::entry::job::Task;
 use crate::entry::{AgentKey, Answer, JobKey};
@@ -112,7 +112,15 @@
     }
 
     /// Reconciles the attempts at an agent with those that its first report on a link lists.
+    ///
+    /// What the agent holds and this entry no longer has is cancelled: the cancellation may have been
+    /// lost with the old link, or the agent had no link at that time.
     pub(super) fn reconcile(&mut self, now: Instant, agent_key: AgentKey, held: &[TaskRef]) {
+        for task in held {
+            if !self.has_attempt(agent_key, task) {
+                self.actions.push(Action::Cancel(agent_key, task.clone()));
+            }
+        }
         let agent = &mut self.agents[agent_key];
         let unreconciled = std::mem::take(&mut agent.unreconciled);
         let unreconciled: Vec<_> = unreconciled.intersection(&agent.placed).copied().collect();
@@ -136,6 +144,15 @@
         }
     }
 
+    fn has_attempt(&mut self, agent_key: AgentKey, attempt: &TaskRef) -> bool {
+        let id = &attempt.task;
+        let Some(&key) = self.by_id.get(&id.job) else {
+            return false;
+        };
+        let task = self.jobs[key].task((id.step, id.index));
+        task.is_some_and(|task| task.attempt == attempt.attempt && task.at == Some(agent_key))
+    }
+
     /// Ends the attempts at silent agents, once they have certainly ended.
     pub(super) fn settle_lost_agents(&mut self, now: Instant) {
         let lost = self.policy.agent_lost_after;
--- /dev/null
+++ b/hemlockhook-dispatch/tests/dispatcher/links.rs
@@ -0,0 +1,134 @@
+//! Comparison of what an agent and an entry hold, on each new link.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hemlockhook_dispatch::entry::{Action, AgentReport, Order, Submission};
+use hemlockhook_dispatch::{Outcome, TaskRef};
+
+use crate::fixture::{Fixture, job, queue_config, state};
+
+/// Time for which callers wait. A silent agent is not lost within it.
+const CALLER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Number of tasks of the job of [`submit`].
+const TASKS: u32 = 2;
+
+/// Submits a job, and returns the orders of its tasks.
+fn submit(fixture: &mut Fixture) -> Vec<Order> {
+    let submission = Submission {
+        spec: job("a", TASKS, 50),
+        queue_config: queue_config(0),
+        caller_timeout: Some(CALLER_TIMEOUT),
+    };
+    let submitted = fixture.dispatcher.submit(fixture.now, submission);
+    expect_that!(submitted, ok(anything()));
+    let orders = fixture.orders();
+    expect_that!(orders.len(), eq(TASKS as usize));
+    orders
+}
+
+/// Links the first agent again.
+fn link_again(fixture: &mut Fixture) {
+    let key = fixture.dispatcher.linked(fixture.now, 1, "here".into());
+    expect_that!(key, eq(fixture.agents[0]));
+}
+
+/// Delivers the first report of a link of the first agent.
+fn first_report(fixture: &mut Fixture, held: &[&Order]) {
+    let report = AgentReport {
+        orders_seen: fixture.sent_seqs[0],
+        state: Some(state(1.0, 10, 10)),
+        ends: Vec::new(),
+        held: Some(held.iter().map(|order| order.run.task.clone()).collect()),
+    };
+    let agent = fixture.agents[0];
+    fixture.dispatcher.reported(fixture.now, agent, report);
+}
+
+fn cancels(fixture: &mut Fixture) -> Vec<TaskRef> {
+    let actions = fixture.dispatcher.take_actions().into_iter();
+    let cancel = |action| match action {
+        Action::Cancel(_, task) => Some(task),
+        _ => None,
+    };
+    actions.filter_map(cancel).collect()
+}
+
+/// Removes the job of [`submit`] while its agent has no link, and checks that what the agent holds
+/// is cancelled on the next one.
+fn check_cancel_after_link(remove: impl FnOnce(&mut Fixture, &[Order])) {
+    let mut fixture = Fixture::new(&[1.0], 10);
+    let orders = submit(&mut fixture);
+    fixture.dispatcher.unlinked(fixture.agents[0]);
+    remove(&mut fixture, &orders);
+    // The agent has no link on which these could be sent.
+    cancels(&mut fixture);
+
+    link_again(&mut fixture);
+    first_report(&mut fixture, &[&orders[1]]);
+    expect_that!(
+        cancels(&mut fixture),
+        elements_are![eq(&orders[1].run.task)]
+    );
+}
+
+#[gtest]
+fn a_task_of_a_caller_that_left_is_cancelled_on_the_next_link() {
+    let mut fixture = Fixture::new(&[1.0], 10);
+    let submission = Submission {
+        spec: job("a", 1, 50),
+        queue_config: queue_config(0),
+        caller_timeout: Some(CALLER_TIMEOUT),
+    };
+    let submitted = fixture.dispatcher.submit(fixture.now, submission);
+    let order = fixture.orders().remove(0);
+    fixture.dispatcher.unlinked(order.agent);
+    let key = submitted.expect("there is free capacity");
+    fixture.dispatcher.abandon(fixture.now, key);
+    cancels(&mut fixture);
+
+    link_again(&mut fixture);
+    first_report(&mut fixture, &[&order]);
+    expect_that!(cancels(&mut fixture), elements_are![eq(&order.run.task)]);
+}
+
+#[gtest]
+fn a_task_of_a_cancelled_job_is_cancelled_on_the_next_link() {
+    check_cancel_after_link(|fixture, _| {
+        expect_that!(fixture.dispatcher.cancel(fixture.now, "a"), eq(true));
+    });
+}
+
+#[gtest]
+fn a_task_of_a_job_past_its_deadline_is_cancelled_on_the_next_link() {
+    check_cancel_after_link(|fixture, _| {
+        fixture.now += CALLER_TIMEOUT;
+        fixture.dispatcher.tick(fixture.now);
+    });
+}
+
+#[gtest]
+fn a_task_whose_sibling_failed_is_cancelled_on_the_next_link() {
+    check_cancel_after_link(|fixture, orders| {
+        fixture.end(&orders[0], Outcome::Failed);
+        // Another agent runs the second attempt, which fails as well.
+        let other = fixture.dispatcher.linked(fixture.now, 2, "here".into());
+        fixture.agents.push(other);
+        fixture.sent_seqs.push(0);
+        fixture.set_state(1, state(1.0, 10, 10));
+        let second = fixture.orders().remove(0);
+        fixture.end(&second, Outcome::Failed);
+    });
+}
+
+#[gtest]
+fn an_attempt_that_both_sides_hold_continues_on_the_next_link() {
+    let mut fixture = Fixture::new(&[1.0], 10);
+    let orders = submit(&mut fixture);
+    fixture.dispatcher.unlinked(fixture.agents[0]);
+    link_again(&mut fixture);
+    first_report(&mut fixture, &[&orders[0], &orders[1]]);
+    let actions = fixture.dispatcher.take_actions();
+    expect_that!(actions.len(), eq(0));
+}
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 mod flood;
+mod links;
 mod odd_jobs;
 mod standby;
 mod start;
