Don't start a cancelled order again whose start was unanswered

Seen by callers: a task runs twice at once (TWICE), or runs although the job was refused (REFUSED).

Cause: an agent whose start call gets no answer stops the run, and starts the order again once the stop shows that the start never arrived. A cancel, or the silence of the entry, that came between the two was ignored, since the order was being stopped already. The agent then started a task that its entry had cancelled seconds ago, because the caller had left or the time was up; the caller had submitted the job again, elsewhere. No stop follows: the entry no longer knows the order, and the run ends done.

Now the last cause of a stop counts, and only an order that is still wanted is started again.

--- a/hemlockhook-dispatch/src/agent/runs.rs
+++ b/hemlockhook-dispatch/src/agent/runs.rs
@@ -71,10 +71,11 @@
 
     /// Ends an order early.
     pub(super) fn end_early(&mut self, now: Instant, key: OrderKey, cause: StopCause) {
-        match self.orders[key].phase {
+        match &mut self.orders[key].phase {
             Phase::Waiting => self.finish(now, key, Outcome::NotStarted),
             Phase::Starting { .. } | Phase::Running { .. } => self.stop(now, key, cause),
-            Phase::Stopping { .. } => {}
+            // An order whose start was unanswered would otherwise be started again.
+            Phase::Stopping { cause: known, .. } => *known = cause,
         }
     }
 
