Simulate resets of links and callers, with a mutant without the comparison

In the simulated world links ended only with a kill, so that no cancel was ever lost with its link. A new kind of fault resets some links of an entry, whose frames under way are lost both ways, and some connections of its callers. A tenth of the jobs has tasks that still run when their callers resubmit.

--- a/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
@@ -117,7 +117,8 @@
     /// lost with the old link, or the agent had no link at that time.
     pub(super) fn reconcile(&mut self, now: Instant, agent_key: AgentKey, held: &[TaskRef]) {
         for task in held {
-            if !self.has_attempt(agent_key, task) {
+            let is_unknown = !self.has_attempt(agent_key, task);
+            if is_unknown && self.policy.rules.cancels_unknown_attempts {
                 self.actions.push(Action::Cancel(agent_key, task.clone()));
             }
         }
--- a/hemlockhook-dispatch/src/entry/mod.rs
+++ b/hemlockhook-dispatch/src/entry/mod.rs
@@ -14,5 +14,5 @@
 pub use agents::{AgentKey, AgentReport};
 pub use dispatcher::{Action, Dispatcher, Order, Submission};
 pub use job::{Answer, JobKey};
-pub use policy::DispatchPolicy;
+pub use policy::{DispatchPolicy, DispatchRules};
 pub use sharing::{ConfigurationSharing, ConfigurationSource};
--- a/hemlockhook-dispatch/src/entry/policy.rs
+++ b/hemlockhook-dispatch/src/entry/policy.rs
@@ -3,9 +3,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Rules that prevent a task from running twice at once. Tests disable them one at a time to show that
+/// each is necessary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DispatchRules {
+    /// What an agent holds on a new link, and its entry no longer has, is cancelled.
+    pub cancels_unknown_attempts: bool,
+}
+
+impl Default for DispatchRules {
+    fn default() -> Self {
+        Self {
+            cancels_unknown_attempts: true,
+        }
+    }
+}
+
 /// Timeouts and limits of a [`Dispatcher`](crate::entry::Dispatcher).
 #[derive(Clone, Debug)]
 pub struct DispatchPolicy {
+    /// Rules against double runs.
+    pub rules: DispatchRules,
     /// Data center of the entry.
     pub data_center: Arc<str>,
     /// Time without reports of an agent after which no work is sent to it.
@@ -59,6 +77,7 @@
 impl Default for DispatchPolicy {
     fn default() -> Self {
         Self {
+            rules: DispatchRules::default(),
             data_center: Arc::from(""),
             agent_timeout: Duration::from_millis(330),
             agent_lost_after: Duration::from_millis(1150),
--- a/hemlockhook-dispatch/tests/random.rs
+++ b/hemlockhook-dispatch/tests/random.rs
@@ -8,6 +8,7 @@
 
 use googletest::prelude::*;
 use hemlockhook_dispatch::agent::{SafetyRules, SupervisorPolicy};
+use hemlockhook_dispatch::entry::{DispatchPolicy, DispatchRules};
 
 use world::{Faults, Summary, World};
 
@@ -25,6 +26,15 @@
 
 /// Runs a simulation. In those with an odd seed, entries work with agents that stand by.
 fn run(seed: u64, rules: SafetyRules, faults: Faults) -> Summary {
+    run_with(seed, rules, DispatchPolicy::default(), faults)
+}
+
+fn run_with(
+    seed: u64,
+    rules: SafetyRules,
+    dispatch_policy: DispatchPolicy,
+    faults: Faults,
+) -> Summary {
     let default = SupervisorPolicy::default();
     let active_links = match seed % 2 {
         1 => 1,
@@ -35,7 +45,7 @@
         active_links,
         ..default
     };
-    let mut world = World::new(seed, policy, faults);
+    let mut world = World::new(seed, policy, dispatch_policy, faults);
     world.run(SECONDS, JOBS);
     world.summary
 }
@@ -102,3 +112,25 @@
     };
     expect_that!(finds_violation(rules), eq(true));
 }
+
+#[gtest]
+fn without_cancelling_unknown_attempts_a_violation_is_found() {
+    let policy = DispatchPolicy {
+        rules: DispatchRules {
+            cancels_unknown_attempts: false,
+        },
+        ..DispatchPolicy::default()
+    };
+    // No call to an upstream is carried out late.
+    let faults = Faults {
+        reset: 60,
+        lost_answer: 0,
+        cut: 0,
+        ..Faults::default()
+    };
+    let is_violated = |seed| {
+        let summary = run_with(seed, SafetyRules::default(), policy.clone(), faults);
+        !summary.violations.is_empty()
+    };
+    expect_that!((1..=MUTANT_CASES).any(is_violated), eq(true));
+}
--- a/hemlockhook-dispatch/tests/world/faults.rs
+++ b/hemlockhook-dispatch/tests/world/faults.rs
@@ -53,6 +53,46 @@
                 false => drop(self.unreachable_upstreams.insert(index)),
             }
         }
+        if self.rng.u32(0..1000) < faults.reset {
+            let entry = self.rng.usize(0..ENTRIES);
+            self.reset_connections(entry);
+        }
+    }
+
+    /// Resets some links of an entry, whose frames under way are lost both ways, and some
+    /// connections of its callers.
+    fn reset_connections(&mut self, entry: usize) {
+        if self.is_frozen(Process::Entry(entry)) {
+            return;
+        }
+        // Whether the entry notices first that callers have left, and sends cancels on the links.
+        let callers_first = self.rng.bool();
+        if callers_first {
+            self.reset_callers(entry);
+        }
+        for agent in 0..AGENTS {
+            if self.rng.bool() && !self.is_frozen(Process::Agent(agent)) {
+                self.unlink(agent, entry);
+            }
+        }
+        if !callers_first {
+            self.reset_callers(entry);
+        }
+    }
+
+    fn reset_callers(&mut self, entry: usize) {
+        let now = self.now;
+        let open: Vec<_> = self.entries[entry].jobs.keys().copied().collect();
+        for key in open {
+            if self.rng.bool() {
+                continue;
+            }
+            let state = &mut self.entries[entry];
+            let job = state.jobs.remove(&key).expect("the key was listed above");
+            state.dispatcher.abandon(now, key);
+            self.resubmit(job);
+        }
+        self.flush_entry(entry);
     }
 
     pub(super) fn kill(&mut self, process: Process) {
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -33,6 +33,8 @@
     pub freeze: u32,
     pub cut: u32,
     pub crash_upstream: u32,
+    /// Resets of the links and callers of an entry.
+    pub reset: u32,
     /// Probability that a call to an upstream is delayed and its answer lost, in permille per call.
     pub lost_answer: u32,
 }
@@ -45,6 +47,7 @@
             freeze: 12,
             cut: 15,
             crash_upstream: 6,
+            reset: 12,
             lost_answer: 60,
         }
     }
@@ -165,6 +168,7 @@
     next_event: u64,
     next_id: u64,
     policy: SupervisorPolicy,
+    dispatch_policy: DispatchPolicy,
     faults: Faults,
     entries: Vec<Entry>,
     agents: Vec<Agent>,
@@ -179,7 +183,12 @@
 }
 
 impl World {
-    pub fn new(seed: u64, policy: SupervisorPolicy, faults: Faults) -> Self {
+    pub fn new(
+        seed: u64,
+        policy: SupervisorPolicy,
+        dispatch_policy: DispatchPolicy,
+        faults: Faults,
+    ) -> Self {
         let start = Instant::now();
         let queue_config = QueueConfig {
             name: "desk".into(),
@@ -202,6 +211,10 @@
             next_event: 0,
             next_id: 0,
             policy,
+            dispatch_policy: DispatchPolicy {
+                agent_lost_after: Duration::from_millis(RESUBMIT_MS * 75 / 100),
+                ..dispatch_policy
+            },
             faults,
             entries: Vec::new(),
             agents: Vec::new(),
@@ -252,7 +265,10 @@
                 declared_run_time,
                 ..StepSpec::default()
             };
-            let millis = self.rng.u64(20..400);
+            let millis = match self.rng.u8(0..10) {
+                0 => self.rng.u64(400..4000),
+                _ => self.rng.u64(20..400),
+            };
             let spec = JobSpec {
                 id: format!("job-{job}").into(),
                 payload: format!("{}:{millis}", step.need.cpu).into(),
@@ -618,15 +634,11 @@
 
     fn new_entry(&mut self) -> Entry {
         self.next_id += 1;
-        let policy = DispatchPolicy {
-            agent_lost_after: Duration::from_millis(RESUBMIT_MS * 75 / 100),
-            ..DispatchPolicy::default()
-        };
         Entry {
             incarnation: self.next_id,
             is_up: true,
             frozen_until: self.now,
-            dispatcher: Dispatcher::new(policy),
+            dispatcher: Dispatcher::new(self.dispatch_policy.clone()),
             links: BTreeMap::new(),
             sent_at: BTreeMap::new(),
             jobs: BTreeMap::new(),
