Use an agent that links again only after its first report

An agent's state from before a link counted on the next one: an entry that had stood still ordered at once from agents whose state was seconds old, before the first report told what they hold. The state now counts for nothing until then, and only the first report of a link is compared. While an agent is about to report, jobs wait for it instead of being refused for want of an upstream. For an agent that links for the first time nothing changes, so a start is served no later; one that links again is used one round trip later, which is the wait for the comparison itself.

Evidence: an_agent_that_links_again_is_used_only_after_its_first_report fails without the change (one order before the report, expected none).

--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -36,6 +36,9 @@
     pub(super) is_linked: bool,
     /// Time of the last report.
     pub(super) last_report: Instant,
+    /// Whether the first report on its link, which lists what it holds, has yet to arrive.
+    pub(super) awaits_first_report: bool,
+    /// The upstream's state by a report on the current link.
     pub(super) state: Option<UpstreamState>,
     /// Orders that `state` does not account for yet: sequence number of the frame, and
     /// requirements.
@@ -59,6 +62,7 @@
             data_center,
             is_linked: true,
             last_report: now,
+            awaits_first_report: true,
             state: None,
             unacknowledged: VecDeque::new(),
             seq: 0,
@@ -76,6 +80,12 @@
         (self.is_linked && is_fresh && state.is_usable).then_some(state)
     }
 
+    /// Returns whether the agent is linked and about to report its state.
+    pub(super) fn is_about_to_report(&self, now: Instant, timeout: Duration) -> bool {
+        let is_fresh = now.saturating_duration_since(self.last_report) < timeout;
+        self.is_linked && is_fresh && self.awaits_first_report
+    }
+
     /// Returns whether the agent is linked and stands by: it reports rarely, so that its state is too
     /// old to be used.
     pub(super) fn is_standing_by(&self, now: Instant, timeout: Duration) -> bool {
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -225,6 +225,9 @@
                 let agent = &mut self.agents[key];
                 agent.is_linked = true;
                 agent.last_report = now;
+                // Its first report tells what it holds and whether it accepts work.
+                agent.awaits_first_report = true;
+                agent.state = None;
                 agent.seq = 0;
                 agent.unacknowledged.clear();
                 agent.unreconciled = agent.placed.clone();
@@ -253,13 +256,15 @@
         };
         agent.last_report = now;
         agent.acknowledge_orders(report.orders_seen);
+        let is_first = agent.awaits_first_report;
+        agent.awaits_first_report &= report.held.is_none() && report.state.is_none();
         if let Some(state) = report.state {
             agent.state = Some(state);
         }
         for ended in &report.ends {
             self.attempt_ended(now, key, ended);
         }
-        if let Some(held) = report.held {
+        if let Some(held) = report.held.filter(|_| is_first) {
             self.reconcile(now, key, &held);
         }
         self.place_queued(now);
--- a/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
@@ -5,6 +5,7 @@
 use super::{DISPATCH_OVERHEAD, Dispatcher};
 use crate::Amounts;
 use crate::entry::admission::Load;
+use crate::entry::agents::Agent;
 use crate::entry::job::Job;
 use crate::entry::{JobKey, Refusal};
 
@@ -30,8 +31,11 @@
             return Ok(());
         }
         if states().next().is_none() {
-            // Right after a start the agents have yet to link, which takes a fraction of a second.
-            return match self.is_starting(now) {
+            // Right after a start the agents have yet to link, which takes a fraction of a second, and
+            // those that have linked again have yet to report.
+            let is_about_to_report = |agent: &Agent| agent.is_about_to_report(now, timeout);
+            let are_about_to_report = self.agents.values().any(is_about_to_report);
+            return match self.is_starting(now) || are_about_to_report {
                 true => Ok(()),
                 false => Err(Refusal::NoUpstream { retry_after }),
             };
--- a/hemlockhook-dispatch/tests/dispatcher/links.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/links.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use hemlockhook_dispatch::entry::{Action, AgentReport, Order, Submission};
+use hemlockhook_dispatch::entry::{Action, AgentReport, Order, Refusal, Submission};
 use hemlockhook_dispatch::{Outcome, TaskRef};
 
 use crate::fixture::{Fixture, job, queue_config, state};
@@ -132,3 +132,32 @@
     let actions = fixture.dispatcher.take_actions();
     expect_that!(actions.len(), eq(0));
 }
+
+#[gtest]
+fn an_agent_that_links_again_is_used_only_after_its_first_report() {
+    let mut fixture = Fixture::new(&[1.0], 10);
+    fixture.dispatcher.tick(fixture.now);
+    fixture.now += Duration::from_secs(3);
+    fixture.report_all();
+    fixture.dispatcher.unlinked(fixture.agents[0]);
+    link_again(&mut fixture);
+    // It is about to report, so the job is not refused.
+    let submitted = fixture.submit(job("a", 1, 50), &queue_config(0));
+    expect_that!(submitted, ok(anything()));
+    fixture.dispatcher.tick(fixture.now);
+    expect_that!(fixture.orders(), is_empty());
+
+    first_report(&mut fixture, &[]);
+    expect_that!(fixture.orders().len(), eq(1));
+}
+
+#[gtest]
+fn a_job_is_refused_once_an_agent_that_linked_again_has_not_reported_for_long() {
+    let mut fixture = Fixture::new(&[1.0], 10);
+    fixture.dispatcher.tick(fixture.now);
+    fixture.now += Duration::from_secs(3);
+    link_again(&mut fixture);
+    fixture.now += Duration::from_millis(400);
+    let refused = fixture.submit(job("a", 1, 50), &queue_config(0));
+    expect_that!(refused, err(matches_pattern!(Refusal::NoUpstream { .. })));
+}
