Infer that a task was not started only where its order was never received

After a new link an entry took each attempt that the agent neither held nor reported as ended for one that was not started. But an agent sends ends again for 3 s and at most 512 of them, and forgets an entry that was away for longer: after a longer standstill of the entry a task that had run counted as not started, and its caller could be told so (REFUSED).

Frames to an agent are now numbered across links, and the first report of a link names the last frame that was received on earlier ones, if the agent knows. What was ordered after it was never received and never will be, since a replaced link is ignored; what was ordered before it and is not held is lost. An agent of an earlier release names none, so that nothing counts as not started there.

Evidence: with the old inference a_job_whose_order_was_received_is_not_refused_after_its_end_was_forgotten and a_job_is_not_refused_if_its_agent_does_not_know_what_it_received fail (expected TimedOut, actual NotRun). The number of attempts at an agent is no longer multiplied by the number of those it holds in the comparison.

--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::agent::{Supervisor, SupervisorPolicy, UpstreamState};
-use crate::{AttemptEnd, Incarnation, TaskRef};
+use crate::{AttemptEnd, HeldAttempts, Incarnation};
 
 /// Identifies a link between an agent and an entry.
 pub type LinkId = u64;
@@ -44,8 +44,8 @@
     pub ends: Vec<AttemptEnd>,
     /// State of the upstream, if it changed.
     pub state: Option<UpstreamState>,
-    /// The attempts held for the entry; set in the first report of a link.
-    pub held: Option<Vec<TaskRef>>,
+    /// What is held for the entry; set in the first report of a link.
+    pub held: Option<HeldAttempts>,
     /// Sequence number of the entry's last frame that `state` accounts for.
     pub orders_seen: u64,
 }
@@ -53,7 +53,7 @@
 /// What a frame of an entry carries besides orders and cancellations.
 #[derive(Clone, Copy, Debug)]
 pub struct FrameHeader {
-    /// Sequence number of the frame on its link.
+    /// Sequence number of the frame, which rises also from link to link.
     pub seq: u64,
     /// When the last report that the entry had received was sent.
     pub echoed: Instant,
@@ -99,7 +99,8 @@
     outbox: Vec<AttemptEnd>,
     /// Ends that were sent, in case the link breaks.
     sent_ends: VecDeque<(Instant, AttemptEnd)>,
-    orders_seen: u64,
+    /// Sequence number of the last frame, on any link; `None` before the first one.
+    received: Option<u64>,
     reported_version: u64,
     reported_at: Option<Instant>,
     /// Whether the next report is the first one on the link.
@@ -250,7 +251,7 @@
             is_silent: false,
             outbox: Vec::new(),
             sent_ends: VecDeque::new(),
-            orders_seen: 0,
+            received: None,
             reported_version: 0,
             reported_at: None,
             is_new: true,
@@ -260,7 +261,6 @@
         }
         owner.fresh_until = hello_sent + self.policy.owner_timeout;
         owner.is_silent = owner.fresh_until < now;
-        owner.orders_seen = 0;
         owner.reported_version = 0;
         owner.reported_at = None;
         owner.is_new = true;
@@ -299,7 +299,7 @@
         let Some(owner) = self.links.owners.get_mut(&owner) else {
             return;
         };
-        owner.orders_seen = header.seq;
+        owner.received = Some(header.seq);
         // An echo of a report that was not sent yet would keep the entry's runs alive for good.
         let echoed = header.echoed.min(now);
         owner.fresh_until = owner.fresh_until.max(echoed + timeout);
@@ -371,7 +371,10 @@
             };
             let held = std::mem::take(&mut owner.is_new).then(|| {
                 let owned = self.orders.values().filter(|order| order.owner == id);
-                owned.map(|order| order.order.task.clone()).collect()
+                HeldAttempts {
+                    tasks: owned.map(|order| order.order.task.clone()).collect(),
+                    received: owner.received,
+                }
             });
             let state = state.clone().filter(|_| has_news || held.is_some());
             Some(Report {
@@ -379,7 +382,7 @@
                 ends: std::mem::take(&mut owner.outbox),
                 state: state.map(|state| UpstreamState { share, ..state }),
                 held,
-                orders_seen: owner.orders_seen,
+                orders_seen: owner.received.unwrap_or_default(),
             })
         };
         due.into_iter().filter_map(report).collect()
--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -1,6 +1,6 @@
 //! The state of agents as known to an entry.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,7 +8,7 @@
 
 use crate::agent::UpstreamState;
 use crate::entry::JobKey;
-use crate::{Amounts, AttemptEnd, Incarnation, TaskRef};
+use crate::{Amounts, AttemptEnd, HeldAttempts, Incarnation};
 
 new_key_type! {
     /// Identifies an agent known to an entry.
@@ -24,8 +24,8 @@
     pub state: Option<UpstreamState>,
     /// Attempts that have ended.
     pub ends: Vec<AttemptEnd>,
-    /// The attempts that the agent holds for this entry; set in the first report of a link.
-    pub held: Option<Vec<TaskRef>>,
+    /// What the agent holds for this entry; set in the first report of a link.
+    pub held: Option<HeldAttempts>,
 }
 
 /// An agent and its upstream.
@@ -43,12 +43,11 @@
     /// Orders that `state` does not account for yet: sequence number of the frame, and
     /// requirements.
     pub(super) unacknowledged: VecDeque<(u64, Amounts)>,
-    /// Sequence number of the last frame sent.
+    /// Sequence number of the last frame sent, on any link.
     pub(super) seq: u64,
-    /// Attempts of this entry at the agent, as job, step and task.
-    pub(super) placed: BTreeSet<(JobKey, u32, u32)>,
-    /// Attempts from before the current link, until the agent reports whether it holds them.
-    pub(super) unreconciled: BTreeSet<(JobKey, u32, u32)>,
+    /// Attempts of this entry at the agent, as job, step and task, with the sequence numbers of the
+    /// frames that carried the orders.
+    pub(super) placed: BTreeMap<(JobKey, u32, u32), u64>,
     /// No order is sent until then, since the agent has returned one unstarted.
     pub(super) pause_until: Option<Instant>,
     /// When the state was last requested of the agent.
@@ -66,8 +65,7 @@
             state: None,
             unacknowledged: VecDeque::new(),
             seq: 0,
-            placed: BTreeSet::new(),
-            unreconciled: BTreeSet::new(),
+            placed: BTreeMap::new(),
             pause_until: None,
             woken_at: None,
         }
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -228,9 +228,7 @@
                 // Its first report tells what it holds and whether it accepts work.
                 agent.awaits_first_report = true;
                 agent.state = None;
-                agent.seq = 0;
                 agent.unacknowledged.clear();
-                agent.unreconciled = agent.placed.clone();
                 key
             }
             None => {
--- a/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
@@ -1,12 +1,13 @@
 //! Handling of the ends of attempts.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use super::{Action, Dispatcher};
 use crate::entry::agents::Agent;
 use crate::entry::job::Task;
 use crate::entry::{AgentKey, Answer, JobKey};
-use crate::{AttemptEnd, JobId, Outcome, TaskId, TaskRef};
+use crate::{AttemptEnd, HeldAttempts, JobId, Outcome, TaskId, TaskRef};
 
 /// Maximum number of agents that a task avoids because it failed or was lost there.
 const MAX_AVOIDED: usize = 4;
@@ -115,33 +116,32 @@
     ///
     /// What the agent holds and this entry no longer has is cancelled: the cancellation may have been
     /// lost with the old link, or the agent had no link at that time.
-    pub(super) fn reconcile(&mut self, now: Instant, agent_key: AgentKey, held: &[TaskRef]) {
-        for task in held {
+    ///
+    /// What the agent does not hold was not started if it never received the order. Else its end may
+    /// have been forgotten since, so that a task may have run.
+    pub(super) fn reconcile(&mut self, now: Instant, agent_key: AgentKey, held: &HeldAttempts) {
+        for task in &held.tasks {
             let is_unknown = !self.has_attempt(agent_key, task);
             if is_unknown && self.policy.rules.cancels_unknown_attempts {
                 self.actions.push(Action::Cancel(agent_key, task.clone()));
             }
         }
-        let agent = &mut self.agents[agent_key];
-        let unreconciled = std::mem::take(&mut agent.unreconciled);
-        let unreconciled: Vec<_> = unreconciled.intersection(&agent.placed).copied().collect();
-        for (key, step, index) in unreconciled {
+        // Nothing was ordered since the link was opened.
+        let placed = self.agents[agent_key].placed.clone();
+        let held_attempts: HashSet<_> = held.tasks.iter().collect();
+        for ((key, step, index), seq) in placed {
             let job = &mut self.jobs[key];
             let id = job.spec.id.clone();
             let attempt = job.task((step, index)).map_or(0, |task| task.attempt);
-            let is_held = |held: &&TaskRef| {
-                let task = &held.task;
-                task.job == id
-                    && task.step == step
-                    && task.index == index
-                    && held.attempt == attempt
+            let was_received = held.received.is_none_or(|received| seq <= received);
+            let outcome = match was_received {
+                true => Outcome::Lost,
+                false => Outcome::NotStarted,
             };
-            if held.iter().any(|task| is_held(&task)) {
-                continue;
+            let ended = inferred_end(id, (step, index), attempt, outcome);
+            if !held_attempts.contains(&ended.task) {
+                self.attempt_ended(now, agent_key, &ended);
             }
-            // The order was lost with the old link, which the agent has closed.
-            let ended = inferred_end(id, (step, index), attempt, Outcome::NotStarted);
-            self.attempt_ended(now, agent_key, &ended);
         }
     }
 
@@ -165,7 +165,7 @@
             .collect();
         let keys: Vec<_> = keys.into_iter().map(|(key, _)| key).collect();
         for agent_key in keys {
-            let placed: Vec<_> = self.agents[agent_key].placed.iter().copied().collect();
+            let placed: Vec<_> = self.agents[agent_key].placed.keys().copied().collect();
             for (key, step, index) in placed {
                 let job = &mut self.jobs[key];
                 let id = job.spec.id.clone();
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -229,8 +229,8 @@
             wait,
         };
         let agent = &mut self.agents[agent_key];
-        agent.placed.insert((key, position.0, position.1));
         let seq = agent.seq + 1;
+        agent.placed.insert((key, position.0, position.1), seq);
         agent.unacknowledged.push_back((seq, run.need));
         self.actions.push(Action::Run(Order {
             agent: agent_key,
--- a/hemlockhook-dispatch/src/lib.rs
+++ b/hemlockhook-dispatch/src/lib.rs
@@ -15,4 +15,4 @@
 pub use job::{
     JobSpec, MAX_RUN_TIME, MAX_TASKS, QueueConfig, ServiceConfig, StepSpec, Unsupported,
 };
-pub use task::{AttemptEnd, Incarnation, JobId, Outcome, RunNumber, TaskId, TaskRef};
+pub use task::{AttemptEnd, HeldAttempts, Incarnation, JobId, Outcome, RunNumber, TaskId, TaskRef};
--- a/hemlockhook-dispatch/src/task.rs
+++ b/hemlockhook-dispatch/src/task.rs
@@ -35,6 +35,16 @@
     pub attempt: u32,
 }
 
+/// What an agent holds for an entry when it links again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldAttempts {
+    /// All attempts that it holds.
+    pub tasks: Vec<TaskRef>,
+    /// Sequence number of the last frame that it received on earlier links with this incarnation of
+    /// the entry; `None` if it doesn't know. Of the frames after it, it will act on none.
+    pub received: Option<u64>,
+}
+
 /// Outcome of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/hemlockhook-dispatch/tests/dispatcher/links.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/links.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use hemlockhook_dispatch::entry::{Action, AgentReport, Order, Refusal, Submission};
-use hemlockhook_dispatch::{Outcome, TaskRef};
+use hemlockhook_dispatch::entry::{Action, AgentReport, Answer, Order, Refusal, Submission};
+use hemlockhook_dispatch::{HeldAttempts, Outcome, TaskRef};
 
 use crate::fixture::{Fixture, job, queue_config, state};
 
@@ -40,7 +40,10 @@
         orders_seen: fixture.sent_seqs[0],
         state: Some(state(1.0, 10, 10)),
         ends: Vec::new(),
-        held: Some(held.iter().map(|order| order.run.task.clone()).collect()),
+        held: Some(HeldAttempts {
+            tasks: held.iter().map(|order| order.run.task.clone()).collect(),
+            received: Some(fixture.sent_seqs[0]),
+        }),
     };
     let agent = fixture.agents[0];
     fixture.dispatcher.reported(fixture.now, agent, report);
@@ -161,3 +164,56 @@
     let refused = fixture.submit(job("a", 1, 50), &queue_config(0));
     expect_that!(refused, err(matches_pattern!(Refusal::NoUpstream { .. })));
 }
+
+/// Delivers a first report that lists no attempt, of an agent that received the frames of earlier
+/// links up to `received`.
+fn first_report_without_attempts(fixture: &mut Fixture, received: Option<u64>) {
+    let report = AgentReport {
+        orders_seen: received.unwrap_or_default(),
+        state: Some(state(1.0, 10, 10)),
+        ends: Vec::new(),
+        held: Some(HeldAttempts {
+            tasks: Vec::new(),
+            received,
+        }),
+    };
+    let agent = fixture.agents[0];
+    fixture.dispatcher.reported(fixture.now, agent, report);
+}
+
+/// Submits a job, links its agent again, and returns the answer at its deadline if no agent is left.
+fn answer_after_link(received: impl FnOnce(&Fixture) -> Option<u64>) -> Answer {
+    let mut fixture = Fixture::new(&[1.0], 10);
+    submit(&mut fixture);
+    let received = received(&fixture);
+    fixture.now += Duration::from_millis(400);
+    fixture.dispatcher.unlinked(fixture.agents[0]);
+    link_again(&mut fixture);
+    first_report_without_attempts(&mut fixture, received);
+    // The orders that follow are returned unstarted.
+    for order in fixture.orders() {
+        fixture.end(&order, Outcome::NotStarted);
+    }
+    fixture.dispatcher.unlinked(fixture.agents[0]);
+    fixture.now += CALLER_TIMEOUT;
+    fixture.dispatcher.tick(fixture.now);
+    fixture.answers().remove(0)
+}
+
+#[gtest]
+fn a_job_whose_order_was_received_is_not_refused_after_its_end_was_forgotten() {
+    let answer = answer_after_link(|fixture| Some(fixture.sent_seqs[0]));
+    expect_that!(answer, eq(&Answer::TimedOut));
+}
+
+#[gtest]
+fn a_job_is_not_refused_if_its_agent_does_not_know_what_it_received() {
+    let answer = answer_after_link(|_| None);
+    expect_that!(answer, eq(&Answer::TimedOut));
+}
+
+#[gtest]
+fn a_job_whose_order_was_lost_with_its_link_counts_as_not_run() {
+    let answer = answer_after_link(|fixture| Some(fixture.sent_seqs[0] - 1));
+    expect_that!(answer, matches_pattern!(Answer::NotRun(_)));
+}
--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -8,7 +8,7 @@
     HoldResult, LinkId, Report, RunOrder, RunOutcome, StartCall, StartResult, Supervisor,
     SupervisorPolicy,
 };
-use hemlockhook_dispatch::{Amounts, AttemptEnd, Outcome, TaskId, TaskRef};
+use hemlockhook_dispatch::{Amounts, AttemptEnd, HeldAttempts, Outcome, TaskId, TaskRef};
 
 pub const LINK: u64 = 1;
 pub const ENTRY: u64 = 7;
@@ -24,6 +24,8 @@
     pub reports: usize,
     /// Links of all reports.
     pub reported_links: Vec<LinkId>,
+    /// What the first reports of links listed.
+    pub held: Vec<HeldAttempts>,
     /// The last share reported on each link.
     pub shares: BTreeMap<LinkId, f64>,
     /// Number of the last listed end.
@@ -44,6 +46,7 @@
             ends: Vec::new(),
             reports: 0,
             reported_links: Vec::new(),
+            held: Vec::new(),
             shares: BTreeMap::new(),
             last_end: 0,
             started_ms: 1,
@@ -208,6 +211,7 @@
         self.reports += reports.len();
         for report in &reports {
             self.reported_links.push(report.link);
+            self.held.extend(report.held.clone());
             if let Some(state) = &report.state {
                 self.shares.insert(report.link, state.share);
             }
--- a/hemlockhook-dispatch/tests/supervisor/links.rs
+++ b/hemlockhook-dispatch/tests/supervisor/links.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use hemlockhook_dispatch::agent::{FrameHeader, SupervisorPolicy};
 
-use crate::fixture::{Agent, LINK};
+use crate::fixture::{Agent, ENTRY, LINK};
 
 /// Nine entries share an agent whose state changes with each task of any of them, and each asks for
 /// 30 reports a second at most.
@@ -113,3 +113,45 @@
     agent.echo_all(1, Duration::from_millis(10));
     expect_that!(left(&agent), eq(timeout));
 }
+
+/// Delivers frame 5 of the entry on the first link, which then ends, and links the entry again after
+/// `pause_ms`. Returns the sequence number that the first report names.
+fn received_after_link(pause_ms: u64) -> Option<u64> {
+    let mut agent = Agent::new();
+    let header = FrameHeader {
+        seq: 5,
+        ..agent.header(Duration::ZERO)
+    };
+    agent.supervisor.frame_received(agent.now, LINK, &header);
+    agent.supervisor.unlinked(LINK);
+    agent.advance(pause_ms);
+    let now = agent.now;
+    let supervisor = &mut agent.supervisor;
+    supervisor.linked(now, LINK + 1, ENTRY, None, now, 0);
+    agent.collect();
+    agent
+        .held
+        .last()
+        .expect("a link has a first report")
+        .received
+}
+
+#[gtest]
+fn the_first_report_of_a_link_names_the_last_frame_of_the_links_before() {
+    expect_that!(received_after_link(100), some(eq(5)));
+}
+
+#[gtest]
+fn an_agent_that_has_forgotten_an_entry_does_not_say_what_it_received() {
+    expect_that!(received_after_link(10_000), none());
+}
+
+#[gtest]
+fn an_order_on_a_replaced_link_is_ignored() {
+    let mut agent = Agent::new();
+    let now = agent.now;
+    agent.supervisor.linked(now, LINK + 1, ENTRY, None, now, 0);
+    agent.order("a", 1);
+    expect_that!(agent.starts, is_empty());
+    expect_that!(agent.supervisor.orders().count(), eq(0));
+}
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -517,7 +517,8 @@
             ..empty
         };
         if let Some(held) = report.held {
-            frame.held = held.iter().map(write_task).collect();
+            frame.held = held.tasks.iter().map(write_task).collect();
+            frame.received_seq = held.received;
         }
         if std::mem::take(&mut link.is_first_report) {
             // The repeated hello marks `held` as the complete list, even if it is empty.
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -6,6 +6,7 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
+use hemlockhook_dispatch::HeldAttempts;
 use hemlockhook_dispatch::entry::{
     Action, AgentKey, AgentReport, Answer, ConfigurationSharing, ConfigurationSource, Dispatcher,
     JobKey, Refusal, Submission,
@@ -382,12 +383,11 @@
         }
         let lists_held_tasks = report.hello.is_some();
         let held = lists_held_tasks.then(|| {
-            report
-                .held
-                .into_iter()
-                .map(Some)
-                .filter_map(read_task)
-                .collect()
+            let tasks = report.held.into_iter().map(Some);
+            HeldAttempts {
+                tasks: tasks.filter_map(read_task).collect(),
+                received: report.received_seq,
+            }
         });
         let report = AgentReport {
             orders_seen: report.orders_seen,
