Raise the fencing token as soon as an upstream has restarted

Seen: in random runs a task runs twice at once. An upstream crashes and starts again under its name; the agent notices at its next call, and waits for the announcement, 0.3 s there and up to 1.5 s on the platform, before it raises its token. Meanwhile the new life carries out a late start that was meant for the one before, while the job runs elsewhere.

Now the token is raised, and a call that carries it is made, at once.

--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -178,7 +178,7 @@
         }
         let until_ms = match &self.upstream {
             None => return,
-            Some(upstream) if upstream.is_replaced => return,
+            Some(upstream) if upstream.is_replaced => return self.call_hold(None, Duration::ZERO),
             // Leases of a silent upstream are not renewed, so that its runs end at a known time.
             Some(upstream) if upstream.unanswered_holds > 0 || !renews => None,
             Some(_) => self.lease_end(now),
@@ -190,6 +190,13 @@
         // A call that waits acknowledges ends when it arrives.
         let waits = renews && upstream.unanswered_holds == 0 && self.candidate.is_none();
         let wait = if waits { wait } else { Duration::ZERO };
+        self.call_hold(until_ms, wait);
+    }
+
+    fn call_hold(&mut self, until_ms: Option<u64>, wait: Duration) {
+        let Some(upstream) = &self.upstream else {
+            return;
+        };
         // An immediate hold call is not delayed by one that waits for an end.
         let is_pending = match wait.is_zero() {
             true => &mut self.is_poll_pending,
@@ -225,10 +232,13 @@
     }
 
     /// Handles the answer of an upstream that has restarted under the same name. Its announcement
-    /// will state its capacity.
+    /// will state its capacity. Until then it must refuse late calls that were meant for the previous
+    /// one.
     pub(super) fn upstream_restarted(&mut self, now: Instant) {
-        if let Some(upstream) = &mut self.upstream {
+        if let Some(upstream) = self.upstream.as_mut().filter(|known| !known.is_replaced) {
             upstream.is_replaced = true;
+            self.fence += 1;
+            self.call_hold(None, Duration::ZERO);
         }
         self.return_waiting(now);
         self.links.state_changed();
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -167,6 +167,18 @@
     expect_that!(agent.starts.last().map(|call| call.fence), some(gt(before)));
 }
 
+#[gtest]
+fn an_upstream_that_restarted_under_its_name_gets_a_higher_token_before_it_announces_itself() {
+    let mut agent = Agent::new();
+    agent.start("a");
+    let fence = agent.holds.last().expect("the lease was renewed").fence;
+    agent.started_ms += 1;
+    agent.answer_hold(&[], &[]);
+    let call = agent.holds.last().expect("lists were requested");
+    expect_that!(call.fence, gt(fence));
+    expect_that!(call.until_ms, none());
+}
+
 #[gtest]
 fn an_announcement_of_an_earlier_incarnation_is_ignored() {
     let mut agent = Agent::new();
