Refuse a link whose agent has opened a newer one

An agent gives up an attempt to link after 500 ms, but its hello may lie in the socket of an entry that stands still, or be sent again by the network for seconds. An entry that handled it after the one of a newer connection put it in the place of the newer link, whose reports it then ignored: the agent was not used, and its runs were stopped, until it linked again after 1.1 s. Hellos carry their time by the agent's clock, so the older one is refused, with a log line.

Evidence: a_connection_that_was_given_up_does_not_replace_a_newer_link fails without the check (expected none, actual Some(AgentKey(1v1)); the newer link got 0 of 1 orders).

--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -33,6 +33,8 @@
 pub(super) struct Agent {
     pub(super) incarnation: Incarnation,
     pub(super) data_center: Arc<str>,
+    /// When the hello of its last link was sent, by the agent's clock.
+    pub(super) hello_ms: u64,
     pub(super) is_linked: bool,
     /// Time of the last report.
     pub(super) last_report: Instant,
@@ -55,10 +57,16 @@
 }
 
 impl Agent {
-    pub(super) fn new(now: Instant, incarnation: Incarnation, data_center: Arc<str>) -> Self {
+    pub(super) fn new(
+        now: Instant,
+        incarnation: Incarnation,
+        data_center: Arc<str>,
+        hello_ms: u64,
+    ) -> Self {
         Self {
             incarnation,
             data_center,
+            hello_ms,
             is_linked: true,
             last_report: now,
             awaits_first_report: true,
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -211,30 +211,38 @@
         true
     }
 
-    /// Registers a new link of an agent.
+    /// Registers a new link of an agent, whose hello was sent at `hello_ms` by the agent's clock.
+    ///
+    /// Returns `None` if the agent has sent a later hello: it has given up the connection of this one,
+    /// which was delayed or lay in the socket while this process stood still.
     pub fn linked(
         &mut self,
         now: Instant,
         incarnation: Incarnation,
         data_center: Arc<str>,
-    ) -> AgentKey {
+        hello_ms: u64,
+    ) -> Option<AgentKey> {
         let known =
             |(key, agent): (AgentKey, &Agent)| (agent.incarnation == incarnation).then_some(key);
         match self.agents.iter().find_map(known) {
             Some(key) => {
                 let agent = &mut self.agents[key];
+                if hello_ms < agent.hello_ms {
+                    return None;
+                }
+                agent.hello_ms = hello_ms;
                 agent.is_linked = true;
                 agent.last_report = now;
                 // Its first report tells what it holds and whether it accepts work.
                 agent.awaits_first_report = true;
                 agent.state = None;
                 agent.unacknowledged.clear();
-                key
+                Some(key)
             }
             None => {
                 self.last_new_agent = Some(now);
-                let agent = Agent::new(now, incarnation, data_center);
-                self.agents.insert(agent)
+                let agent = Agent::new(now, incarnation, data_center, hello_ms);
+                Some(self.agents.insert(agent))
             }
         }
     }
--- a/hemlockhook-dispatch/tests/dispatcher/fixture.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/fixture.rs
@@ -26,7 +26,9 @@
         let mut dispatcher = Dispatcher::new(DispatchPolicy::default());
         let mut agents = Vec::new();
         for (index, pace) in paces.iter().enumerate() {
-            let key = dispatcher.linked(now, index as u64 + 1, "here".into());
+            let key = dispatcher
+                .linked(now, index as u64 + 1, "here".into(), 0)
+                .expect("no later hello was sent");
             let report = AgentReport {
                 orders_seen: 0,
                 state: Some(state(*pace, cores, cores)),
--- a/hemlockhook-dispatch/tests/dispatcher/flood.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/flood.rs
@@ -38,7 +38,9 @@
         let mut dispatcher = Dispatcher::new(DispatchPolicy::default());
         let mut free = BTreeMap::new();
         for incarnation in 1..=AGENTS {
-            let key = dispatcher.linked(now, incarnation, "here".into());
+            let key = dispatcher
+                .linked(now, incarnation, "here".into(), 0)
+                .expect("no later hello was sent");
             free.insert(key, CORES);
         }
         let mut replay = Self {
--- a/hemlockhook-dispatch/tests/dispatcher/links.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/links.rs
@@ -30,7 +30,10 @@
 
 /// Links the first agent again.
 fn link_again(fixture: &mut Fixture) {
-    let key = fixture.dispatcher.linked(fixture.now, 1, "here".into());
+    let key = fixture
+        .dispatcher
+        .linked(fixture.now, 1, "here".into(), 0)
+        .expect("no later hello was sent");
     expect_that!(key, eq(fixture.agents[0]));
 }
 
@@ -116,7 +119,10 @@
     check_cancel_after_link(|fixture, orders| {
         fixture.end(&orders[0], Outcome::Failed);
         // Another agent runs the second attempt, which fails as well.
-        let other = fixture.dispatcher.linked(fixture.now, 2, "here".into());
+        let other = fixture
+            .dispatcher
+            .linked(fixture.now, 2, "here".into(), 0)
+            .expect("no later hello was sent");
         fixture.agents.push(other);
         fixture.sent_seqs.push(0);
         fixture.set_state(1, state(1.0, 10, 10));
@@ -217,3 +223,25 @@
     let answer = answer_after_link(|fixture| Some(fixture.sent_seqs[0] - 1));
     expect_that!(answer, matches_pattern!(Answer::NotRun(_)));
 }
+
+/// An entry that stood still handles the hellos of several connections in any order. The agent has given
+/// up all but the last.
+#[gtest]
+fn a_connection_that_was_given_up_does_not_replace_a_newer_link() {
+    let mut fixture = Fixture::new(&[], 10);
+    let newer = fixture
+        .dispatcher
+        .linked(fixture.now, 1, "here".into(), 600);
+    let agent = newer.expect("it is the first hello");
+    fixture.agents.push(agent);
+    fixture.sent_seqs.push(0);
+    first_report(&mut fixture, &[]);
+    let older = fixture
+        .dispatcher
+        .linked(fixture.now, 1, "here".into(), 100);
+    expect_that!(older, none());
+    // The newer link is used on.
+    let submitted = fixture.submit(job("a", 1, 50), &queue_config(0));
+    expect_that!(submitted, ok(anything()));
+    expect_that!(fixture.orders().len(), eq(1));
+}
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -89,7 +89,10 @@
         ok(anything())
     );
     fixture.now += Duration::from_millis(200);
-    let agent = fixture.dispatcher.linked(fixture.now, 1, "here".into());
+    let agent = fixture
+        .dispatcher
+        .linked(fixture.now, 1, "here".into(), 0)
+        .expect("no later hello was sent");
     fixture.agents.push(agent);
     fixture.sent_seqs.push(0);
     fixture.set_state(0, state(1.0, 10, 10));
@@ -179,7 +182,10 @@
         .expect("there is free capacity");
     let first = fixture.orders().remove(0);
     fixture.dispatcher.unlinked(first.agent);
-    let other = fixture.dispatcher.linked(fixture.now, 99, "here".into());
+    let other = fixture
+        .dispatcher
+        .linked(fixture.now, 99, "here".into(), 0)
+        .expect("no later hello was sent");
     fixture.agents.push(other);
     fixture.sent_seqs.push(0);
     for elapsed in [500, 1000] {
--- a/hemlockhook-dispatch/tests/dispatcher/odd_jobs.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/odd_jobs.rs
@@ -64,7 +64,9 @@
 ) -> std::result::Result<usize, Refusal> {
     let now = Instant::now();
     let mut dispatcher = Dispatcher::new(DispatchPolicy::default());
-    let key = dispatcher.linked(now, 1, "here".into());
+    let key = dispatcher
+        .linked(now, 1, "here".into(), 0)
+        .expect("no later hello was sent");
     let state = UpstreamState {
         is_usable: true,
         service: "s".into(),
--- a/hemlockhook-dispatch/tests/dispatcher/start.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/start.rs
@@ -13,7 +13,9 @@
 /// Links one more agent with an empty upstream.
 fn link(fixture: &mut Fixture, incarnation: u64) {
     let dispatcher = &mut fixture.dispatcher;
-    let key = dispatcher.linked(fixture.now, incarnation, "here".into());
+    let key = dispatcher
+        .linked(fixture.now, incarnation, "here".into(), 0)
+        .expect("no later hello was sent");
     let report = AgentReport {
         orders_seen: 0,
         state: Some(state(1.0, CORES, CORES)),
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -574,7 +574,8 @@
         let state = &mut self.entries[entry];
         let key = state
             .dispatcher
-            .linked(now, self.agents[agent].incarnation, "dc".into());
+            .linked(now, self.agents[agent].incarnation, "dc".into(), 0)
+            .expect("no later hello was sent");
         state.links.insert(agent, (key, link, now));
         state.sent_at.remove(&agent);
         self.flush_agent(agent);
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -309,18 +309,26 @@
         is_valid
     }
 
-    /// Registers a new link of the agent that sent `hello`.
+    /// Registers a new link of the agent that sent `hello` at `sent_ms` by its clock. Returns `None` if
+    /// the agent has opened another one since.
     pub(crate) fn open_link(
         &self,
         id: u64,
         tx: Sender<v1::EntryOrders>,
         hello: &v1::LeasedHello,
-    ) -> AgentKey {
+        sent_ms: u64,
+    ) -> Option<AgentKey> {
         let now = self.clock.now();
         let mut state = self.lock();
         let data_center = hello.data_center.as_str().into();
-        let key = state.dispatcher.linked(now, hello.incarnation, data_center);
         let agent = hello.name.as_str();
+        let key = state
+            .dispatcher
+            .linked(now, hello.incarnation, data_center, sent_ms);
+        let Some(key) = key else {
+            spdlog::warn!("refused a link that its agent has given up", kv: { agent, link = id });
+            return None;
+        };
         spdlog::info!("an agent has linked", kv: { agent, link = id });
         let link = Link {
             id,
@@ -334,7 +342,7 @@
         };
         state.links.insert(key, link);
         state.sharing.linked(key, hello.incarnation);
-        key
+        Some(key)
     }
 
     /// Removes a link that has ended, unless the agent has a newer one.
--- a/hemlockhook-leased/src/entry/links.rs
+++ b/hemlockhook-leased/src/entry/links.rs
@@ -55,7 +55,9 @@
         };
         let id = self.last_link.fetch_add(1, Ordering::Relaxed) + 1;
         let (tx, rx) = outgoing_queue();
-        let key = self.core.open_link(id, tx, &hello);
+        let Some(key) = self.core.open_link(id, tx, &hello, first.sent_ms) else {
+            return Err(Status::aborted("the agent has opened another link since"));
+        };
         self.core.handle_report(key, id, first);
 
         let core = self.core.clone();
