Start nothing for callers that have left

Seen by callers: a job that a caller submits again, after it gave up at one entry, runs at two upstreams at the same time (TWICE), or runs at the first after the second has refused it as not run (REFUSED).

Cause: an entry took a request for as old as its own reading of it, and learned that a caller had left only when the task of that connection got to run. Both wait in sockets while the process is paused, or while the tasks of callers wait for processor time behind links and ticks. Then it started tasks for callers that had left seconds ago, and for short tasks the news of that came after their end, so that no stop was called. Its links stay up all the while, and nothing is lost.

Now the entry asks the kernel whether the caller is connected: when it has read the request, before it places a task if the last answer is older than 12% of the time after which callers submit again, and on each tick for jobs whose tasks run. Agents get no sign of life from an entry whose checks are over 8% late, so that they stop its runs as those of a silent one.

--- a/hemlockhook-dispatch/src/entry/admission.rs
+++ b/hemlockhook-dispatch/src/entry/admission.rs
@@ -30,6 +30,8 @@
     },
     /// The process is shutting down.
     Leaving,
+    /// The caller had closed its connection before the job was read.
+    CallerLeft,
 }
 
 impl Refusal {
@@ -38,7 +40,7 @@
         match self {
             Self::NoUpstream { retry_after } | Self::Overload { retry_after } => Some(*retry_after),
             Self::Leaving => Some(Duration::ZERO),
-            Self::Unsupported(_) | Self::NeverFits => None,
+            Self::Unsupported(_) | Self::NeverFits | Self::CallerLeft => None,
         }
     }
 }
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The dispatcher: jobs, their queue, and the orders to agents.
 
+mod callers;
 mod capacity;
 mod ends;
 mod queue;
@@ -33,6 +34,8 @@
     pub queue_config: Arc<QueueConfig>,
     /// Time for which the caller waits, if it states it.
     pub caller_timeout: Option<Duration>,
+    /// Whether the caller is still connected, as far as is known.
+    pub is_caller_connected: bool,
 }
 
 /// An order to an agent to run a task.
@@ -55,6 +58,8 @@
     Cancel(AgentKey, TaskRef),
     /// Request the state of an agent that stands by.
     Wake(AgentKey),
+    /// Check whether the caller of a job is still connected, and call [`Dispatcher::callers_seen`].
+    CheckCaller(JobKey),
     /// Answer a job.
     Answer(JobKey, Answer),
 }
@@ -77,6 +82,8 @@
     last_wake: Option<Instant>,
     /// Minimum time between reports of an agent that carry only a changed state.
     state_interval: Duration,
+    /// When the callers of jobs with placed tasks were last checked.
+    callers_checked: Option<Instant>,
     /// Number of the last attempt at any task. Attempts are numbered across jobs, so that a late
     /// report is never attributed to a later job with the same ID.
     attempts: u32,
@@ -100,6 +107,7 @@
             last_new_agent: None,
             last_wake: None,
             state_interval: Duration::ZERO,
+            callers_checked: None,
             attempts: 0,
             evaluated_candidates: 0,
             actions: Vec::new(),
@@ -141,12 +149,18 @@
             spec,
             queue_config,
             caller_timeout,
+            is_caller_connected,
         } = submission;
+        if !is_caller_connected {
+            // It may have submitted the job again, elsewhere.
+            return Err(Refusal::CallerLeft);
+        }
         if let Some(part) = spec.unsupported(&queue_config) {
             return Err(Refusal::Unsupported(part));
         }
         if let Some(&known) = self.by_id.get(&spec.id) {
             // The job runs once, and both callers are answered.
+            self.jobs[known].caller_seen = now;
             return Ok(known);
         }
 
@@ -173,6 +187,7 @@
             due: now + objective,
             useful_until: (now + objective * self.policy.useful_factor).min(deadline),
             deadline,
+            caller_seen: now,
             unfinished: steps.iter().map(|step| step.unfinished).sum(),
             steps,
             queued: Vec::new(),
@@ -185,6 +200,9 @@
         job.open_steps();
         self.check_capacity(now, &job, run_time)?;
 
+        if self.jobs.is_empty() {
+            self.callers_checked = Some(now);
+        }
         let id = job.spec.id.clone();
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
@@ -284,6 +302,7 @@
         self.settle_lost_agents(now);
         self.time_out(now);
         self.refuse_late_jobs(now);
+        self.check_callers(now);
         self.place_queued(now);
     }
 
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -98,6 +98,11 @@
                 self.enqueue(now, key);
                 continue;
             }
+            if !self.is_caller_known(now, &self.jobs[key]) {
+                self.actions.push(Action::CheckCaller(key));
+                blocked += 1;
+                continue;
+            }
             while let Some(&position) = self.jobs[key].queued.last() {
                 let Some(agent) = self.find_agent(now, &mut offers, key, position) else {
                     blocked += 1;
--- a/hemlockhook-dispatch/src/entry/job.rs
+++ b/hemlockhook-dispatch/src/entry/job.rs
@@ -43,6 +43,8 @@
     pub(super) useful_until: Instant,
     /// When the job times out.
     pub(super) deadline: Instant,
+    /// When its caller was last known to be connected.
+    pub(super) caller_seen: Instant,
     pub(super) steps: Vec<Step>,
     /// Tasks that are ready to be placed, as step and index. The last one is placed next.
     pub(super) queued: Vec<(u32, u32)>,
--- a/hemlockhook-dispatch/src/entry/policy.rs
+++ b/hemlockhook-dispatch/src/entry/policy.rs
@@ -17,6 +17,13 @@
     /// Multiple of its latency objective that a job may be expected to take. A job that is expected
     /// to take longer is refused, unless it can start at once.
     pub admission_factor: f64,
+    /// Time after which it is checked again whether the caller of a job is still connected: before a
+    /// task is placed, and while tasks run. Together with `caller_check_delay` and the timeouts of the
+    /// agents it has to be shorter than the time after which a caller resubmits a job.
+    pub caller_check_interval: Duration,
+    /// Maximum delay of these checks. Agents hear nothing of an entry whose checks are later, so that
+    /// they stop its runs.
+    pub caller_check_delay: Duration,
     /// Time after the start during which jobs are admitted although no agent has linked yet.
     pub startup_grace: Duration,
     /// Time after the start during which jobs are admitted for agents that are about to link.
@@ -64,6 +71,8 @@
             agent_lost_after: Duration::from_millis(1150),
             useful_factor: 3,
             admission_factor: 1.5,
+            caller_check_interval: Duration::from_millis(150),
+            caller_check_delay: Duration::from_millis(100),
             startup_grace: Duration::from_millis(1500),
             gathering_limit: Duration::from_millis(500),
             gathering_pause: Duration::from_millis(120),
--- a/hemlockhook-dispatch/tests/dispatcher/flood.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/flood.rs
@@ -74,6 +74,7 @@
             spec: job(id, tasks, millis),
             queue_config: queue_config(priority),
             caller_timeout: Some(Duration::from_secs(10)),
+            is_caller_connected: true,
         };
         match self.dispatcher.submit(self.now, submission) {
             Ok(key) => drop(self.submitted.insert(key, (priority, self.now))),
@@ -84,6 +85,7 @@
 
     /// Starts what is ordered, and returns what has no room.
     fn carry_out(&mut self) {
+        let mut connected = Vec::new();
         for action in self.dispatcher.take_actions() {
             match action {
                 Action::Run(order) => self.start(order),
@@ -91,9 +93,14 @@
                     let (priority, at) = self.submitted[&key];
                     self.answers.push((priority, self.now - at, answer));
                 }
+                Action::CheckCaller(job) => connected.push(job),
                 Action::Cancel(..) | Action::Wake(_) => {}
             }
         }
+        if !connected.is_empty() {
+            self.dispatcher.callers_seen(self.now, &connected, &[]);
+            self.carry_out();
+        }
     }
 
     fn start(&mut self, order: Order) {
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher: admission, queue order, placement and the ends of attempts.
 
+mod callers;
 mod fixture;
 mod flood;
 mod odd_jobs;
@@ -55,6 +56,7 @@
         spec: job("long", 1, 30_000),
         queue_config: queue_config(0),
         caller_timeout: Some(Duration::from_secs(1)),
+        is_caller_connected: true,
     };
     expect_that!(
         fixture.dispatcher.submit(fixture.now, submission).is_ok(),
--- /dev/null
+++ b/hemlockhook-dispatch/tests/world/callers.rs
@@ -0,0 +1,179 @@
+//! Simulated callers, which leave when they run out of patience and submit their jobs again.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hemlockhook_dispatch::entry::{Action, Answer, JobKey, Submission};
+
+use super::{Caller, ENTRIES, Event, Process, RESUBMIT_MS, World};
+
+impl World {
+    /// A caller connects to an entry and sends its request.
+    pub(super) fn submit(&mut self, job: usize, entry: usize) {
+        if !self.jobs[job].is_open {
+            return;
+        }
+        if !self.entries[entry].is_up {
+            return self.resubmit(job);
+        }
+        let patience = self.rng.u64(200..3000);
+        self.next_id += 1;
+        let caller = Caller {
+            id: self.next_id,
+            entry,
+            patience: Duration::from_millis(patience),
+        };
+        self.jobs[job].caller = Some(caller);
+        self.push(patience, Event::Leave { job, caller });
+        let incarnation = self.entries[entry].incarnation;
+        let arrival = Event::Arrive {
+            job,
+            caller,
+            incarnation,
+        };
+        let lag = self.caller_lag_ms(entry);
+        self.push(lag, arrival);
+    }
+
+    /// An entry reads a request.
+    pub(super) fn arrive(&mut self, job: usize, caller: Caller, incarnation: u64) {
+        let entry = caller.entry;
+        if let Some(delay) = self.frozen_ms(Process::Entry(entry)) {
+            let arrival = Event::Arrive {
+                job,
+                caller,
+                incarnation,
+            };
+            return self.push(delay, arrival);
+        }
+        if !self.entries[entry].is_up || self.entries[entry].incarnation != incarnation {
+            return;
+        }
+        let submission = Submission {
+            spec: self.jobs[job].spec.clone(),
+            queue_config: self.queue_config.clone(),
+            caller_timeout: Some(caller.patience),
+            is_caller_connected: self.is_connected(job, caller) || self.faults.hides_departures,
+        };
+        match self.entries[entry].dispatcher.submit(self.now, submission) {
+            Ok(key) => {
+                self.entries[entry].jobs.insert(key, (job, caller));
+            }
+            Err(_) => self.refused(job, caller),
+        }
+        self.flush_entry(entry);
+    }
+
+    /// A caller closes its connection. Its entry may notice that late.
+    pub(super) fn leave(&mut self, job: usize, caller: Caller) {
+        if !self.is_connected(job, caller) {
+            return;
+        }
+        let entry = caller.entry;
+        let incarnation = self.entries[entry].incarnation;
+        self.resubmit(job);
+        let lag = self.caller_lag_ms(entry);
+        let notice = Event::NoticeLeave {
+            job,
+            caller,
+            incarnation,
+        };
+        self.push(lag, notice);
+    }
+
+    /// An entry notices that a caller has left.
+    pub(super) fn notice_leave(&mut self, job: usize, caller: Caller, incarnation: u64) {
+        let entry = caller.entry;
+        if let Some(delay) = self.frozen_ms(Process::Entry(entry)) {
+            let notice = Event::NoticeLeave {
+                job,
+                caller,
+                incarnation,
+            };
+            return self.push(delay, notice);
+        }
+        let state = &mut self.entries[entry];
+        if !state.is_up || state.incarnation != incarnation {
+            return;
+        }
+        let known = state.jobs.iter().find(|(_, known)| known.1 == caller);
+        let Some((&key, _)) = known else {
+            return;
+        };
+        state.jobs.remove(&key);
+        state.dispatcher.abandon(self.now, key);
+        self.flush_entry(entry);
+    }
+
+    pub(super) fn resubmit(&mut self, job: usize) {
+        self.summary.unanswered += 1;
+        self.jobs[job].unanswered = true;
+        self.jobs[job].caller = None;
+        let entry = self.rng.usize(0..ENTRIES);
+        self.push(RESUBMIT_MS, Event::Submit { job, entry });
+    }
+
+    /// Takes the actions of an entry, and checks callers as it requests.
+    pub(super) fn take_entry_actions(&mut self, entry: usize) -> Vec<Action> {
+        let mut actions = Vec::new();
+        loop {
+            let mut checks = BTreeSet::new();
+            for action in self.entries[entry].dispatcher.take_actions() {
+                match action {
+                    Action::CheckCaller(key) => _ = checks.insert(key),
+                    action => actions.push(action),
+                }
+            }
+            if checks.is_empty() {
+                return actions;
+            }
+            let is_connected = |key: &JobKey| {
+                let known = self.entries[entry].jobs.get(key);
+                known.is_some_and(|&(job, caller)| self.is_connected(job, caller))
+            };
+            let (connected, left): (Vec<_>, Vec<_>) = checks.into_iter().partition(is_connected);
+            let state = &mut self.entries[entry];
+            state.jobs.retain(|key, _| !left.contains(key));
+            state.dispatcher.callers_seen(self.now, &connected, &left);
+        }
+    }
+
+    pub(super) fn answer(&mut self, job: usize, caller: Caller, answer: &Answer) {
+        if !self.is_connected(job, caller) {
+            return;
+        }
+        match answer {
+            Answer::Completed => self.summary.completed += 1,
+            Answer::Failed | Answer::Cancelled => self.summary.failed += 1,
+            Answer::TimedOut => {
+                self.summary.timed_out += 1;
+                return self.resubmit(job);
+            }
+            Answer::NotRun(_) => return self.refused(job, caller),
+        }
+        self.jobs[job].is_open = false;
+        self.jobs[job].caller = None;
+    }
+
+    fn refused(&mut self, job: usize, caller: Caller) {
+        if !self.is_connected(job, caller) {
+            return;
+        }
+        self.jobs[job].rejected = true;
+        self.jobs[job].is_open = false;
+        self.jobs[job].caller = None;
+        self.summary.not_run += 1;
+    }
+
+    fn is_connected(&self, job: usize, caller: Caller) -> bool {
+        self.jobs[job].caller == Some(caller)
+    }
+
+    /// Returns the time after which an entry handles what happens on the connection of a caller.
+    fn caller_lag_ms(&mut self, entry: usize) -> u64 {
+        match self.entries[entry].starved_until > self.now {
+            true => self.rng.u64(1..4000),
+            false => 1,
+        }
+    }
+}
--- a/hemlockhook-leased/src/entry/callers.rs
+++ b/hemlockhook-leased/src/entry/callers.rs
@@ -7,6 +7,7 @@
 use hemlockhook_dispatch::entry::{Answer, JobKey, Submission};
 use hemlockhook_ports::leased::{CallerProtocol, Reply};
 use hemlockhook_runtime::http::read_body;
+use hemlockhook_runtime::io::Peer;
 use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -42,11 +43,12 @@
         Self { core, protocol }
     }
 
-    /// Handles a request. The future is dropped if the caller disconnects.
-    pub(crate) async fn answer(self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// Handles a request that was received from `peer`. The future is dropped if the caller
+    /// disconnects.
+    pub(crate) async fn answer(self, peer: Peer, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let reply = match req.uri().path() == self.protocol.ready_path() {
             true => Reply::Ready(self.core.is_ready()),
-            false => self.reply(req).await,
+            false => self.reply(peer, req).await,
         };
         let mut res = self.protocol.write(&reply);
         if self.core.is_leaving() {
@@ -56,7 +58,7 @@
         res
     }
 
-    async fn reply(&self, req: Request<Incoming>) -> Reply {
+    async fn reply(&self, peer: Peer, req: Request<Incoming>) -> Reply {
         let (head, body) = req.into_parts();
         let initial = self.core.configuration();
         let max_body = initial.max_body.unwrap_or(DEFAULT_MAX_BODY_BYTES);
@@ -97,8 +99,9 @@
                     spec,
                     queue_config: queue.clone(),
                     caller_timeout: self.protocol.requested_wait(&head.headers),
+                    is_caller_connected: !peer.has_left(),
                 };
-                Reply::Job(self.run(submission).await)
+                Reply::Job(self.run(peer, submission).await)
             }
             Method::DELETE if self.core.cancel(id) => Reply::Cancelled,
             Method::GET | Method::DELETE => Reply::UnknownJob,
@@ -106,9 +109,9 @@
         }
     }
 
-    async fn run(&self, submission: Submission) -> Answer {
+    async fn run(&self, peer: Peer, submission: Submission) -> Answer {
         let (tx, rx) = async_channel::bounded(1);
-        let key = match self.core.submit(submission, tx) {
+        let key = match self.core.submit(submission, peer, tx) {
             Ok(key) => key,
             Err(refusal) => return Answer::NotRun(refusal),
         };
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -12,6 +12,7 @@
 };
 use hemlockhook_ports::leased::{Configuration, MalformedMessage};
 use hemlockhook_proto::v1;
+use hemlockhook_runtime::io::Peer;
 use hemlockhook_runtime::metrics::Metrics;
 use hemlockhook_types::Clock;
 
@@ -85,7 +86,7 @@
 }
 
 struct Waiters {
-    txs: Vec<Sender<Answer>>,
+    callers: Vec<(Peer, Sender<Answer>)>,
     submitted: Instant,
     queue: Arc<str>,
     id: Arc<str>,
@@ -172,6 +173,7 @@
     pub(crate) fn submit(
         &self,
         submission: Submission,
+        peer: Peer,
         tx: Sender<Answer>,
     ) -> Result<JobKey, Refusal> {
         let now = self.clock.now();
@@ -183,14 +185,14 @@
             Ok(key) => {
                 let open = state.dispatcher.jobs();
                 let waiters = state.waiters.entry(*key).or_insert(Waiters {
-                    txs: Vec::new(),
+                    callers: Vec::new(),
                     submitted: now,
                     queue,
                     id,
                 });
-                waiters.txs.push(tx);
+                waiters.callers.push((peer, tx));
                 let (job, queue) = (&*waiters.id, &*waiters.queue);
-                let callers = waiters.txs.len();
+                let callers = waiters.callers.len();
                 spdlog::info!("a job is admitted", kv: { job, queue, callers, open });
             }
             Err(refusal) => {
@@ -211,25 +213,52 @@
             return;
         };
         // A caller that disconnected has dropped its receiver.
-        waiters.txs.retain(|tx| !tx.is_closed());
-        if !waiters.txs.is_empty() {
+        waiters.callers.retain(|(_, tx)| !tx.is_closed());
+        if !waiters.callers.is_empty() {
             return;
         }
-        if let Some(waiters) = state.waiters.remove(&key) {
-            let job = &*waiters.id;
-            let queue = &*waiters.queue;
-            let after_ms = now.saturating_duration_since(waiters.submitted).as_millis() as u64;
-            spdlog::info!("the caller disconnected; its job is dropped", kv: {
-                job,
-                queue,
-                after_ms,
-            });
-            self.metrics.record_abandoned(queue);
-        }
+        self.remove_waiters(now, &mut state, key);
         state.dispatcher.abandon(now, key);
         self.flush_to(now, &mut state, &[]);
     }
 
+    /// Removes the waiters of a job whose callers have all left.
+    fn remove_waiters(&self, now: Instant, state: &mut State, key: JobKey) {
+        let Some(waiters) = state.waiters.remove(&key) else {
+            return;
+        };
+        let job = &*waiters.id;
+        let queue = &*waiters.queue;
+        let after_ms = now.saturating_duration_since(waiters.submitted).as_millis() as u64;
+        spdlog::info!("the caller disconnected; its job is dropped", kv: {
+            job,
+            queue,
+            after_ms,
+        });
+        self.metrics.record_abandoned(queue);
+    }
+
+    /// Checks whether the callers of jobs are still connected. The tasks that handle their connections
+    /// may not have run for long.
+    fn check_callers(&self, now: Instant, state: &mut State, keys: BTreeSet<JobKey>) {
+        let mut connected = Vec::new();
+        let mut left = Vec::new();
+        for key in keys {
+            let waiters = state.waiters.get_mut(&key);
+            let is_connected = waiters.is_some_and(|waiters| {
+                waiters.callers.retain(|(peer, _)| !peer.has_left());
+                !waiters.callers.is_empty()
+            });
+            if is_connected {
+                connected.push(key);
+            } else {
+                self.remove_waiters(now, state, key);
+                left.push(key);
+            }
+        }
+        state.dispatcher.callers_seen(now, &connected, &left);
+    }
+
     /// Cancels a job by its ID. Returns false if the job is unknown.
     pub(crate) fn cancel(&self, id: &str) -> bool {
         let now = self.clock.now();
@@ -428,21 +457,30 @@
     /// `others` are also sent a frame if an echo, the configuration or their first frame is due.
     fn flush_to(&self, now: Instant, state: &mut State, others: &[AgentKey]) {
         let mut frames: HashMap<AgentKey, v1::EntryOrders> = HashMap::new();
-        for action in state.dispatcher.take_actions() {
-            match action {
-                Action::Run(order) => {
-                    let frame = frames.entry(order.agent).or_default();
-                    frame.runs.push(write_order(&order.run));
-                }
-                Action::Cancel(agent, task) => {
-                    let frame = frames.entry(agent).or_default();
-                    frame.cancels.push(write_task(&task));
+        loop {
+            let mut checks = BTreeSet::new();
+            for action in state.dispatcher.take_actions() {
+                match action {
+                    Action::Run(order) => {
+                        let frame = frames.entry(order.agent).or_default();
+                        frame.runs.push(write_order(&order.run));
+                    }
+                    Action::Cancel(agent, task) => {
+                        let frame = frames.entry(agent).or_default();
+                        frame.cancels.push(write_task(&task));
+                    }
+                    Action::Wake(agent) => frames.entry(agent).or_default().wants_state = true,
+                    Action::CheckCaller(job) => _ = checks.insert(job),
+                    Action::Answer(job, answer) => self.answer(now, state, job, answer),
                 }
-                Action::Wake(agent) => frames.entry(agent).or_default().wants_state = true,
-                Action::Answer(job, answer) => self.answer(now, state, job, answer),
             }
+            if checks.is_empty() {
+                break;
+            }
+            self.check_callers(now, state, checks);
         }
         let version = state.configuration.version;
+        let is_alive = state.dispatcher.are_callers_checked(now);
         let mut keys: Vec<_> = frames.keys().chain(others).copied().collect();
         keys.sort_unstable();
         keys.dedup();
@@ -454,7 +492,7 @@
             let is_quiet = link
                 .sent_at
                 .is_none_or(|at| now.saturating_duration_since(at) >= MIN_ECHO_INTERVAL);
-            let is_echo_due = link.received_ms > link.echoed_ms && is_quiet;
+            let is_echo_due = is_alive && link.received_ms > link.echoed_ms && is_quiet;
             let is_sharing_due = link.is_configuration_due || link.is_request_due;
             let is_first = link.sent_at.is_none();
             if frame.is_none() && !is_echo_due && !is_sharing_due && !is_first {
@@ -474,9 +512,11 @@
             }
             frame.incarnation = self.incarnation;
             frame.state_interval_ms = state.dispatcher.state_interval().as_millis() as u32;
-            frame.echo_ms = link.received_ms;
+            if is_alive {
+                link.echoed_ms = link.received_ms;
+            }
+            frame.echo_ms = link.echoed_ms;
             frame.seq = state.dispatcher.next_seq(key);
-            link.echoed_ms = link.received_ms;
             link.sent_at = Some(now);
             if link.tx.try_send(frame).is_err() {
                 // The agent does not keep up with its frames. Closing the queue ends the link, and
@@ -498,7 +538,7 @@
         let queue = &*waiters.queue;
         let took_ms = duration.as_millis() as u64;
         spdlog::info!("a job is answered", kv: { job = id, queue, outcome, took_ms });
-        for tx in waiters.txs {
+        for (_, tx) in waiters.callers {
             // Sending fails only if the caller has disconnected.
             let _ = tx.try_send(answer.clone());
         }
--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -5,10 +5,13 @@
 mod links;
 mod metrics;
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_channel::Receiver;
 use async_io::Timer;
+use async_net::TcpListener;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use hemlockhook_dispatch::entry::ConfigurationSource;
@@ -17,6 +20,7 @@
 use hemlockhook_runtime::clock::BootClock;
 use hemlockhook_runtime::executor::{Executor, run_with_priority};
 use hemlockhook_runtime::http::ServerLimits;
+use hemlockhook_runtime::io::Stream;
 use hemlockhook_runtime::metrics::Metrics;
 use hemlockhook_runtime::{grpc, http, signal};
 
@@ -136,18 +140,16 @@
         max_connections: MAX_CONNECTIONS,
         ..ServerLimits::default()
     };
-    let ready_service = service.clone();
     let (ready_stop, ready_stopped) = async_channel::bounded::<()>(1);
-    let serve_ready = http::serve(
+    let serve_ready = serve_callers(
         ex.clone(),
         ready_listener,
         limits,
         ready_stopped,
-        move |req| ready_service.clone().answer(req),
+        service.clone(),
     );
     ex.spawn(serve_ready).detach();
-    let handler = move |req| service.clone().answer(req);
-    let serve_callers = http::serve(ex.clone(), callers_listener, limits, stopped, handler);
+    let serve_callers = serve_callers(ex.clone(), callers_listener, limits, stopped, service);
     let serve_callers = ex.spawn(serve_callers);
 
     signal::wait_for_termination().await;
@@ -172,6 +174,27 @@
     Ok(())
 }
 
+async fn serve_callers<C>(
+    ex: Arc<Executor>,
+    listener: TcpListener,
+    limits: ServerLimits,
+    stopped: Receiver<()>,
+    service: CallerService<C>,
+) where
+    C: CallerProtocol,
+{
+    let connect = move |stream: Stream| {
+        let peer = stream.peer();
+        let service = service.clone();
+        let answer = move |req| {
+            let response = service.clone().answer(peer.clone(), req);
+            async move { Ok::<_, Infallible>(response.await) }
+        };
+        (stream, answer)
+    };
+    http::serve_streams(ex, listener, limits, stopped, connect).await;
+}
+
 async fn follow_configuration<C, S>(core: SharedCore, protocol: Arc<C>, store: Arc<S>)
 where
     C: CallerProtocol,
--- a/hemlockhook-leased/src/settings.rs
+++ b/hemlockhook-leased/src/settings.rs
@@ -15,6 +15,13 @@
 /// Time after which the runs of a silent entry are stopped, in percent of the same time.
 const OWNER_TIMEOUT_PERCENT: u32 = 31;
 
+/// Time after which an entry checks again whether a caller is connected, in percent of the same time.
+/// With the next one, the timeout above and the lease it stays below the whole.
+const CALLER_CHECK_PERCENT: u32 = 12;
+
+/// Maximum delay of these checks, in percent of the same time.
+const CALLER_CHECK_DELAY_PERCENT: u32 = 8;
+
 /// Time after which the attempts of a silent agent have certainly ended, in percent of the same
 /// time.
 const AGENT_LOST_PERCENT: u32 = 75;
@@ -139,6 +146,8 @@
         DispatchPolicy {
             data_center: self.data_center.as_str().into(),
             agent_lost_after: resubmit * AGENT_LOST_PERCENT / 100,
+            caller_check_interval: resubmit * CALLER_CHECK_PERCENT / 100,
+            caller_check_delay: resubmit * CALLER_CHECK_DELAY_PERCENT / 100,
             distance_factor: self.distance_factor,
             ..DispatchPolicy::default()
         }
--- a/hemlockhook-runtime/src/io.rs
+++ b/hemlockhook-runtime/src/io.rs
@@ -10,6 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite};
 use hyper::rt::ReadBufCursor;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 /// A TCP stream that remembers that its receive buffer was drained, so that a poll that was woken
 /// for another reason makes no system call.
@@ -35,12 +36,47 @@
         }
     }
 
+    /// Returns the peer of the connection.
+    pub fn peer(&self) -> Peer {
+        Peer {
+            io: self.io.clone(),
+        }
+    }
+
     /// Returns the underlying socket.
     pub(crate) fn socket(&self) -> Arc<Async<TcpStream>> {
         self.io.clone()
     }
 }
 
+/// The peer of a connection.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    io: Arc<Async<TcpStream>>,
+}
+
+impl Peer {
+    /// Returns whether the peer has closed the connection, or its sending side, as far as the kernel
+    /// knows. What was received and not read yet makes no difference.
+    pub fn has_left(&self) -> bool {
+        let socket = self.io.get_ref();
+        match socket.peek(&mut [0]) {
+            Ok(0) => true,
+            // The end of the stream may follow the data.
+            Ok(_) => {
+                let mut fds = [PollFd::new(socket, PollFlags::RDHUP)];
+                let polled = poll(&mut fds, Some(&Timespec::default()));
+                let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+                polled.is_ok_and(|_| fds[0].revents().intersects(ended))
+            }
+            Err(err) => !matches!(
+                err.kind(),
+                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
+            ),
+        }
+    }
+}
+
 impl AsyncRead for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/hemlockhook-runtime/src/lib.rs
+++ b/hemlockhook-runtime/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod executor;
 pub mod grpc;
 pub mod http;
-mod io;
+pub mod io;
 pub mod log;
 pub mod metrics;
 mod rate_limit;
--- a/hemlockhook/tests/platform/main.rs
+++ b/hemlockhook/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! store and the workers.
 
 mod configurations;
+mod departed_callers;
 mod deployment;
 mod malformed;
 #[path = "../support/relay.rs"]
