--- a/hemlockhook-dispatch/tests/random.rs
+++ b/hemlockhook-dispatch/tests/random.rs
@@ -5,6 +5,7 @@
 mod world;
 
 use std::env;
+use std::time::Duration;
 
 use googletest::prelude::*;
 use hemlockhook_dispatch::agent::{SafetyRules, SupervisorPolicy};
@@ -134,3 +135,40 @@
     };
     expect_that!((1..=MUTANT_CASES).any(is_violated), eq(true));
 }
+
+#[gtest]
+fn without_checking_the_callers_of_open_jobs_a_violation_is_found() {
+    let policy = DispatchPolicy {
+        caller_check_interval: Duration::MAX,
+        ..DispatchPolicy::default()
+    };
+    let is_violated = |seed| {
+        let faults = Faults::default();
+        let summary = run_with(seed, SafetyRules::default(), policy.clone(), faults);
+        !summary.violations.is_empty()
+    };
+    expect_that!((1..=MUTANT_CASES).any(is_violated), eq(true));
+}
+
+#[gtest]
+fn without_checking_the_caller_of_a_request_a_violation_is_found() {
+    let faults = Faults {
+        hides_departures: true,
+        ..Faults::default()
+    };
+    let found = finds_violation_under(SafetyRules::default(), faults);
+    expect_that!(found, eq(true));
+}
+
+#[gtest]
+fn a_late_start_that_no_agent_could_stop_runs_alone() {
+    let faults = Faults {
+        extends_unstoppable_leases: true,
+        reset: 0,
+        ..Faults::default()
+    };
+    for seed in 1..=CASES {
+        let summary = run(seed, SafetyRules::default(), faults);
+        expect_that!(summary.violations, is_empty(), "seed {seed}");
+    }
+}
