Don't renew the leases of a silent entry's runs

Found by a review. An agent that wakes from a pause handled an answer to its hold call, renewed the lease, and only then looked which entries had been silent. And a run that is being stopped kept its lease for as long as the stop was not answered.

Now silence is looked at first, and only wanted runs have their lease renewed. What an upstream that restarted says of its ends is read from their first number. an_agent_that_was_paused_does_not_renew_the_lease_of_a_silent_entry failed before.

--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -167,12 +167,16 @@
     /// Makes a hold call if there are runs to renew or to stop, lists to read, or ends to
     /// acknowledge. At most one call that waits for an end and one that does not are in flight.
     pub(super) fn hold(&mut self, now: Instant, wait: Duration) {
-        let renews = self
+        let has_runs = self
             .orders
             .values()
             .any(|order| order.phase.run().is_some());
+        // Runs that are being stopped end with their lease at the latest.
+        let is_wanted =
+            |order: &Order| matches!(order.phase, Phase::Starting { .. } | Phase::Running { .. });
+        let renews = self.orders.values().any(is_wanted);
         let needs_hold = self.upstream.as_ref().is_some_and(Upstream::needs_hold);
-        let has_cause = renews || needs_hold || !self.orphans.is_empty();
+        let has_cause = has_runs || needs_hold || !self.orphans.is_empty();
         if !has_cause && self.candidate.is_none() {
             return;
         }
@@ -188,7 +192,7 @@
             .as_ref()
             .expect("an upstream was matched above");
         // A call that waits acknowledges ends when it arrives.
-        let waits = renews && upstream.unanswered_holds == 0 && self.candidate.is_none();
+        let waits = has_runs && upstream.unanswered_holds == 0 && self.candidate.is_none();
         let wait = if waits { wait } else { Duration::ZERO };
         self.call_hold(until_ms, wait);
     }
@@ -237,6 +241,8 @@
     pub(super) fn upstream_restarted(&mut self, now: Instant) {
         if let Some(upstream) = self.upstream.as_mut().filter(|known| !known.is_replaced) {
             upstream.is_replaced = true;
+            // The new life counts its ends anew.
+            upstream.ends_seen = 0;
             self.fence += 1;
             self.call_hold(None, Duration::ZERO);
         }
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -259,6 +259,8 @@
 
     /// Handles the upstream's answer to a start call.
     pub fn start_answered(&mut self, now: Instant, key: OrderKey, result: StartResult) {
+        // After a pause of this process, the leases of a silent entry must not be renewed.
+        self.stop_silent_owners(now);
         if !self.orders.contains_key(key) {
             return;
         }
@@ -349,6 +351,7 @@
         wait: Duration,
         result: Option<HoldResult>,
     ) {
+        self.stop_silent_owners(now);
         match wait.is_zero() {
             true => self.is_poll_pending = false,
             false => self.is_long_poll_pending = false,
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -117,6 +117,19 @@
     expect_that!(agent.stops, eq(1));
 }
 
+#[gtest]
+fn an_agent_that_was_paused_does_not_renew_the_lease_of_a_silent_entry() {
+    let mut agent = Agent::new();
+    agent.start("a");
+    agent.now += Duration::from_millis(420);
+    agent.holds.clear();
+    agent.answer_hold(&[("a", 1)], &[]);
+    agent.answer_long_hold(&[("a", 1)], &[]);
+    expect_that!(agent.stops, eq(1));
+    let leases = agent.holds.iter().map(|call| call.until_ms);
+    expect_that!(leases.collect::<Vec<_>>(), each(none()));
+}
+
 #[gtest]
 fn a_delayed_order_is_not_started() {
     let mut agent = Agent::new();
