--- a/hemlockhook-dispatch/tests/dispatcher/links.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/links.rs
@@ -20,7 +20,7 @@
         spec: job("a", TASKS, 50),
         queue_config: queue_config(0),
         caller_timeout: Some(CALLER_TIMEOUT),
-        is_caller_connected: true,
+        caller_seen: Some(fixture.now),
     };
     let submitted = fixture.dispatcher.submit(fixture.now, submission);
     expect_that!(submitted, ok(anything()));
@@ -87,7 +87,7 @@
         spec: job("a", 1, 50),
         queue_config: queue_config(0),
         caller_timeout: Some(CALLER_TIMEOUT),
-        is_caller_connected: true,
+        caller_seen: Some(fixture.now),
     };
     let submitted = fixture.dispatcher.submit(fixture.now, submission);
     let order = fixture.orders().remove(0);
