Let the soak's callers leave, and starve entries and agents in it

The soak's callers waited for 60 s, so that no job was ever submitted again while its first entry knew it. They now close their connections after 0.3 to 2.5 s. Entries and agents are left a tenth of the processor time for seconds, and a start of a job whose caller was refused is a violation.

--- a/hemlockhook/tests/platform/deployment.rs
+++ b/hemlockhook/tests/platform/deployment.rs
@@ -344,13 +344,18 @@
         }
     }
 
+    /// Reads or changes what is known of all workers.
+    pub fn observe<F, T>(&self, read: F) -> T
+    where
+        F: FnOnce(&mut Observations) -> T,
+    {
+        let observations = self.observations.lock();
+        read(&mut observations.expect("no thread panicked with the lock"))
+    }
+
     /// Returns descriptions of the invariants that were violated.
     pub fn violations(&self) -> Vec<String> {
-        self.observations
-            .lock()
-            .expect("no thread panicked with the lock")
-            .violations
-            .clone()
+        self.observe(|seen| seen.violations.clone())
     }
 }
 
--- a/hemlockhook/tests/platform/soak.rs
+++ b/hemlockhook/tests/platform/soak.rs
@@ -11,7 +11,7 @@
 use googletest::prelude::*;
 use strum::IntoEnumIterator;
 
-use crate::deployment::{Deployment, configuration};
+use crate::deployment::{Daemon, Deployment, configuration};
 use crate::store::StoreFault;
 
 const ENTRIES: usize = 2;
@@ -53,7 +53,7 @@
         while Instant::now() < end {
             let pause = Duration::from_millis(rng.u64(50..600));
             configurations.check(deployment, &seed.to_string());
-            match rng.u8(0..10) {
+            match rng.u8(0..12) {
                 0 => {
                     let entry = rng.usize(0..ENTRIES);
                     entries[entry].restart();
@@ -93,6 +93,8 @@
                     }
                 }
                 6 => deployment.store.compact(),
+                10 => starve(&entries[rng.usize(0..ENTRIES)], pause * 4),
+                11 => starve(&agents[rng.usize(0..WORKERS)], pause * 4),
                 _ => {
                     let faults: Vec<_> = StoreFault::iter().collect();
                     deployment
@@ -114,6 +116,18 @@
     expect_that!(served.load(Ordering::Relaxed), ge(CALLERS), "seed {seed}");
 }
 
+/// Leaves a process a tenth of the processor time.
+fn starve(daemon: &Daemon, duration: Duration) {
+    const PERIOD: Duration = Duration::from_millis(100);
+    let end = Instant::now() + duration;
+    while Instant::now() < end {
+        daemon.set_paused(true);
+        thread::sleep(PERIOD * 9 / 10);
+        daemon.set_paused(false);
+        thread::sleep(PERIOD / 10);
+    }
+}
+
 /// Configurations, each of which adds a queue, and the last that each entry is known to have.
 #[derive(Default)]
 struct Configurations {
@@ -157,7 +171,8 @@
     }
 }
 
-/// Submits jobs through random entries, each until it is answered.
+/// Submits jobs through random entries, each until it is answered. Callers close their connections
+/// when they run out of patience.
 fn submit_jobs(
     deployment: &Deployment,
     seed: u64,
@@ -173,10 +188,16 @@
         let tasks = rng.usize(1..4);
         let run_ms = rng.u64(10..300);
         loop {
-            match deployment.submit(rng.usize(0..ENTRIES), &id, tasks, run_ms) {
+            let entry = rng.usize(0..ENTRIES);
+            let patience = Duration::from_millis(rng.u64(300..2500));
+            match deployment.submit_until(entry, &id, (tasks, run_ms), patience) {
                 Some(200) => break,
                 // A refused job has not run, so it needs no long delay.
-                Some(503) => thread::sleep(Duration::from_millis(100)),
+                Some(503) => {
+                    deployment.observe(|seen| _ = seen.refused_jobs.insert(id.clone()));
+                    thread::sleep(Duration::from_millis(100));
+                    deployment.observe(|seen| _ = seen.refused_jobs.remove(&id));
+                }
                 _ => thread::sleep(RESUBMIT_DELAY),
             }
         }
--- a/hemlockhook/tests/platform/worker.rs
+++ b/hemlockhook/tests/platform/worker.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the platform's workers. It starts every task that it is told to start, under a
 //! lease, and records violations of invariants.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,8 @@
     running: BTreeMap<String, usize>,
     /// Number of starts of each task.
     pub starts: BTreeMap<String, usize>,
+    /// Jobs whose callers were told that they are not run, and have not submitted them again.
+    pub refused_jobs: BTreeSet<String>,
     /// Descriptions of violated invariants.
     pub violations: Vec<String>,
 }
@@ -195,6 +197,12 @@
                 .violations
                 .push(format!("{task} runs twice at once"));
         }
+        let job = task.split('.').next().unwrap_or_default();
+        if observations.refused_jobs.contains(job) {
+            observations
+                .violations
+                .push(format!("{task} starts after its job was refused"));
+        }
         if state.running.len() >= 8 {
             observations
                 .violations
