Derive the reserved room from the orders that hold it

Cause: start_waiting added an order's need to the reserved room before the order had a run. If its entry was silent by then, the order ended while it still counted as waiting, and the room was never given back.

Change: the reserved room is the sum over the orders with a run. An upstream that announces less than is reserved starts no more, where the agent ended by itself before. Debug builds check that the list of waiting orders is the orders without a run, and the random runs that the reserved room is that of the orders.

Evidence: room_of_an_order_that_is_not_started_again_is_given_back failed before with reserved cpu 4000 and no order; an_upstream_that_announces_less_than_is_reserved_starts_no_more panicked with 'the reservations exceed the upstream's capacity'.

--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -144,7 +144,6 @@
         order.phase = Phase::Waiting;
         let task = order.order.task.task.clone();
         let rank = (order.order.class, order.due, key);
-        self.reserved -= order.order.need;
         self.ended_runs.insert(task, (run, now));
         self.waiting.insert(rank);
     }
@@ -167,10 +166,7 @@
     /// Makes a hold call if there are runs to renew or to stop, lists to read, or ends to
     /// acknowledge. At most one call that waits for an end and one that does not are in flight.
     pub(super) fn hold(&mut self, now: Instant, wait: Duration) {
-        let renews = self
-            .orders
-            .values()
-            .any(|order| order.phase.run().is_some());
+        let renews = self.orders.values().any(Order::holds_room);
         let needs_hold = self.upstream.as_ref().is_some_and(Upstream::needs_hold);
         let has_cause = renews || needs_hold || !self.orphans.is_empty();
         if !has_cause && self.candidate.is_none() {
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -63,8 +63,6 @@
     by_task: BTreeMap<TaskId, OrderKey>,
     /// Orders that wait for capacity, by class and due time.
     waiting: BTreeSet<(u32, Instant, OrderKey)>,
-    /// Resources reserved by the orders that are not waiting.
-    reserved: Amounts,
     links: Links,
     health: Health,
     /// Runs on the upstream without an order, with the time of the last stop call.
@@ -92,7 +90,6 @@
             orders: SlotMap::with_key(),
             by_task: BTreeMap::new(),
             waiting: BTreeSet::new(),
-            reserved: Amounts::default(),
             links: Links::default(),
             health,
             orphans: BTreeMap::new(),
@@ -106,6 +103,10 @@
 
     /// Takes the pending actions.
     pub fn take_actions(&mut self) -> Vec<Action> {
+        debug_assert!(
+            self.are_waiting_orders_listed(),
+            "the list of waiting orders differs from their phases"
+        );
         std::mem::take(&mut self.actions)
     }
 
@@ -116,7 +117,22 @@
 
     /// Returns the resources reserved by the orders that are not waiting.
     pub fn reserved(&self) -> Amounts {
-        self.reserved
+        let mut reserved = Amounts::default();
+        for order in self.orders.values().filter(|order| order.holds_room()) {
+            reserved += order.order.need;
+        }
+        reserved
+    }
+
+    /// Returns whether `waiting` has exactly the orders that hold no room.
+    fn are_waiting_orders_listed(&self) -> bool {
+        let waiting = |&(_, _, key): &(u32, Instant, OrderKey)| {
+            let order = self.orders.get(key);
+            order.is_some_and(|order| !order.holds_room())
+        };
+        let holding = self.orders.values().filter(|order| order.holds_room());
+        self.waiting.iter().all(waiting)
+            && self.waiting.len() + holding.count() == self.orders.len()
     }
 
     /// Returns whether no order is held and no orphaned run is known.
@@ -401,7 +417,7 @@
         self.settle_expired_leases(now);
         self.stop_stalled(now);
         self.health
-            .decay_idle_pace(now, self.reserved == Amounts::default());
+            .decay_idle_pace(now, self.reserved() == Amounts::default());
         self.drop_old_ends(now);
         self.hold(now, self.policy.hold_wait);
         self.start_waiting(now);
@@ -420,7 +436,7 @@
     }
 
     fn free(&self) -> Amounts {
-        self.capacity().saturating_sub(&self.reserved)
+        self.capacity().saturating_sub(&self.reserved())
     }
 
     fn can_ever_fit(&self, need: &Amounts) -> bool {
--- a/hemlockhook-dispatch/src/agent/order.rs
+++ b/hemlockhook-dispatch/src/agent/order.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Returns whether the order takes room at the upstream.
+    pub(super) fn holds_room(&self) -> bool {
+        self.phase.run().is_some()
+    }
+
     /// Records that the upstream lists the run as active.
     pub(super) fn observed_running(&mut self, now: Instant, seen: u8) {
         self.started_at.get_or_insert(now);
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -7,10 +7,10 @@
 
 use fixture::{Agent, ENTRY, LINK, attempt};
 use googletest::prelude::*;
-use hemlockhook_dispatch::Outcome;
 use hemlockhook_dispatch::agent::{
     AnnouncementStatus, HoldResult, RunOutcome, StartResult, StopResult,
 };
+use hemlockhook_dispatch::{Amounts, Outcome};
 
 #[gtest]
 fn starts_stay_within_capacity_and_a_waiting_order_starts_after_an_end() {
@@ -242,3 +242,41 @@
         .collect();
     expect_that!(calls, elements_are![eq(&(1, false))]);
 }
+
+/// The start of an order stays unanswered, its entry falls silent, and the order waits again.
+#[gtest]
+fn room_of_an_order_that_is_not_started_again_is_given_back() {
+    let mut agent = Agent::new();
+    agent.order("a", 4);
+    agent.answer_start("a", StartResult::NoAnswer);
+    agent.advance(450);
+    agent.supervisor.stop_answered(
+        agent.now,
+        &attempt("a"),
+        StopResult::Stopped { clock_ms: 10_000 },
+    );
+    agent.answer_hold(&[], &[]);
+    agent.advance(10);
+    expect_that!(agent.starts.len(), eq(1));
+    expect_that!(agent.supervisor.orders().count(), eq(0));
+    expect_that!(agent.supervisor.reserved(), eq(Amounts::default()));
+}
+
+/// A heartbeat lacks the memory while a task holds some.
+#[gtest]
+fn an_upstream_that_announces_less_than_is_reserved_starts_no_more() {
+    let mut agent = Agent::new();
+    agent.start("a");
+    agent.announce_capacity(Amounts {
+        cpu: 4000,
+        ..Amounts::default()
+    });
+    agent.order_needing(
+        "b",
+        Amounts {
+            cpu: 1000,
+            ..Amounts::default()
+        },
+    );
+    expect_that!(agent.starts.len(), eq(1));
+}
--- a/hemlockhook-dispatch/tests/world/faults.rs
+++ b/hemlockhook-dispatch/tests/world/faults.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
+use hemlockhook_dispatch::Amounts;
 
 use super::{AGENTS, ENTRIES, Event, Process, World};
 
@@ -107,6 +108,20 @@
                 }
             }
         }
+        for agent in &self.agents {
+            let mut held = Amounts::default();
+            for order in agent.supervisor.orders() {
+                if order.phase.run().is_some() {
+                    held += order.order.need;
+                }
+            }
+            let reserved = agent.supervisor.reserved();
+            if reserved != held {
+                self.summary
+                    .violations
+                    .insert(format!("reserved {reserved:?}, held {held:?}"));
+            }
+        }
         for job in &self.jobs {
             if job.rejected && job.began && !job.unanswered {
                 let id = &job.spec.id;
