Give up an upstream's runs for another announcement only with evidence

Cause: an upstream that left one call unanswered was replaced at once by whatever another announcement named, and one that had answered before after two. Its runs ended as lost while it worked on under its lease.

Change: an order is finished only with an End, whose constructors need evidence (agent/ended.rs): the upstream lists or refuses it, another incarnation answers, or the lease is not renewed and has surely ended. An announcement of another instance or service waits for that, and is dropped if the known upstream announces itself. One of another service that comes in the name of the known incarnation is ignored, with a log line. An upstream that never answered no longer shuts out others.

--- a/hemlockhook-dispatch/src/agent/due.rs
+++ b/hemlockhook-dispatch/src/agent/due.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use crate::Outcome;
+use crate::agent::ended::{AllEnded, End};
 use crate::agent::{Order, OrderKey, Phase, StopCause, Supervisor};
 
 impl Supervisor {
@@ -11,7 +11,7 @@
         let expired: Vec<_> = self.waiting.iter().filter(expired).collect();
         let keys: Vec<_> = expired.iter().map(|(_, _, key)| *key).collect();
         for key in keys {
-            self.finish(now, key, Outcome::NotStarted);
+            self.finish_unstarted(now, key);
         }
     }
 
@@ -54,21 +54,21 @@
 
     /// Ends the runs on an upstream that does not answer, once their leases have expired.
     pub(super) fn settle_expired_leases(&mut self, now: Instant) {
-        let Some(upstream) = &self.upstream else {
+        let upstream = self.upstream.as_ref();
+        let silent = upstream.filter(|upstream| upstream.unanswered_holds > 0);
+        let rules = &self.policy.rules;
+        let ended = silent.and_then(|upstream| AllEnded::by_lease(now, upstream, rules));
+        let Some(ended) = ended else {
             return;
         };
-        let is_lease_expired = upstream.leased_until.is_some_and(|until| until < now);
-        if upstream.unanswered_holds == 0 || !is_lease_expired {
-            return;
-        }
         for key in self.orders.keys().collect::<Vec<_>>() {
             match self.orders[key].phase {
                 Phase::Waiting => {}
-                Phase::Running { .. } => self.finish(now, key, Outcome::Lost),
+                Phase::Running { .. } => self.finish(now, key, End::lost(ended)),
                 // The reservation is kept until the stop is answered, but the entry can be told
                 // that the attempt is lost.
                 Phase::Stopping { .. } if self.orders[key].started_at.is_some() => {
-                    self.report_lost(now, key);
+                    self.report_lost(now, key, ended);
                 }
                 // The start call may still arrive, and be accepted by an incarnation with the same
                 // name.
--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use crate::agent::ended::{AllEnded, End};
 use crate::agent::upstream::Upstream;
 use crate::agent::{
     Action, ActiveRun, EndedRun, HoldCall, MAX_RETRIES, Order, OrderKey, Phase, RunOutcome,
@@ -84,7 +85,9 @@
             Outcome::Failed if !self.health.is_healthy(now) => Outcome::FailedByUpstream,
             outcome => outcome,
         };
-        self.finish(now, key, outcome);
+        if let Some(end) = End::listed(&self.orders[key], row, outcome) {
+            self.finish(now, key, end);
+        }
     }
 
     pub(super) fn read_running(&mut self, now: Instant, sent: Instant, running: &[ActiveRun]) {
@@ -105,35 +108,28 @@
         let orphans = &mut self.orphans;
         orphans.retain(|id, _| running.iter().any(|row| is_running(row, id)));
 
-        let gone = |(key, order): (OrderKey, &Order)| match order.phase {
-            _ if listed.contains(&key) => None,
-            Phase::Running { since, .. } if since <= sent => Some((key, Outcome::Lost)),
-            Phase::Stopping {
-                acked: Some(acked), ..
-            } if acked <= sent && order.started_at.is_some() => Some((key, Outcome::Lost)),
-            Phase::Stopping {
-                acked: Some(acked), ..
-            } if acked <= sent => Some((key, Outcome::NotStarted)),
-            _ => None,
+        let gone = |(key, order): (OrderKey, &Order)| {
+            let end = End::unlisted(order, sent).filter(|_| !listed.contains(&key));
+            end.map(|end| (key, end))
         };
         let gone: Vec<_> = self.orders.iter().filter_map(gone).collect();
-        for (key, outcome) in gone {
-            match outcome {
-                Outcome::NotStarted => self.requeue_unstarted(now, key),
-                _ => self.finish(now, key, outcome),
+        for (key, end) in gone {
+            match end.outcome() {
+                Outcome::NotStarted => self.requeue_unstarted(now, key, end),
+                _ => self.finish(now, key, end),
             }
         }
     }
 
     /// Requeues an order whose start call never arrived, and would now be refused.
-    pub(super) fn requeue_unstarted(&mut self, now: Instant, key: OrderKey) {
+    pub(super) fn requeue_unstarted(&mut self, now: Instant, key: OrderKey, end: End) {
         let order = &mut self.orders[key];
         let is_wanted = match order.phase {
             Phase::Stopping { cause, .. } => cause == StopCause::StartUnanswered,
             _ => false,
         };
         if !is_wanted || order.is_lost_reported || order.retries >= MAX_RETRIES {
-            self.finish(now, key, Outcome::NotStarted);
+            self.finish(now, key, end);
             return;
         }
         order.retries += 1;
@@ -174,7 +170,7 @@
         }
         let until_ms = match &self.upstream {
             None => return,
-            Some(upstream) if upstream.is_replaced => return,
+            Some(upstream) if upstream.replaced_at.is_some() => return,
             // Leases of a silent upstream are not renewed, so that its runs end at a known time.
             Some(upstream) if upstream.unanswered_holds > 0 || !renews => None,
             Some(_) => self.lease_end(now),
@@ -213,9 +209,9 @@
 
     /// Handles the answer of an upstream incarnation with another name: all runs of the known one
     /// have ended.
-    pub(super) fn upstream_replaced(&mut self, now: Instant) {
+    pub(super) fn upstream_replaced(&mut self, now: Instant, ended: AllEnded) {
         self.return_waiting(now);
-        self.finish_all_as_lost(now);
+        self.finish_all_as_lost(now, ended);
         self.upstream = None;
         self.links.state_changed();
     }
@@ -224,7 +220,7 @@
     /// will state its capacity.
     pub(super) fn upstream_restarted(&mut self, now: Instant) {
         if let Some(upstream) = &mut self.upstream {
-            upstream.is_replaced = true;
+            upstream.replaced_at.get_or_insert(now);
         }
         self.return_waiting(now);
         self.links.state_changed();
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -7,11 +7,13 @@
 
 mod call;
 mod due;
+mod ended;
 mod health;
 mod links;
 mod lists;
 mod order;
 mod policy;
+mod replacement;
 mod runs;
 mod upstream;
 
@@ -32,6 +34,7 @@
 pub use policy::{SafetyRules, SupervisorPolicy};
 pub use upstream::{Announcement, AnnouncementStatus, UpstreamState};
 
+use ended::{AllEnded, End};
 use links::Links;
 use upstream::Upstream;
 
@@ -140,38 +143,6 @@
         self.orders.is_empty() && self.orphans.is_empty()
     }
 
-    /// Handles an announcement of an upstream.
-    ///
-    /// One of another instance may be a mistake of another writer. The runs of the known instance are
-    /// given up only once that no longer answers.
-    pub fn announced(&mut self, now: Instant, announcement: Announcement) -> AnnouncementStatus {
-        match &mut self.upstream {
-            Some(upstream) if upstream.is_same_incarnation(&announcement) => {
-                upstream.refresh(now, announcement)
-            }
-            Some(upstream) if !upstream.is_replaced_by(now, &announcement) => {
-                return AnnouncementStatus::Outdated;
-            }
-            Some(upstream) if upstream.answers() && upstream.instance != announcement.instance => {
-                self.candidate = Some(announcement);
-                self.hold(now, Duration::ZERO);
-                return AnnouncementStatus::Unverified;
-            }
-            _ => self.replace_upstream(now, announcement),
-        }
-        self.links.state_changed();
-        self.start_waiting(now);
-        AnnouncementStatus::Accepted
-    }
-
-    /// Switches to the upstream that announced itself while the known one was asked.
-    fn accept_candidate(&mut self, now: Instant) {
-        if let Some(announcement) = self.candidate.take() {
-            self.replace_upstream(now, announcement);
-            self.links.state_changed();
-        }
-    }
-
     /// Handles the notice that an upstream instance is leaving.
     pub fn upstream_left(&mut self, now: Instant, instance: &str) {
         match &mut self.upstream {
@@ -199,30 +170,6 @@
         self.links.state_changed();
     }
 
-    /// Switches to another incarnation of the upstream. The runs of the previous one ended with it,
-    /// but a new one with the same name may have accepted calls that were meant for its
-    /// predecessor.
-    fn replace_upstream(&mut self, now: Instant, announcement: Announcement) {
-        self.candidate = None;
-        let old = self.upstream.as_ref().map(|old| old.instance.clone());
-        let is_same_name = old.is_some_and(|old| old == announcement.instance);
-        self.return_waiting(now);
-        if !is_same_name {
-            self.finish_all_as_lost(now);
-        }
-        self.orphans.clear();
-        self.ended_runs.clear();
-        self.health = Health::new(self.policy.health.clone());
-        // An incarnation with the same name must refuse late calls that were meant for the previous
-        // one.
-        self.fence += 1;
-        self.upstream = Some(Upstream::new(now, announcement));
-        for key in self.orders.keys().collect::<Vec<_>>() {
-            self.stop(now, key, StopCause::Restarted);
-        }
-        self.hold(now, Duration::ZERO);
-    }
-
     /// Handles an order of the entry on a link.
     pub fn ordered(&mut self, now: Instant, link: LinkId, order: RunOrder) {
         let Some(owner) = self.links.owner(link) else {
@@ -284,8 +231,12 @@
             // The run is being stopped, and its end will be read from the lists.
             return;
         };
-        match result {
-            StartResult::Started { .. } => {
+        let ended = AllEnded::by_start(&result);
+        let is_rule_enabled = self.policy.rules.stops_unanswered_starts;
+        let end =
+            End::refused(&result).or_else(|| End::assumed(is_rule_enabled, Outcome::NotStarted));
+        match (result, end) {
+            (StartResult::Started { .. }, _) => {
                 order.phase = Phase::Running {
                     run,
                     since: now,
@@ -294,38 +245,29 @@
                 };
                 order.started_at = Some(now);
             }
-            StartResult::NoAnswer if self.policy.rules.stops_unanswered_starts => {
-                self.stop(now, key, StopCause::StartUnanswered);
-            }
-            StartResult::OldRun { .. } if order.retries < MAX_RETRIES => {
+            (_, None) => self.stop(now, key, StopCause::StartUnanswered),
+            (StartResult::OldRun { .. }, Some(end)) if order.retries < MAX_RETRIES => {
                 order.retries += 1;
                 let run = run + RUN_NUMBER_STEP;
-                self.start(now, key, run);
+                self.start(now, key, run, end);
             }
-            StartResult::OldFence { .. } if order.retries < MAX_RETRIES => {
+            (StartResult::OldFence { .. }, Some(end)) if order.retries < MAX_RETRIES => {
                 order.retries += 1;
                 self.raise_fence();
-                self.start(now, key, run);
+                self.start(now, key, run, end);
             }
-            StartResult::LateLease { .. } if order.retries < MAX_RETRIES => {
+            (StartResult::LateLease { .. }, Some(end)) if order.retries < MAX_RETRIES => {
                 order.retries += 1;
-                self.start(now, key, run);
-            }
-            StartResult::OtherInstance => {
-                self.finish(now, key, Outcome::NotStarted);
-                self.upstream_replaced(now);
-            }
-            StartResult::Unhealthy => {
-                self.health.record_refusal(now);
-                self.finish(now, key, Outcome::NotStarted);
-                self.return_waiting_if_unusable(now);
+                self.start(now, key, run, end);
             }
-            StartResult::OldRun { .. }
-            | StartResult::OldFence { .. }
-            | StartResult::LateLease { .. }
-            | StartResult::NoRoom { .. }
-            | StartResult::NoAnswer
-            | StartResult::Refused => self.finish(now, key, Outcome::NotStarted),
+            (_, Some(end)) => self.finish(now, key, end),
+        }
+        if result == StartResult::Unhealthy {
+            self.health.record_refusal(now);
+            self.return_waiting_if_unusable(now);
+        }
+        if let Some(ended) = ended {
+            self.upstream_replaced(now, ended);
         }
         self.hold(now, self.policy.hold_wait);
         self.start_waiting(now);
@@ -384,15 +326,17 @@
             // loop.
             return;
         };
+        if let Some(ended) = AllEnded::by_hold(&result) {
+            self.upstream_replaced(now, ended);
+            self.accept_candidate(now);
+            return;
+        }
         match result {
             HoldResult::OldFence => {
                 self.raise_fence();
                 self.hold(now, Duration::ZERO);
             }
-            HoldResult::OtherInstance => {
-                self.upstream_replaced(now);
-                self.accept_candidate(now);
-            }
+            HoldResult::OtherInstance => {}
             // The upstream restarted under the same name, and has lost its earlier runs.
             HoldResult::Lists { started_ms, .. } if !self.is_same_start(started_ms) => {
                 self.upstream_restarted(now)
@@ -415,6 +359,7 @@
         self.retry_stops(now);
         self.return_expired(now);
         self.settle_expired_leases(now);
+        self.accept_candidate(now);
         self.stop_stalled(now);
         self.health
             .decay_idle_pace(now, self.reserved() == Amounts::default());
@@ -458,7 +403,7 @@
         let since_announcement = now.saturating_duration_since(upstream.last_announced);
         !self.is_leaving
             && !upstream.is_leaving
-            && !upstream.is_replaced
+            && upstream.replaced_at.is_none()
             && (upstream.are_runs_listed || !self.policy.rules.lists_runs_first)
             && upstream.unanswered_holds < MAX_UNANSWERED_HOLDS
             && since_announcement < self.policy.announcement_timeout
--- a/hemlockhook-dispatch/src/agent/order.rs
+++ b/hemlockhook-dispatch/src/agent/order.rs
@@ -138,6 +138,11 @@
         self.phase.run().is_some()
     }
 
+    /// Returns whether a start was called that the upstream has not answered or listed.
+    pub(super) fn is_unanswered(&self) -> bool {
+        self.holds_room() && self.started_at.is_none()
+    }
+
     /// Records that the upstream lists the run as active.
     pub(super) fn observed_running(&mut self, now: Instant, seen: u8) {
         self.started_at.get_or_insert(now);
--- a/hemlockhook-dispatch/src/agent/policy.rs
+++ b/hemlockhook-dispatch/src/agent/policy.rs
@@ -18,6 +18,8 @@
     pub lists_runs_first: bool,
     /// A run that is being stopped keeps its reservation until its end is listed.
     pub reserves_stopping_runs: bool,
+    /// The runs on an upstream that does not answer are given up only after the end of their lease.
+    pub waits_for_lease_ends: bool,
 }
 
 impl Default for SafetyRules {
@@ -27,6 +29,7 @@
             stops_runs_of_silent_entries: true,
             lists_runs_first: true,
             reserves_stopping_runs: true,
+            waits_for_lease_ends: true,
         }
     }
 }
--- a/hemlockhook-dispatch/src/agent/runs.rs
+++ b/hemlockhook-dispatch/src/agent/runs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use crate::agent::ended::{AllEnded, End};
 use crate::agent::{Action, OrderKey, Phase, StartCall, StopCall, StopCause, Supervisor};
 use crate::{Amounts, AttemptEnd, Incarnation, Outcome, RunNumber, TaskRef};
 
@@ -32,7 +33,8 @@
             self.waiting.remove(&(class, due, key));
             let task = &self.orders[key].order.task.task;
             let run = self.ended_runs.get(task).map_or(1, |(run, _)| run + 1);
-            self.start(now, key, run);
+            let end = End::unstarted(&self.orders[key]).expect("the order was waiting");
+            self.start(now, key, run, end);
             self.links.state_changed();
         }
     }
@@ -44,7 +46,8 @@
         total.fits(&self.capacity())
     }
 
-    pub(super) fn start(&mut self, now: Instant, key: OrderKey, run: RunNumber) {
+    /// Starts an order; one that can't be started ends with `end`.
+    pub(super) fn start(&mut self, now: Instant, key: OrderKey, run: RunNumber, end: End) {
         // The upstream may have announced less since the first attempt to start the order.
         let order = &self.orders[key];
         let need = match order.holds_room() {
@@ -56,7 +59,7 @@
         let is_possible = is_wanted && self.has_room(need);
         let lease = self.lease_end(now).filter(|_| is_possible);
         let Some(until_ms) = lease else {
-            self.finish(now, key, Outcome::NotStarted);
+            self.finish(now, key, end);
             return;
         };
         let fence = self.fence;
@@ -80,7 +83,7 @@
     /// Ends an order early.
     pub(super) fn end_early(&mut self, now: Instant, key: OrderKey, cause: StopCause) {
         match self.orders[key].phase {
-            Phase::Waiting => self.finish(now, key, Outcome::NotStarted),
+            Phase::Waiting => self.finish_unstarted(now, key),
             Phase::Starting { .. } | Phase::Running { .. } => self.stop(now, key, cause),
             Phase::Stopping { .. } => {}
         }
@@ -97,8 +100,8 @@
         };
         let task = order.order.task.clone();
         self.call_stop(task, run, cause);
-        if !self.policy.rules.reserves_stopping_runs {
-            self.finish(now, key, Outcome::Lost);
+        if let Some(end) = End::assumed(self.policy.rules.reserves_stopping_runs, Outcome::Lost) {
+            self.finish(now, key, end);
         }
         self.hold(now, self.policy.hold_wait);
     }
@@ -132,7 +135,14 @@
         self.fence += STEP;
     }
 
-    pub(super) fn finish(&mut self, now: Instant, key: OrderKey, outcome: Outcome) {
+    /// Ends an order if it has no run.
+    pub(super) fn finish_unstarted(&mut self, now: Instant, key: OrderKey) {
+        if let Some(end) = End::unstarted(&self.orders[key]) {
+            self.finish(now, key, end);
+        }
+    }
+
+    pub(super) fn finish(&mut self, now: Instant, key: OrderKey, end: End) {
         let order = self.orders.remove(key).expect("an order is finished once");
         match order.phase.run() {
             Some(run) => {
@@ -151,21 +161,21 @@
         }
         let ended = AttemptEnd {
             task: order.order.task,
-            outcome,
+            outcome: end.outcome(),
             run_ms: order.run_time.as_millis() as u32,
         };
         self.links.ended(now, order.owner, ended);
     }
 
     /// Reports an attempt as lost to its entry, while the order is still held here.
-    pub(super) fn report_lost(&mut self, now: Instant, key: OrderKey) {
+    pub(super) fn report_lost(&mut self, now: Instant, key: OrderKey, ended: AllEnded) {
         let order = &mut self.orders[key];
         if std::mem::replace(&mut order.is_lost_reported, true) {
             return;
         }
         let ended = AttemptEnd {
             task: order.order.task.clone(),
-            outcome: Outcome::Lost,
+            outcome: End::lost(ended).outcome(),
             run_ms: 0,
         };
         self.links.ended(now, order.owner, ended);
@@ -183,7 +193,7 @@
     pub(super) fn return_waiting(&mut self, now: Instant) {
         let waiting: Vec<_> = self.waiting.iter().map(|&(_, _, key)| key).collect();
         for key in waiting {
-            self.finish(now, key, Outcome::NotStarted);
+            self.finish_unstarted(now, key);
         }
     }
 
@@ -194,9 +204,9 @@
     }
 
     /// Ends all orders as lost.
-    pub(super) fn finish_all_as_lost(&mut self, now: Instant) {
+    pub(super) fn finish_all_as_lost(&mut self, now: Instant, ended: AllEnded) {
         for key in self.orders.keys().collect::<Vec<_>>() {
-            self.finish(now, key, Outcome::Lost);
+            self.finish(now, key, End::lost(ended));
         }
     }
 }
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Amounts;
+use crate::agent::MAX_UNANSWERED_HOLDS;
 
 /// Assumed speed of an upstream's clock, in percent of real time. The clock may be slow, and a
 /// lease must not last longer than intended.
@@ -11,7 +12,7 @@
 
 /// Time without announcements after which another incarnation replaces the known one, although its
 /// start time is unknown.
-const REPLACED_AFTER: Duration = Duration::from_secs(3);
+pub(super) const REPLACED_AFTER: Duration = Duration::from_secs(3);
 
 /// An upstream's announcement of itself.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,8 +42,10 @@
     Accepted,
     /// It is of an incarnation that another one has replaced.
     Outdated,
-    /// It is in force once the known upstream no longer answers.
+    /// It is in force once the known upstream is proved to be gone.
     Unverified,
+    /// It names another service than the known incarnation, so another writer made it.
+    Foreign,
 }
 
 /// State of an upstream as reported to entries.
@@ -76,9 +79,10 @@
     pub(super) instance: Arc<str>,
     pub(super) capacity: Amounts,
     pub(super) is_leaving: bool,
-    /// Whether another incarnation with the same name has replaced this one, and has yet to
-    /// announce itself.
-    pub(super) is_replaced: bool,
+
+    /// When another incarnation with the same name was found to have replaced this one; it has yet
+    /// to announce itself.
+    pub(super) replaced_at: Option<Instant>,
     /// When the last announcement was received.
     pub(super) last_announced: Instant,
     /// Whether its lists have been read, so that its active runs are known.
@@ -103,7 +107,7 @@
             instance: announcement.instance.clone(),
             capacity: announcement.capacity,
             is_leaving: announcement.is_leaving,
-            is_replaced: false,
+            replaced_at: None,
             last_announced: now,
             are_runs_listed: false,
             ends_seen: 0,
@@ -122,15 +126,28 @@
 
     /// Returns whether an announcement of another incarnation is of a later one.
     pub(super) fn is_replaced_by(&self, now: Instant, announcement: &Announcement) -> bool {
-        let is_silent = now.saturating_duration_since(self.last_announced) > REPLACED_AFTER;
-        announcement.started_ms > self.announcement.started_ms
+        let is_silent = self.is_unannounced(now, REPLACED_AFTER);
+        let never_answered = !self.are_runs_listed && self.is_silent();
+        never_answered
+            || announcement.started_ms > self.announcement.started_ms
             || (announcement.started_ms == 0 && is_silent)
     }
 
-    pub(super) fn refresh(&mut self, now: Instant, announcement: Announcement) {
+    /// Returns whether it has not announced itself for longer than `limit`.
+    pub(super) fn is_unannounced(&self, now: Instant, limit: Duration) -> bool {
+        now.saturating_duration_since(self.last_announced) > limit
+    }
+
+    /// Returns whether it leaves calls unanswered.
+    pub(super) fn is_silent(&self) -> bool {
+        self.unanswered_holds >= MAX_UNANSWERED_HOLDS
+    }
+
+    /// Reads a later announcement of the same incarnation. Returns whether it is the latest.
+    pub(super) fn refresh(&mut self, now: Instant, announcement: Announcement) -> bool {
         self.last_announced = now;
         if announcement.sequence < self.announcement.sequence {
-            return;
+            return false;
         }
         if let Some(clock_ms) = announcement.clock_ms {
             self.read_clock(now, clock_ms);
@@ -138,11 +155,18 @@
         self.is_leaving |= announcement.is_leaving;
         self.capacity = announcement.capacity;
         self.announcement = announcement;
+        true
     }
 
-    /// Returns whether the upstream answers calls, as far as is known.
-    pub(super) fn answers(&self) -> bool {
-        self.are_runs_listed && self.unanswered_holds == 0 && !self.is_replaced
+    /// Returns whether all leases that were asked for have certainly ended.
+    ///
+    /// Those that an incarnation of the same name granted are not on the known clock. They are not
+    /// renewed once it is found.
+    pub(super) fn is_lease_over(&self, now: Instant) -> bool {
+        if let Some(at) = self.replaced_at {
+            return now.saturating_duration_since(at) > REPLACED_AFTER;
+        }
+        self.leased_until.is_none_or(|until| until < now)
     }
 
     /// Returns whether a hold call is needed even without runs.
--- a/hemlockhook-dispatch/tests/world/faults.rs
+++ b/hemlockhook-dispatch/tests/world/faults.rs
@@ -54,6 +54,10 @@
                 false => drop(self.unreachable_upstreams.insert(index)),
             }
         }
+        if faults.stray > 0 && self.rng.u32(0..1000) < faults.stray {
+            let agent = self.rng.usize(0..AGENTS);
+            self.announce_stray(agent);
+        }
     }
 
     pub(super) fn kill(&mut self, process: Process) {
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -35,6 +35,8 @@
     pub crash_upstream: u32,
     /// Probability that a call to an upstream is delayed and its answer lost, in permille per call.
     pub lost_answer: u32,
+    /// Probability of an announcement of another writer.
+    pub stray: u32,
 }
 
 impl Default for Faults {
@@ -46,6 +48,7 @@
             cut: 15,
             crash_upstream: 6,
             lost_answer: 60,
+            stray: 0,
         }
     }
 }
@@ -597,6 +600,31 @@
         self.flush_agent(agent);
     }
 
+    /// Delivers an announcement that another writer made.
+    pub(super) fn announce_stray(&mut self, agent: usize) {
+        if !self.agents[agent].is_up || self.is_frozen(Process::Agent(agent)) {
+            return;
+        }
+        let now = self.now;
+        let service = match self.rng.bool() {
+            true => "desk",
+            false => "ledger",
+        };
+        let upstream = &self.upstreams[agent];
+        let announcement = Announcement {
+            instance: "stray".into(),
+            started_ms: upstream.started_ms + 1,
+            sequence: 1,
+            service: service.into(),
+            capacity: upstream.capacity,
+            labels: Vec::new(),
+            is_leaving: false,
+            clock_ms: Some(1000),
+        };
+        self.agents[agent].supervisor.announced(now, announcement);
+        self.flush_agent(agent);
+    }
+
     fn tick(&mut self) {
         let now = self.now;
         for upstream in &mut self.upstreams {
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -193,6 +193,11 @@
                     instance,
                 });
             }
+            AnnouncementStatus::Foreign => {
+                spdlog::warn!("ignored an announcement of the upstream with another service", kv: {
+                    instance,
+                });
+            }
             AnnouncementStatus::Unverified => {
                 spdlog::warn!("another upstream was announced; asking the known one", kv: {
                     instance,
