Bound the upstream's clock, and judge lease ends by it

Cause: the agent carried the upstream's clock forward by its own clock, which counts a suspend, and took no lower reading. After a suspend it asked for leases that lasted longer than it counted on, and gave runs up that went on.

Change: the lower bound moves by nothing in a step of over 150 ms between events, and falls to a reading whose upper bound, the reading and the time since its call, shows that it was too high (agent/clock.rs). A lease is asked for from the lower bound, and has ended once the lower bound has reached the last end that was asked for, instead of 103% of the lease by the agent's clock. The random runs suspend machines of idle agents.

--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -23,7 +23,7 @@
         let Some(upstream) = &mut self.upstream else {
             return;
         };
-        upstream.read_clock(now, clock_ms);
+        upstream.clock.read(now, Some(sent), clock_ms);
         if upstream.unanswered_holds > 0 {
             upstream.unanswered_holds = 0;
             self.links.state_changed();
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -6,6 +6,7 @@
 //! it.
 
 mod call;
+mod clock;
 mod due;
 mod ended;
 mod health;
@@ -225,7 +226,11 @@
         if !self.orders.contains_key(key) {
             return;
         }
-        self.read_clock(now, result.clock_ms());
+        let called = match self.orders[key].phase {
+            Phase::Starting { sent, .. } => Some(sent),
+            _ => None,
+        };
+        self.read_clock(now, called, result.clock_ms());
         let order = &mut self.orders[key];
         let Phase::Starting { run, .. } = order.phase else {
             // The run is being stopped, and its end will be read from the lists.
@@ -276,7 +281,7 @@
     /// Handles the upstream's answer to a stop call.
     pub fn stop_answered(&mut self, now: Instant, task: &TaskRef, result: StopResult) {
         if let StopResult::Stopped { clock_ms } = result {
-            self.read_clock(now, Some(clock_ms));
+            self.read_clock(now, None, Some(clock_ms));
         }
         if result == StopResult::OldFence {
             self.raise_fence();
@@ -355,6 +360,9 @@
 
     /// Handles timeouts, and starts waiting orders.
     pub fn tick(&mut self, now: Instant) {
+        if let Some(upstream) = &mut self.upstream {
+            upstream.clock.advance(now);
+        }
         self.stop_silent_owners(now);
         self.retry_stops(now);
         self.return_expired(now);
@@ -368,9 +376,10 @@
         self.start_waiting(now);
     }
 
-    fn read_clock(&mut self, now: Instant, clock_ms: Option<u64>) {
+    /// Reads the clock from the answer to a call that was made at `called`, if that is known.
+    fn read_clock(&mut self, now: Instant, called: Option<Instant>, clock_ms: Option<u64>) {
         if let (Some(upstream), Some(clock_ms)) = (&mut self.upstream, clock_ms) {
-            upstream.read_clock(now, clock_ms);
+            upstream.clock.read(now, called, clock_ms);
         }
     }
 
--- a/hemlockhook-dispatch/src/agent/policy.rs
+++ b/hemlockhook-dispatch/src/agent/policy.rs
@@ -20,6 +20,8 @@
     pub reserves_stopping_runs: bool,
     /// The runs on an upstream that does not answer are given up only after the end of their lease.
     pub waits_for_lease_ends: bool,
+    /// The time of a suspend does not count as time that passed for the upstream.
+    pub bounds_clocks: bool,
 }
 
 impl Default for SafetyRules {
@@ -30,6 +32,7 @@
             lists_runs_first: true,
             reserves_stopping_runs: true,
             waits_for_lease_ends: true,
+            bounds_clocks: true,
         }
     }
 }
--- a/hemlockhook-dispatch/src/agent/replacement.rs
+++ b/hemlockhook-dispatch/src/agent/replacement.rs
@@ -92,7 +92,7 @@
         // An incarnation with the same name must refuse late calls that were meant for the previous
         // one.
         self.fence += 1;
-        self.upstream = Some(Upstream::new(now, announcement));
+        self.upstream = Some(Upstream::new(now, announcement, &self.policy.rules));
         for key in self.orders.keys().collect::<Vec<_>>() {
             self.stop(now, key, StopCause::Restarted);
         }
--- a/hemlockhook-dispatch/src/agent/runs.rs
+++ b/hemlockhook-dispatch/src/agent/runs.rs
@@ -6,9 +6,6 @@
 use crate::agent::{Action, OrderKey, Phase, StartCall, StopCall, StopCause, Supervisor};
 use crate::{Amounts, AttemptEnd, Incarnation, Outcome, RunNumber, TaskRef};
 
-/// Maximum by which an upstream's clock may be slow, in percent.
-const CLOCK_SLACK_PERCENT: u32 = 3;
-
 impl Supervisor {
     /// Starts waiting orders, in order, as long as they fit.
     pub(super) fn start_waiting(&mut self, now: Instant) {
@@ -123,10 +120,10 @@
     pub(super) fn lease_end(&mut self, now: Instant) -> Option<u64> {
         let lease = self.policy.lease_duration;
         let upstream = self.upstream.as_mut()?;
-        let clock_ms = upstream.clock_ms(now)?;
-        let slack = lease * CLOCK_SLACK_PERCENT / 100;
-        upstream.leased_until = upstream.leased_until.max(Some(now + lease + slack));
-        Some(clock_ms.saturating_add(lease.as_millis() as u64))
+        let clock_ms = upstream.clock.millis(now)?;
+        let until_ms = clock_ms.saturating_add(lease.as_millis() as u64);
+        upstream.leased_until_ms = upstream.leased_until_ms.max(until_ms);
+        Some(until_ms)
     }
 
     pub(super) fn raise_fence(&mut self) {
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -4,11 +4,8 @@
 use std::time::{Duration, Instant};
 
 use crate::Amounts;
-use crate::agent::MAX_UNANSWERED_HOLDS;
-
-/// Assumed speed of an upstream's clock, in percent of real time. The clock may be slow, and a
-/// lease must not last longer than intended.
-const CLOCK_PERCENT: u32 = 98;
+use crate::agent::clock::ClockBound;
+use crate::agent::{MAX_UNANSWERED_HOLDS, SafetyRules};
 
 /// Time without announcements after which another incarnation replaces the known one, although its
 /// start time is unknown.
@@ -93,16 +90,20 @@
     pub(super) are_ends_acknowledged: bool,
     /// Number of consecutive unanswered hold calls.
     pub(super) unanswered_holds: u32,
-    /// When the last lease has certainly expired.
-    pub(super) leased_until: Option<Instant>,
+    /// The last end of a lease that was asked for, by the upstream's clock; 0 if there was none.
+    pub(super) leased_until_ms: u64,
     /// The last announcement.
     pub(super) announcement: Announcement,
-    /// The last reading of its clock, and when it was read.
-    clock: Option<(u64, Instant)>,
+    pub(super) clock: ClockBound,
 }
 
 impl Upstream {
-    pub(super) fn new(now: Instant, announcement: Announcement) -> Self {
+    pub(super) fn new(now: Instant, announcement: Announcement, rules: &SafetyRules) -> Self {
+        let mut clock = ClockBound::default();
+        clock.counts_long_steps = !rules.bounds_clocks;
+        if let Some(clock_ms) = announcement.clock_ms {
+            clock.read(now, None, clock_ms);
+        }
         Self {
             instance: announcement.instance.clone(),
             capacity: announcement.capacity,
@@ -113,8 +114,8 @@
             ends_seen: 0,
             are_ends_acknowledged: true,
             unanswered_holds: 0,
-            leased_until: None,
-            clock: announcement.clock_ms.map(|clock_ms| (clock_ms, now)),
+            leased_until_ms: 0,
+            clock,
             announcement,
         }
     }
@@ -150,7 +151,7 @@
             return false;
         }
         if let Some(clock_ms) = announcement.clock_ms {
-            self.read_clock(now, clock_ms);
+            self.clock.read(now, None, clock_ms);
         }
         self.is_leaving |= announcement.is_leaving;
         self.capacity = announcement.capacity;
@@ -166,26 +167,12 @@
         if let Some(at) = self.replaced_at {
             return now.saturating_duration_since(at) > REPLACED_AFTER;
         }
-        self.leased_until.is_none_or(|until| until < now)
+        let clock_ms = self.clock.millis(now);
+        self.leased_until_ms == 0 || clock_ms.is_some_and(|ms| ms >= self.leased_until_ms)
     }
 
     /// Returns whether a hold call is needed even without runs.
     pub(super) fn needs_hold(&self) -> bool {
         !self.are_runs_listed || !self.are_ends_acknowledged || self.unanswered_holds > 0
     }
-
-    pub(super) fn read_clock(&mut self, now: Instant, clock_ms: u64) {
-        match self.clock_ms(now) {
-            // Each reading is a lower bound of the clock, so the highest is the most accurate.
-            Some(estimate) if estimate >= clock_ms => {}
-            _ => self.clock = Some((clock_ms, now)),
-        }
-    }
-
-    /// Returns a lower bound of the upstream's clock, in milliseconds.
-    pub(super) fn clock_ms(&self, now: Instant) -> Option<u64> {
-        let (clock_ms, at) = self.clock?;
-        let passed = now.saturating_duration_since(at) * CLOCK_PERCENT / 100;
-        Some(clock_ms.saturating_add(passed.as_millis() as u64))
-    }
 }
--- a/hemlockhook-dispatch/tests/random.rs
+++ b/hemlockhook-dispatch/tests/random.rs
@@ -71,6 +71,24 @@
     check_runs(stray_announcements());
 }
 
+/// Upstreams leave calls unanswered and work on, soon after a suspend of their machine.
+fn suspends() -> Faults {
+    Faults {
+        suspend: 150,
+        cut: 40,
+        kill_entry: 0,
+        kill_agent: 0,
+        lost_answer: 0,
+        longest_run_ms: 1500,
+        ..Faults::default()
+    }
+}
+
+#[gtest]
+fn no_task_runs_twice_after_suspends() {
+    check_runs(suspends());
+}
+
 fn finds_violation(rules: SafetyRules) -> bool {
     finds_violation_under(rules, Faults::default())
 }
@@ -131,3 +149,12 @@
         eq(true)
     );
 }
+
+#[gtest]
+fn without_bounding_clocks_a_violation_is_found() {
+    let rules = SafetyRules {
+        bounds_clocks: false,
+        ..SafetyRules::default()
+    };
+    expect_that!(finds_violation_under(rules, suspends()), eq(true));
+}
--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -29,6 +29,8 @@
     /// Number of the last listed end.
     pub last_end: u64,
     pub started_ms: u64,
+    /// The upstream's clock in its lists.
+    pub clock_ms: u64,
 }
 
 impl Agent {
@@ -47,6 +49,7 @@
             shares: BTreeMap::new(),
             last_end: 0,
             started_ms: 1,
+            clock_ms: 10_000,
         };
         agent.announce("up-1", 1, false);
         agent.answer_hold(&[], &[]);
@@ -190,7 +193,7 @@
             percent: 50,
         });
         HoldResult::Lists {
-            clock_ms: 10_000,
+            clock_ms: self.clock_ms,
             started_ms: self.started_ms,
             running: running.collect(),
             ended,
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -298,6 +298,37 @@
     expect_that!(last, some(eq("up-1")));
 }
 
+/// The machine of the agent and the upstream is suspended, which only the agent's clock counts.
+#[gtest]
+fn a_lease_after_a_suspend_is_as_long_as_any_other() {
+    let mut agent = Agent::new();
+    agent.now += Duration::from_secs(3);
+    agent
+        .supervisor
+        .linked(agent.now, LINK, ENTRY, None, agent.now, 0);
+    agent.order("a", 1);
+    expect_that!(agent.starts[0].until_ms, eq(10_450));
+}
+
+/// The upstream was suspended for less than a step, which the agent does not notice.
+#[gtest]
+fn a_reading_shows_that_a_clock_was_overestimated() {
+    let mut agent = Agent::new();
+    agent.advance_by_ticks(200);
+    agent.order("a", 1);
+    expect_that!(agent.starts[0].until_ms, eq(10_646));
+    agent.answer_start("a", StartResult::Started { clock_ms: 10_010 });
+    agent.clock_ms = 10_010;
+    agent.answer_long_hold(&[("a", 1)], &[]);
+    expect_that!(agent.holds.last().unwrap().until_ms, some(eq(10_460)));
+    // The lease of the start lasts longer than that of the last hold.
+    agent.answer_hold_with(None);
+    agent.advance_by_ticks(640);
+    expect_that!(agent.outcomes(), is_empty());
+    agent.advance_by_ticks(20);
+    expect_that!(agent.outcomes(), elements_are![eq(&("a", Outcome::Lost))]);
+}
+
 /// The start of an order stays unanswered, its entry falls silent, and the order waits again.
 #[gtest]
 fn room_of_an_order_that_is_not_started_again_is_given_back() {
--- a/hemlockhook-dispatch/tests/world/faults.rs
+++ b/hemlockhook-dispatch/tests/world/faults.rs
@@ -58,6 +58,16 @@
             let agent = self.rng.usize(0..AGENTS);
             self.announce_stray(agent);
         }
+        if faults.suspend > 0 && self.rng.u32(0..1000) < faults.suspend {
+            let agent = self.rng.usize(0..AGENTS);
+            let until = random_end(&mut self.rng, self.now);
+            let upstream = &mut self.upstreams[agent];
+            let is_idle = upstream.running.is_empty() && self.agents[agent].supervisor.is_idle();
+            if is_idle && upstream.suspended_ms(self.now).is_none() {
+                upstream.suspend(self.now, until);
+                self.agents[agent].frozen_until = until;
+            }
+        }
     }
 
     pub(super) fn kill(&mut self, process: Process) {
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -37,6 +37,11 @@
     pub lost_answer: u32,
     /// Probability of an announcement of another writer.
     pub stray: u32,
+    /// Probability that the machine of an idle agent is suspended, which stops the clock of its
+    /// upstream.
+    pub suspend: u32,
+    /// Upper bound of the run times of tasks, in milliseconds.
+    pub longest_run_ms: u64,
 }
 
 impl Default for Faults {
@@ -49,6 +54,8 @@
             crash_upstream: 6,
             lost_answer: 60,
             stray: 0,
+            suspend: 0,
+            longest_run_ms: 400,
         }
     }
 }
@@ -255,7 +262,7 @@
                 declared_run_time,
                 ..StepSpec::default()
             };
-            let millis = self.rng.u64(20..400);
+            let millis = self.rng.u64(20..self.faults.longest_run_ms);
             let spec = JobSpec {
                 id: format!("job-{job}").into(),
                 payload: format!("{}:{millis}", step.need.cpu).into(),
@@ -438,6 +445,14 @@
         let incarnation = self.agents[agent].incarnation;
         let now = self.now;
         let upstream = &mut self.upstreams[agent];
+        if let Some(delay) = upstream.suspended_ms(now) {
+            let event = Event::Call {
+                agent,
+                call,
+                is_answered,
+            };
+            return self.push(delay, event);
+        }
         // An upstream that no agent has called yet can't refuse late calls that were meant for an
         // earlier incarnation of the same name. docs/QUESTIONS.md asks whether they are carried out;
         // this simulation drops them.
--- a/hemlockhook-dispatch/tests/world/upstream.rs
+++ b/hemlockhook-dispatch/tests/world/upstream.rs
@@ -24,6 +24,9 @@
     pub running: BTreeMap<(TaskId, RunNumber), Run>,
     start: Instant,
     started: Instant,
+    /// Time that its clock does not count, and the end of the last suspend.
+    suspended: Duration,
+    suspended_until: Instant,
     restarts: u32,
     fence: u64,
     lease_ms: u64,
@@ -47,6 +50,8 @@
             running: BTreeMap::new(),
             start: now,
             started: now,
+            suspended: Duration::ZERO,
+            suspended_until: now,
             restarts: 0,
             fence: 0,
             lease_ms: 0,
@@ -58,7 +63,21 @@
 
     /// Returns the upstream's clock, which is 2% slow.
     pub fn clock_ms(&self, now: Instant) -> u64 {
-        1000 + ((now - self.started).as_millis() as u64) * 98 / 100
+        let ahead = self.suspended_until.saturating_duration_since(now);
+        let passed = now + ahead - self.started - self.suspended;
+        1000 + (passed.as_millis() as u64) * 98 / 100
+    }
+
+    /// Stops its clock until a time.
+    pub fn suspend(&mut self, now: Instant, until: Instant) {
+        self.suspended += until - now;
+        self.suspended_until = until;
+    }
+
+    /// Returns the time until the end of a suspend.
+    pub fn suspended_ms(&self, now: Instant) -> Option<u64> {
+        let left = self.suspended_until.saturating_duration_since(now);
+        (!left.is_zero()).then(|| left.as_millis() as u64 + 1)
     }
 
     /// Returns whether an agent has called this incarnation.
