--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use crate::agent::ended::{AllEnded, End};
 use crate::agent::upstream::Upstream;
 use crate::agent::{
     Action, ActiveRun, EndedRun, HoldCall, MAX_RETRIES, Order, OrderKey, Phase, RunOutcome,
@@ -22,7 +23,7 @@
         let Some(upstream) = &mut self.upstream else {
             return;
         };
-        upstream.read_clock(now, clock_ms);
+        upstream.clock.read(now, Some(sent), clock_ms);
         if upstream.unanswered_holds > 0 {
             upstream.unanswered_holds = 0;
             self.links.state_changed();
@@ -84,7 +85,9 @@
             Outcome::Failed if !self.health.is_healthy(now) => Outcome::FailedByUpstream,
             outcome => outcome,
         };
-        self.finish(now, key, outcome);
+        if let Some(end) = End::listed(&self.orders[key], row, outcome) {
+            self.finish(now, key, end);
+        }
     }
 
     pub(super) fn read_running(&mut self, now: Instant, sent: Instant, running: &[ActiveRun]) {
@@ -105,35 +108,28 @@
         let orphans = &mut self.orphans;
         orphans.retain(|id, _| running.iter().any(|row| is_running(row, id)));
 
-        let gone = |(key, order): (OrderKey, &Order)| match order.phase {
-            _ if listed.contains(&key) => None,
-            Phase::Running { since, .. } if since <= sent => Some((key, Outcome::Lost)),
-            Phase::Stopping {
-                acked: Some(acked), ..
-            } if acked <= sent && order.started_at.is_some() => Some((key, Outcome::Lost)),
-            Phase::Stopping {
-                acked: Some(acked), ..
-            } if acked <= sent => Some((key, Outcome::NotStarted)),
-            _ => None,
+        let gone = |(key, order): (OrderKey, &Order)| {
+            let end = End::unlisted(order, sent).filter(|_| !listed.contains(&key));
+            end.map(|end| (key, end))
         };
         let gone: Vec<_> = self.orders.iter().filter_map(gone).collect();
-        for (key, outcome) in gone {
-            match outcome {
-                Outcome::NotStarted => self.requeue_unstarted(now, key),
-                _ => self.finish(now, key, outcome),
+        for (key, end) in gone {
+            match end.outcome() {
+                Outcome::NotStarted => self.requeue_unstarted(now, key, end),
+                _ => self.finish(now, key, end),
             }
         }
     }
 
     /// Requeues an order whose start call never arrived, and would now be refused.
-    pub(super) fn requeue_unstarted(&mut self, now: Instant, key: OrderKey) {
+    pub(super) fn requeue_unstarted(&mut self, now: Instant, key: OrderKey, end: End) {
         let order = &mut self.orders[key];
         let is_wanted = match order.phase {
             Phase::Stopping { cause, .. } => cause == StopCause::StartUnanswered,
             _ => false,
         };
         if !is_wanted || order.is_lost_reported || order.retries >= MAX_RETRIES {
-            self.finish(now, key, Outcome::NotStarted);
+            self.finish(now, key, end);
             return;
         }
         order.retries += 1;
@@ -144,7 +140,6 @@
         order.phase = Phase::Waiting;
         let task = order.order.task.task.clone();
         let rank = (order.order.class, order.due, key);
-        self.reserved -= order.order.need;
         self.ended_runs.insert(task, (run, now));
         self.waiting.insert(rank);
     }
@@ -167,10 +162,7 @@
     /// Makes a hold call if there are runs to renew or to stop, lists to read, or ends to
     /// acknowledge. At most one call that waits for an end and one that does not are in flight.
     pub(super) fn hold(&mut self, now: Instant, wait: Duration) {
-        let has_runs = self
-            .orders
-            .values()
-            .any(|order| order.phase.run().is_some());
+        let has_runs = self.orders.values().any(Order::holds_room);
         // Runs that are being stopped end with their lease at the latest.
         let is_wanted =
             |order: &Order| matches!(order.phase, Phase::Starting { .. } | Phase::Running { .. });
@@ -182,7 +174,9 @@
         }
         let until_ms = match &self.upstream {
             None => return,
-            Some(upstream) if upstream.is_replaced => return self.call_hold(None, Duration::ZERO),
+            Some(upstream) if upstream.replaced_at.is_some() => {
+                return self.call_hold(None, Duration::ZERO);
+            }
             // Leases of a silent upstream are not renewed, so that its runs end at a known time.
             Some(upstream) if upstream.unanswered_holds > 0 || !renews => None,
             Some(_) => self.lease_end(now),
@@ -228,9 +222,9 @@
 
     /// Handles the answer of an upstream incarnation with another name: all runs of the known one
     /// have ended.
-    pub(super) fn upstream_replaced(&mut self, now: Instant) {
+    pub(super) fn upstream_replaced(&mut self, now: Instant, ended: AllEnded) {
         self.return_waiting(now);
-        self.finish_all_as_lost(now);
+        self.finish_all_as_lost(now, ended);
         self.upstream = None;
         self.links.state_changed();
     }
@@ -239,8 +233,12 @@
     /// will state its capacity. Until then it must refuse late calls that were meant for the previous
     /// one.
     pub(super) fn upstream_restarted(&mut self, now: Instant) {
-        if let Some(upstream) = self.upstream.as_mut().filter(|known| !known.is_replaced) {
-            upstream.is_replaced = true;
+        if let Some(upstream) = self
+            .upstream
+            .as_mut()
+            .filter(|known| known.replaced_at.is_none())
+        {
+            upstream.replaced_at = Some(now);
             // The new life counts its ends anew.
             upstream.ends_seen = 0;
             self.fence += 1;
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -6,12 +6,15 @@
 //! it.
 
 mod call;
+mod clock;
 mod due;
+mod ended;
 mod health;
 mod links;
 mod lists;
 mod order;
 mod policy;
+mod replacement;
 mod runs;
 mod upstream;
 
@@ -32,6 +35,7 @@
 pub use policy::{SafetyRules, SupervisorPolicy};
 pub use upstream::{Announcement, AnnouncementStatus, UpstreamState};
 
+use ended::{AllEnded, End};
 use links::Links;
 use upstream::Upstream;
 
@@ -63,8 +67,6 @@
     by_task: BTreeMap<TaskId, OrderKey>,
     /// Orders that wait for capacity, by class and due time.
     waiting: BTreeSet<(u32, Instant, OrderKey)>,
-    /// Resources reserved by the orders that are not waiting.
-    reserved: Amounts,
     links: Links,
     health: Health,
     /// Runs on the upstream without an order, with the time of the last stop call.
@@ -92,7 +94,6 @@
             orders: SlotMap::with_key(),
             by_task: BTreeMap::new(),
             waiting: BTreeSet::new(),
-            reserved: Amounts::default(),
             links: Links::default(),
             health,
             orphans: BTreeMap::new(),
@@ -106,6 +107,10 @@
 
     /// Takes the pending actions.
     pub fn take_actions(&mut self) -> Vec<Action> {
+        debug_assert!(
+            self.are_waiting_orders_listed(),
+            "the list of waiting orders differs from their phases"
+        );
         std::mem::take(&mut self.actions)
     }
 
@@ -116,7 +121,22 @@
 
     /// Returns the resources reserved by the orders that are not waiting.
     pub fn reserved(&self) -> Amounts {
-        self.reserved
+        let mut reserved = Amounts::default();
+        for order in self.orders.values().filter(|order| order.holds_room()) {
+            reserved += order.order.need;
+        }
+        reserved
+    }
+
+    /// Returns whether `waiting` has exactly the orders that hold no room.
+    fn are_waiting_orders_listed(&self) -> bool {
+        let waiting = |&(_, _, key): &(u32, Instant, OrderKey)| {
+            let order = self.orders.get(key);
+            order.is_some_and(|order| !order.holds_room())
+        };
+        let holding = self.orders.values().filter(|order| order.holds_room());
+        self.waiting.iter().all(waiting)
+            && self.waiting.len() + holding.count() == self.orders.len()
     }
 
     /// Returns whether no order is held and no orphaned run is known.
@@ -124,38 +144,6 @@
         self.orders.is_empty() && self.orphans.is_empty()
     }
 
-    /// Handles an announcement of an upstream.
-    ///
-    /// One of another instance may be a mistake of another writer. The runs of the known instance are
-    /// given up only once that no longer answers.
-    pub fn announced(&mut self, now: Instant, announcement: Announcement) -> AnnouncementStatus {
-        match &mut self.upstream {
-            Some(upstream) if upstream.is_same_incarnation(&announcement) => {
-                upstream.refresh(now, announcement)
-            }
-            Some(upstream) if !upstream.is_replaced_by(now, &announcement) => {
-                return AnnouncementStatus::Outdated;
-            }
-            Some(upstream) if upstream.answers() && upstream.instance != announcement.instance => {
-                self.candidate = Some(announcement);
-                self.hold(now, Duration::ZERO);
-                return AnnouncementStatus::Unverified;
-            }
-            _ => self.replace_upstream(now, announcement),
-        }
-        self.links.state_changed();
-        self.start_waiting(now);
-        AnnouncementStatus::Accepted
-    }
-
-    /// Switches to the upstream that announced itself while the known one was asked.
-    fn accept_candidate(&mut self, now: Instant) {
-        if let Some(announcement) = self.candidate.take() {
-            self.replace_upstream(now, announcement);
-            self.links.state_changed();
-        }
-    }
-
     /// Handles the notice that an upstream instance is leaving.
     pub fn upstream_left(&mut self, now: Instant, instance: &str) {
         match &mut self.upstream {
@@ -183,30 +171,6 @@
         self.links.state_changed();
     }
 
-    /// Switches to another incarnation of the upstream. The runs of the previous one ended with it,
-    /// but a new one with the same name may have accepted calls that were meant for its
-    /// predecessor.
-    fn replace_upstream(&mut self, now: Instant, announcement: Announcement) {
-        self.candidate = None;
-        let old = self.upstream.as_ref().map(|old| old.instance.clone());
-        let is_same_name = old.is_some_and(|old| old == announcement.instance);
-        self.return_waiting(now);
-        if !is_same_name {
-            self.finish_all_as_lost(now);
-        }
-        self.orphans.clear();
-        self.ended_runs.clear();
-        self.health = Health::new(self.policy.health.clone());
-        // An incarnation with the same name must refuse late calls that were meant for the previous
-        // one.
-        self.fence += 1;
-        self.upstream = Some(Upstream::new(now, announcement));
-        for key in self.orders.keys().collect::<Vec<_>>() {
-            self.stop(now, key, StopCause::Restarted);
-        }
-        self.hold(now, Duration::ZERO);
-    }
-
     /// Handles an order of the entry on a link.
     pub fn ordered(&mut self, now: Instant, link: LinkId, order: RunOrder) {
         let Some(owner) = self.links.owner(link) else {
@@ -264,14 +228,22 @@
         if !self.orders.contains_key(key) {
             return;
         }
-        self.read_clock(now, result.clock_ms());
+        let called = match self.orders[key].phase {
+            Phase::Starting { sent, .. } => Some(sent),
+            _ => None,
+        };
+        self.read_clock(now, called, result.clock_ms());
         let order = &mut self.orders[key];
         let Phase::Starting { run, .. } = order.phase else {
             // The run is being stopped, and its end will be read from the lists.
             return;
         };
-        match result {
-            StartResult::Started { .. } => {
+        let ended = AllEnded::by_start(&result);
+        let is_rule_enabled = self.policy.rules.stops_unanswered_starts;
+        let end =
+            End::refused(&result).or_else(|| End::assumed(is_rule_enabled, Outcome::NotStarted));
+        match (result, end) {
+            (StartResult::Started { .. }, _) => {
                 order.phase = Phase::Running {
                     run,
                     since: now,
@@ -280,38 +252,29 @@
                 };
                 order.started_at = Some(now);
             }
-            StartResult::NoAnswer if self.policy.rules.stops_unanswered_starts => {
-                self.stop(now, key, StopCause::StartUnanswered);
-            }
-            StartResult::OldRun { .. } if order.retries < MAX_RETRIES => {
+            (_, None) => self.stop(now, key, StopCause::StartUnanswered),
+            (StartResult::OldRun { .. }, Some(end)) if order.retries < MAX_RETRIES => {
                 order.retries += 1;
                 let run = run + RUN_NUMBER_STEP;
-                self.start(now, key, run);
+                self.start(now, key, run, end);
             }
-            StartResult::OldFence { .. } if order.retries < MAX_RETRIES => {
+            (StartResult::OldFence { .. }, Some(end)) if order.retries < MAX_RETRIES => {
                 order.retries += 1;
                 self.raise_fence();
-                self.start(now, key, run);
+                self.start(now, key, run, end);
             }
-            StartResult::LateLease { .. } if order.retries < MAX_RETRIES => {
+            (StartResult::LateLease { .. }, Some(end)) if order.retries < MAX_RETRIES => {
                 order.retries += 1;
-                self.start(now, key, run);
-            }
-            StartResult::OtherInstance => {
-                self.finish(now, key, Outcome::NotStarted);
-                self.upstream_replaced(now);
+                self.start(now, key, run, end);
             }
-            StartResult::Unhealthy => {
-                self.health.record_refusal(now);
-                self.finish(now, key, Outcome::NotStarted);
-                self.return_waiting_if_unusable(now);
-            }
-            StartResult::OldRun { .. }
-            | StartResult::OldFence { .. }
-            | StartResult::LateLease { .. }
-            | StartResult::NoRoom { .. }
-            | StartResult::NoAnswer
-            | StartResult::Refused => self.finish(now, key, Outcome::NotStarted),
+            (_, Some(end)) => self.finish(now, key, end),
+        }
+        if result == StartResult::Unhealthy {
+            self.health.record_refusal(now);
+            self.return_waiting_if_unusable(now);
+        }
+        if let Some(ended) = ended {
+            self.upstream_replaced(now, ended);
         }
         self.hold(now, self.policy.hold_wait);
         self.start_waiting(now);
@@ -320,7 +283,7 @@
     /// Handles the upstream's answer to a stop call.
     pub fn stop_answered(&mut self, now: Instant, task: &TaskRef, result: StopResult) {
         if let StopResult::Stopped { clock_ms } = result {
-            self.read_clock(now, Some(clock_ms));
+            self.read_clock(now, None, Some(clock_ms));
         }
         if result == StopResult::OldFence {
             self.raise_fence();
@@ -371,15 +334,17 @@
             // loop.
             return;
         };
+        if let Some(ended) = AllEnded::by_hold(&result) {
+            self.upstream_replaced(now, ended);
+            self.accept_candidate(now);
+            return;
+        }
         match result {
             HoldResult::OldFence => {
                 self.raise_fence();
                 self.hold(now, Duration::ZERO);
             }
-            HoldResult::OtherInstance => {
-                self.upstream_replaced(now);
-                self.accept_candidate(now);
-            }
+            HoldResult::OtherInstance => {}
             // The upstream restarted under the same name, and has lost its earlier runs.
             HoldResult::Lists { started_ms, .. } if !self.is_same_start(started_ms) => {
                 self.upstream_restarted(now)
@@ -398,21 +363,26 @@
 
     /// Handles timeouts, and starts waiting orders.
     pub fn tick(&mut self, now: Instant) {
+        if let Some(upstream) = &mut self.upstream {
+            upstream.clock.advance(now);
+        }
         self.stop_silent_owners(now);
         self.retry_stops(now);
         self.return_expired(now);
         self.settle_expired_leases(now);
+        self.accept_candidate(now);
         self.stop_stalled(now);
         self.health
-            .decay_idle_pace(now, self.reserved == Amounts::default());
+            .decay_idle_pace(now, self.reserved() == Amounts::default());
         self.drop_old_ends(now);
         self.hold(now, self.policy.hold_wait);
         self.start_waiting(now);
     }
 
-    fn read_clock(&mut self, now: Instant, clock_ms: Option<u64>) {
+    /// Reads the clock from the answer to a call that was made at `called`, if that is known.
+    fn read_clock(&mut self, now: Instant, called: Option<Instant>, clock_ms: Option<u64>) {
         if let (Some(upstream), Some(clock_ms)) = (&mut self.upstream, clock_ms) {
-            upstream.read_clock(now, clock_ms);
+            upstream.clock.read(now, called, clock_ms);
         }
     }
 
@@ -423,7 +393,7 @@
     }
 
     fn free(&self) -> Amounts {
-        self.capacity().saturating_sub(&self.reserved)
+        self.capacity().saturating_sub(&self.reserved())
     }
 
     fn can_ever_fit(&self, need: &Amounts) -> bool {
@@ -445,7 +415,7 @@
         let since_announcement = now.saturating_duration_since(upstream.last_announced);
         !self.is_leaving
             && !upstream.is_leaving
-            && !upstream.is_replaced
+            && upstream.replaced_at.is_none()
             && (upstream.are_runs_listed || !self.policy.rules.lists_runs_first)
             && upstream.unanswered_holds < MAX_UNANSWERED_HOLDS
             && since_announcement < self.policy.announcement_timeout
--- a/hemlockhook-dispatch/tests/world/faults.rs
+++ b/hemlockhook-dispatch/tests/world/faults.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
+use hemlockhook_dispatch::Amounts;
 
 use super::{AGENTS, ENTRIES, Event, Process, World};
 
@@ -67,6 +68,20 @@
             let entry = self.rng.usize(0..ENTRIES);
             self.reset_connections(entry);
         }
+        if faults.stray > 0 && self.rng.u32(0..1000) < faults.stray {
+            let agent = self.rng.usize(0..AGENTS);
+            self.announce_stray(agent);
+        }
+        if faults.suspend > 0 && self.rng.u32(0..1000) < faults.suspend {
+            let agent = self.rng.usize(0..AGENTS);
+            let until = random_end(&mut self.rng, self.now);
+            let upstream = &mut self.upstreams[agent];
+            let is_idle = upstream.running.is_empty() && self.agents[agent].supervisor.is_idle();
+            if is_idle && upstream.suspended_ms(self.now).is_none() {
+                upstream.suspend(self.now, until);
+                self.agents[agent].frozen_until = until;
+            }
+        }
     }
 
     /// Resets some links of an entry, whose frames under way are lost both ways, and some
@@ -154,6 +169,20 @@
                 }
             }
         }
+        for agent in &self.agents {
+            let mut held = Amounts::default();
+            for order in agent.supervisor.orders() {
+                if order.phase.run().is_some() {
+                    held += order.order.need;
+                }
+            }
+            let reserved = agent.supervisor.reserved();
+            if reserved != held {
+                self.summary
+                    .violations
+                    .insert(format!("reserved {reserved:?}, held {held:?}"));
+            }
+        }
         for job in &self.jobs {
             if job.rejected && job.began && !job.unanswered {
                 let id = &job.spec.id;
