Fence an upstream that restarted under its name at once

Cause: an agent that learned of the restart from a list raised its fencing token only with the next announcement. Until then the new incarnation carried out late calls that were meant for the one before.

Change: the token is raised at once, and a hold call without a lease takes it to the upstream, repeated until it is answered. It acknowledges no ends, since the incarnation numbers them anew.

Evidence: a_restarted_upstream_gets_a_higher_fencing_token_before_it_announces_itself failed before (fence 101, not above 101; a lease to 10450).

--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -170,7 +170,12 @@
         }
         let until_ms = match &self.upstream {
             None => return,
-            Some(upstream) if upstream.replaced_at.is_some() => return,
+            Some(upstream) if upstream.replaced_at.is_some() => {
+                if !upstream.is_successor_fenced {
+                    self.fence_successor();
+                }
+                return;
+            }
             // Leases of a silent upstream are not renewed, so that its runs end at a known time.
             Some(upstream) if upstream.unanswered_holds > 0 || !renews => None,
             Some(_) => self.lease_end(now),
@@ -216,13 +221,40 @@
         self.links.state_changed();
     }
 
-    /// Handles the answer of an upstream that has restarted under the same name. Its announcement
-    /// will state its capacity.
-    pub(super) fn upstream_restarted(&mut self, now: Instant) {
-        if let Some(upstream) = &mut self.upstream {
-            upstream.replaced_at.get_or_insert(now);
+    /// Handles the answer, to a call made at `sent`, of an upstream that has restarted under the same
+    /// name. Its announcement will state its capacity.
+    pub(super) fn upstream_restarted(&mut self, now: Instant, sent: Instant) {
+        let Some(upstream) = &mut self.upstream else {
+            return;
+        };
+        match upstream.replaced_at {
+            Some(at) => upstream.is_successor_fenced |= sent >= at,
+            None => {
+                upstream.replaced_at = Some(now);
+                self.fence += 1;
+                self.fence_successor();
+            }
         }
         self.return_waiting(now);
         self.links.state_changed();
     }
+
+    /// Calls an upstream that has restarted under the same name, so that it refuses late calls that
+    /// were meant for the incarnation before.
+    fn fence_successor(&mut self) {
+        let Some(upstream) = &self.upstream else {
+            return;
+        };
+        if std::mem::replace(&mut self.is_poll_pending, true) {
+            return;
+        }
+        self.actions.push(Action::Hold(HoldCall {
+            until_ms: None,
+            // The incarnation numbers its ends anew.
+            last_seen: 0,
+            wait: Duration::ZERO,
+            fence: self.fence,
+            instance: upstream.instance.clone(),
+        }));
+    }
 }
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -344,7 +344,7 @@
             HoldResult::OtherInstance => {}
             // The upstream restarted under the same name, and has lost its earlier runs.
             HoldResult::Lists { started_ms, .. } if !self.is_same_start(started_ms) => {
-                self.upstream_restarted(now)
+                self.upstream_restarted(now, sent)
             }
             HoldResult::Lists {
                 clock_ms,
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -80,6 +80,8 @@
     /// When another incarnation with the same name was found to have replaced this one; it has yet
     /// to announce itself.
     pub(super) replaced_at: Option<Instant>,
+    /// Whether that incarnation has answered a call with a higher fencing token.
+    pub(super) is_successor_fenced: bool,
     /// When the last announcement was received.
     pub(super) last_announced: Instant,
     /// Whether its lists have been read, so that its active runs are known.
@@ -109,6 +111,7 @@
             capacity: announcement.capacity,
             is_leaving: announcement.is_leaving,
             replaced_at: None,
+            is_successor_fenced: false,
             last_announced: now,
             are_runs_listed: false,
             ends_seen: 0,
@@ -173,6 +176,10 @@
 
     /// Returns whether a hold call is needed even without runs.
     pub(super) fn needs_hold(&self) -> bool {
-        !self.are_runs_listed || !self.are_ends_acknowledged || self.unanswered_holds > 0
+        let awaits_fence = self.replaced_at.is_some() && !self.is_successor_fenced;
+        awaits_fence
+            || !self.are_runs_listed
+            || !self.are_ends_acknowledged
+            || self.unanswered_holds > 0
     }
 }
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -134,6 +134,28 @@
     expect_that!(agent.starts.last().map(|call| call.fence), some(gt(before)));
 }
 
+/// Calls that were meant for the incarnation before may arrive until a higher fencing token does.
+#[gtest]
+fn a_restarted_upstream_gets_a_higher_fencing_token_before_it_announces_itself() {
+    let mut agent = Agent::new();
+    agent.start("a");
+    let before = agent.starts[0].fence;
+    agent.started_ms = 2;
+    agent.answer_hold(&[], &[]);
+    let call = agent.holds.last().unwrap().clone();
+    expect_that!(call.fence, gt(before));
+    expect_that!(call.until_ms, none());
+    expect_that!(call.last_seen, eq(0));
+    // The call is repeated until it is answered.
+    let calls = agent.holds.len();
+    agent.answer_hold_with(None);
+    agent.advance_by_ticks(10);
+    expect_that!(agent.holds.len(), eq(calls + 1));
+    agent.answer_hold(&[], &[]);
+    agent.advance_by_ticks(10);
+    expect_that!(agent.holds.len(), eq(calls + 1));
+}
+
 #[gtest]
 fn an_announcement_of_an_earlier_incarnation_is_ignored() {
     let mut agent = Agent::new();
