--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -175,7 +175,10 @@
         let until_ms = match &self.upstream {
             None => return,
             Some(upstream) if upstream.replaced_at.is_some() => {
-                return self.call_hold(None, Duration::ZERO);
+                if !upstream.is_successor_fenced {
+                    self.fence_successor();
+                }
+                return;
             }
             // Leases of a silent upstream are not renewed, so that its runs end at a known time.
             Some(upstream) if upstream.unanswered_holds > 0 || !renews => None,
@@ -188,13 +191,6 @@
         // A call that waits acknowledges ends when it arrives.
         let waits = has_runs && upstream.unanswered_holds == 0 && self.candidate.is_none();
         let wait = if waits { wait } else { Duration::ZERO };
-        self.call_hold(until_ms, wait);
-    }
-
-    fn call_hold(&mut self, until_ms: Option<u64>, wait: Duration) {
-        let Some(upstream) = &self.upstream else {
-            return;
-        };
         // An immediate hold call is not delayed by one that waits for an end.
         let is_pending = match wait.is_zero() {
             true => &mut self.is_poll_pending,
@@ -229,22 +225,40 @@
         self.links.state_changed();
     }
 
-    /// Handles the answer of an upstream that has restarted under the same name. Its announcement
-    /// will state its capacity. Until then it must refuse late calls that were meant for the previous
-    /// one.
-    pub(super) fn upstream_restarted(&mut self, now: Instant) {
-        if let Some(upstream) = self
-            .upstream
-            .as_mut()
-            .filter(|known| known.replaced_at.is_none())
-        {
-            upstream.replaced_at = Some(now);
-            // The new life counts its ends anew.
-            upstream.ends_seen = 0;
-            self.fence += 1;
-            self.call_hold(None, Duration::ZERO);
+    /// Handles the answer, to a call made at `sent`, of an upstream that has restarted under the same
+    /// name. Its announcement will state its capacity.
+    pub(super) fn upstream_restarted(&mut self, now: Instant, sent: Instant) {
+        let Some(upstream) = &mut self.upstream else {
+            return;
+        };
+        match upstream.replaced_at {
+            Some(at) => upstream.is_successor_fenced |= sent >= at,
+            None => {
+                upstream.replaced_at = Some(now);
+                self.fence += 1;
+                self.fence_successor();
+            }
         }
         self.return_waiting(now);
         self.links.state_changed();
     }
+
+    /// Calls an upstream that has restarted under the same name, so that it refuses late calls that
+    /// were meant for the incarnation before.
+    fn fence_successor(&mut self) {
+        let Some(upstream) = &self.upstream else {
+            return;
+        };
+        if std::mem::replace(&mut self.is_poll_pending, true) {
+            return;
+        }
+        self.actions.push(Action::Hold(HoldCall {
+            until_ms: None,
+            // The incarnation numbers its ends anew.
+            last_seen: 0,
+            wait: Duration::ZERO,
+            fence: self.fence,
+            instance: upstream.instance.clone(),
+        }));
+    }
 }
