--- /dev/null
+++ b/hemlockhook-dispatch/tests/world/calls.rs
@@ -0,0 +1,103 @@
+//! Calls to simulated upstreams.
+
+use hemlockhook_dispatch::agent::{Action, HoldCall, HoldResult, StartCall, StartResult, StopCall};
+use std::time::Instant;
+
+use super::{Answered, Event, STOP_ATTEMPTS, World};
+
+impl World {
+    pub(super) fn call(&mut self, agent: usize, call: Action, late_since: Option<Instant>) {
+        let is_answered = late_since.is_none();
+        let incarnation = self.agents[agent].incarnation;
+        let now = self.now;
+        let upstream = &mut self.upstreams[agent];
+        if let Some(delay) = upstream.suspended_ms(now) {
+            let event = Event::Call {
+                agent,
+                call,
+                late_since,
+            };
+            return self.push(delay, event);
+        }
+        // An upstream that no agent has called yet can't refuse late calls that were meant for an
+        // earlier incarnation of the same name. docs/QUESTIONS.md asks whether they are carried out;
+        // this simulation drops them.
+        if !is_answered && !upstream.was_called() {
+            return;
+        }
+        // For some late start calls, the lease is counted from their arrival. If the upstream answered
+        // no call since the agent began to stop the run, the design does not cover the case; see
+        // docs/design/platform.md.
+        let is_stoppable =
+            late_since.is_some_and(|sent| self.answered_at[agent] > sent + STOP_ATTEMPTS);
+        if is_answered {
+            self.answered_at[agent] = now;
+        }
+        let is_extended = self.faults.extends_unstoppable_leases || is_stoppable;
+        let extends_lease = !is_answered && self.rng.bool() && is_extended;
+        let (answer, delay) = match call {
+            Action::Start(StartCall {
+                key,
+                task,
+                run,
+                payload,
+                until_ms,
+                fence,
+                instance,
+                ..
+            }) => {
+                let until_ms = match extends_lease {
+                    true => upstream.clock_ms(now) + 450,
+                    false => until_ms,
+                };
+                let result =
+                    upstream.start(now, &instance, fence, task.clone(), run, &payload, until_ms);
+                if matches!(result, StartResult::Started { .. }) {
+                    let job: usize = task.job["job-".len()..].parse().expect("a job's name");
+                    self.jobs[job].began = true;
+                    if self.jobs[job].rejected {
+                        let violation = format!("started after its refusal: job-{job}");
+                        self.summary.violations.insert(violation);
+                    }
+                }
+                (Answered::Start(key, result), 1)
+            }
+            Action::Stop(StopCall {
+                task,
+                run,
+                fence,
+                instance,
+                ..
+            }) => {
+                let result = upstream.stop(now, &instance, fence, &task.task, run);
+                (Answered::Stop(task, result), 1)
+            }
+            Action::Hold(HoldCall {
+                until_ms,
+                last_seen,
+                wait,
+                fence,
+                instance,
+            }) => {
+                let result = upstream.hold(now, &instance, fence, until_ms, last_seen);
+                let delay = match &result {
+                    Some(HoldResult::Lists { ended, .. }) if ended.is_empty() => {
+                        (wait.as_millis() as u64).min(30) + 1
+                    }
+                    _ => 1,
+                };
+                (Answered::Hold(now, wait, result), delay)
+            }
+        };
+        if is_answered {
+            self.push(
+                delay,
+                Event::Answered {
+                    agent,
+                    incarnation,
+                    answer,
+                },
+            );
+        }
+    }
+}
