Count the longest lease that an upstream of the same name may have got

Cause: an upstream starts again under its name, and its clock begins anew. A call that the agent made before it knew carries the end of a lease on the old clock, far ahead on the new one, so that the new life grants the longest lease that it has, 1 s. The agent counted on its own, 0.45 s, and gave the runs up while they went on.

--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -40,6 +40,12 @@
         // others have ended.
         let is_first = !std::mem::replace(&mut upstream.are_runs_listed, true);
         if is_first {
+            if upstream.has_predecessor {
+                // A call with a time on the clock of the incarnation before may have given it the
+                // longest lease that it grants.
+                let granted_ms = self.policy.max_lease.as_millis() as u64;
+                upstream.leased_until_ms = clock_ms.saturating_add(granted_ms);
+            }
             self.links.state_changed();
         }
 
--- a/hemlockhook-dispatch/src/agent/policy.rs
+++ b/hemlockhook-dispatch/src/agent/policy.rs
@@ -45,6 +45,8 @@
     /// Duration of a lease. Together with `owner_timeout` and the time of a stop call it has to be
     /// shorter than the time after which a caller resubmits a job.
     pub lease_duration: Duration,
+    /// Maximum duration of a lease that the upstream grants.
+    pub max_lease: Duration,
     /// Time after which the runs of a silent entry are stopped, counted from the sending of the
     /// last report that the entry has acknowledged.
     pub owner_timeout: Duration,
@@ -81,6 +83,7 @@
         Self {
             rules: SafetyRules::default(),
             lease_duration: Duration::from_millis(450),
+            max_lease: Duration::from_secs(1),
             owner_timeout: Duration::from_millis(400),
             hold_wait: Duration::from_millis(120),
             busy_ping_interval: Duration::from_millis(130),
--- a/hemlockhook-dispatch/src/agent/replacement.rs
+++ b/hemlockhook-dispatch/src/agent/replacement.rs
@@ -92,7 +92,10 @@
         // An incarnation with the same name must refuse late calls that were meant for the previous
         // one.
         self.fence += 1;
-        self.upstream = Some(Upstream::new(now, announcement, &self.policy.rules));
+        let old = self.upstream.as_ref().map(|old| old.instance.clone());
+        let mut upstream = Upstream::new(now, announcement, &self.policy.rules);
+        upstream.has_predecessor = old.is_some_and(|old| old == upstream.instance);
+        self.upstream = Some(upstream);
         for key in self.orders.keys().collect::<Vec<_>>() {
             self.stop(now, key, StopCause::Restarted);
         }
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -82,6 +82,8 @@
     pub(super) replaced_at: Option<Instant>,
     /// Whether that incarnation has answered a call with a higher fencing token.
     pub(super) is_successor_fenced: bool,
+    /// Whether it took the place of another incarnation with the same name.
+    pub(super) has_predecessor: bool,
     /// When the last announcement was received.
     pub(super) last_announced: Instant,
     /// Whether its lists have been read, so that its active runs are known.
@@ -112,6 +114,7 @@
             is_leaving: announcement.is_leaving,
             replaced_at: None,
             is_successor_fenced: false,
+            has_predecessor: false,
             last_announced: now,
             are_runs_listed: false,
             ends_seen: 0,
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -130,6 +130,21 @@
     expect_that!(leases.collect::<Vec<_>>(), each(none()));
 }
 
+#[gtest]
+fn a_lease_that_a_restarted_upstream_got_from_a_call_of_before_counts() {
+    let mut agent = Agent::new();
+    agent.start("a");
+    agent.announce("up-1", 2, false);
+    agent.answer_hold(&[], &[]);
+    settle_unanswered_start(&mut agent, "a");
+    agent.start("b");
+    agent.answer_hold_with(None);
+    agent.advance_by_ticks(900);
+    expect_that!(agent.outcomes(), not(contains(eq(&("b", Outcome::Lost)))));
+    agent.advance_by_ticks(200);
+    expect_that!(agent.outcomes(), contains(eq(&("b", Outcome::Lost))));
+}
+
 #[gtest]
 fn a_delayed_order_is_not_started() {
     let mut agent = Agent::new();
--- a/hemlockhook-leased/src/settings.rs
+++ b/hemlockhook-leased/src/settings.rs
@@ -161,6 +161,7 @@
         let max_lease = Duration::from_millis(u64::from(self.max_lease_ms));
         SupervisorPolicy {
             lease_duration: (resubmit * LEASE_PERCENT / 100).min(max_lease),
+            max_lease,
             owner_timeout: resubmit * OWNER_TIMEOUT_PERCENT / 100,
             ..SupervisorPolicy::default()
         }
