--- a/hemlockhook/tests/platform/main.rs
+++ b/hemlockhook/tests/platform/main.rs
@@ -8,6 +8,7 @@
 #[path = "../support/relay.rs"]
 mod relay;
 mod reset_links;
+mod silent_upstreams;
 mod soak;
 mod store;
 mod worker;
--- a/hemlockhook/tests/platform/worker.rs
+++ b/hemlockhook/tests/platform/worker.rs
@@ -60,6 +60,10 @@
     /// One in this many starts is executed without a response.
     lose_response_every: usize,
     starts: usize,
+    /// Whether calls are left unanswered and are not carried out, while tasks and heartbeats go on.
+    is_mute: bool,
+    /// Time that the clock does not count.
+    suspended: Duration,
 }
 
 impl WorkerStandin {
@@ -80,6 +84,8 @@
                 has_left: false,
                 lose_response_every: usize::MAX,
                 starts: 0,
+                is_mute: false,
+                suspended: Duration::ZERO,
             })),
         }
     }
@@ -107,6 +113,24 @@
         self.lock().lose_response_every = every;
     }
 
+    /// Leaves calls unanswered from now on, or answers them again.
+    pub fn set_mute(&self, is_mute: bool) {
+        self.lock().is_mute = is_mute;
+    }
+
+    /// Takes the clock back by a time for which the machine of the worker, which ran nothing, was
+    /// suspended.
+    pub fn discount_suspend(&self, suspended: Duration) {
+        let mut state = self.lock();
+        assert!(state.running.is_empty(), "no task runs during a suspend");
+        state.suspended += suspended;
+    }
+
+    /// Returns the number of tasks that run.
+    pub fn running(&self) -> usize {
+        self.lock().running.len()
+    }
+
     /// Returns the number of starts that the worker has accepted.
     pub fn starts(&self) -> usize {
         self.lock().starts
@@ -140,6 +164,11 @@
         if expected.is_some_and(|id| id.as_bytes() != self.id.as_bytes()) {
             return reply(StatusCode::MISDIRECTED_REQUEST, json!({}));
         }
+        if self.lock().is_mute {
+            // This is longer than the caller's timeout.
+            Timer::after(Duration::from_secs(2)).await;
+            return reply(StatusCode::GATEWAY_TIMEOUT, json!({}));
+        }
         let call: Value = serde_json::from_slice(&body).unwrap_or_default();
         match head.uri.path() {
             "/hemlockhook/run-start" => self.start(&call).await,
@@ -317,7 +346,8 @@
 
 impl State {
     fn clock_ms(&self) -> u64 {
-        self.started_at.elapsed().as_millis() as u64 + 5000
+        let counted = self.started_at.elapsed().saturating_sub(self.suspended);
+        counted.as_millis() as u64 + 5000
     }
 }
 
