--- a/hemlockhook/tests/platform/silent_upstreams.rs
+++ b/hemlockhook/tests/platform/silent_upstreams.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use serde_json::{Value, json};
 
 use crate::deployment::Deployment;
 
@@ -61,3 +62,41 @@
         check_silence(&deployment, &format!("s{round}"), silence, || {});
     }
 }
+
+/// A heartbeat of another writer, with a later start than the known upstream's.
+fn foreign_heartbeat(service: &str) -> Value {
+    json!({
+        "service": service, "address": "127.0.0.1:9", "zone": "here", "version": "v1", "slots": 8,
+        "state": "ready", "coldMs": 0, "labels": ["a", "r1-1"],
+        "freeCapacity": {"cpu": 8000, "taskMemoryMb": 4096},
+        "clockMs": 1000, "sequence": 1, "born": 60_000,
+    })
+}
+
+/// Has another writer announce an upstream to the first agent while its own leaves calls unanswered.
+fn check_foreign_heartbeat(name: &str, service: &str) {
+    let deployment = Deployment::start(name, 1, UPSTREAMS);
+    let silence = Duration::from_millis(400);
+    check_silence(&deployment, "f", silence, || {
+        // Before, between and after the calls that are left unanswered.
+        for _ in 0..4 {
+            let path = "/hemlockhook/Instances.Heartbeat/i-other";
+            let body = foreign_heartbeat(service).to_string().into_bytes();
+            expect_that!(deployment.announce(0, path, body), some(anything()));
+            thread::sleep(silence / 6);
+        }
+    });
+}
+
+/// Guards against the fault of review/5: the agent gave up its upstream's runs for an announcement
+/// while their lease lasted.
+#[gtest]
+fn a_heartbeat_of_another_service_does_not_end_the_runs_of_a_silent_upstream() {
+    check_foreign_heartbeat("foreign", "ledger");
+}
+
+/// Guards against the fault of review/5 where the other writer names the same service.
+#[gtest]
+fn a_heartbeat_of_another_instance_does_not_end_the_runs_of_a_silent_upstream() {
+    check_foreign_heartbeat("stray", "desk");
+}
