Count what an upstream held before it restarted as lost, not as not started

Cause: the upstream started the task and restarted under its name before the agent had read its answer. The agent stopped the run in the next life; that acknowledged the stop and listed nothing, which was taken as proof that the start had never arrived. And a start that was confirmed after its stop had been called was not taken note of.

Change: an order that is held when the upstream restarts ends as lost, as does one whose start is confirmed late. The entry goes on with such a job and never answers it as not run.

Simulation: an upstream that answers 421 to a call for another instance does not learn the agent's token, so that it does not count as reached.

--- a/hemlockhook-dispatch/src/agent/ended.rs
+++ b/hemlockhook-dispatch/src/agent/ended.rs
@@ -53,9 +53,9 @@
             Phase::Running { since, .. } if since <= sent => Some(Self(Outcome::Lost)),
             Phase::Stopping {
                 acked: Some(acked), ..
-            } if acked <= sent => match order.started_at {
-                Some(_) => Some(Self(Outcome::Lost)),
-                None => Some(Self(Outcome::NotStarted)),
+            } if acked <= sent => match order.started_at.is_some() || order.may_have_run {
+                true => Some(Self(Outcome::Lost)),
+                false => Some(Self(Outcome::NotStarted)),
             },
             _ => None,
         }
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -239,6 +239,9 @@
         let order = &mut self.orders[key];
         let Phase::Starting { run, .. } = order.phase else {
             // The run is being stopped, and its end will be read from the lists.
+            if matches!(result, StartResult::Started { .. }) {
+                order.started_at.get_or_insert(now);
+            }
             return;
         };
         let ended = AllEnded::by_start(&result);
--- a/hemlockhook-dispatch/src/agent/order.rs
+++ b/hemlockhook-dispatch/src/agent/order.rs
@@ -109,6 +109,8 @@
     pub phase: Phase,
     /// When the task was first known to run.
     pub started_at: Option<Instant>,
+    /// Whether another life of the upstream, which can no longer be asked, may have run the task.
+    pub may_have_run: bool,
     /// Time from `started_at` to the end of the run.
     pub run_time: Duration,
     /// Number of retried starts.
@@ -127,6 +129,7 @@
             expires,
             phase: Phase::Waiting,
             started_at: None,
+            may_have_run: false,
             run_time: Duration::ZERO,
             retries: 0,
             is_lost_reported: false,
--- a/hemlockhook-dispatch/src/agent/replacement.rs
+++ b/hemlockhook-dispatch/src/agent/replacement.rs
@@ -97,6 +97,7 @@
         upstream.has_predecessor = old.is_some_and(|old| old == upstream.instance);
         self.upstream = Some(upstream);
         for key in self.orders.keys().collect::<Vec<_>>() {
+            self.orders[key].may_have_run = true;
             self.stop(now, key, StopCause::Restarted);
         }
         self.hold(now, Duration::ZERO);
--- a/hemlockhook-dispatch/tests/random.rs
+++ b/hemlockhook-dispatch/tests/random.rs
@@ -240,16 +240,25 @@
     }
 }
 
+/// Guards against a false "not run": an upstream started a task and restarted under its name before its
+/// answer was read, and the next life's lists were taken as proof that nothing had been started.
+#[gtest]
+fn a_job_is_not_answered_as_not_run_after_its_upstream_started_it_and_restarted() {
+    let summary = run(814_853, SafetyRules::default(), suspends());
+    expect_that!(summary.violations, is_empty());
+}
+
 #[gtest]
 fn without_fencing_unanswered_starts_a_violation_is_found() {
     let rules = SafetyRules {
         fences_unanswered_starts: false,
         ..SafetyRules::default()
     };
-    // Upstreams restart often while calls to their earlier lives are under way.
+    // Upstreams restart while calls to their earlier lives are under way.
     let faults = Faults {
-        crash_upstream: 120,
-        lost_answer: 150,
+        crash_upstream: 20,
+        lost_answer: 250,
+        reset: 0,
         ..Faults::default()
     };
     expect_that!(finds_violation_under(rules, faults), eq(true));
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -3,6 +3,7 @@
 mod fences;
 mod fixture;
 mod links;
+mod restarts;
 
 use std::time::Duration;
 
--- a/hemlockhook-dispatch/tests/world/calls.rs
+++ b/hemlockhook-dispatch/tests/world/calls.rs
@@ -1,6 +1,8 @@
 //! Calls to simulated upstreams.
 
-use hemlockhook_dispatch::agent::{Action, HoldCall, HoldResult, StartCall, StartResult, StopCall};
+use hemlockhook_dispatch::agent::{
+    Action, HoldCall, HoldResult, StartCall, StartResult, StopCall, StopResult,
+};
 use std::time::Instant;
 
 use super::{Answered, Event, STOP_ATTEMPTS, World};
@@ -30,9 +32,6 @@
         // docs/design/platform.md.
         let is_stoppable =
             late_since.is_some_and(|sent| self.answered_at[agent] > sent + STOP_ATTEMPTS);
-        if is_answered {
-            self.answered_at[agent] = now;
-        }
         let is_extended = self.faults.extends_unstoppable_leases || is_stoppable;
         let extends_lease = !is_answered && self.rng.bool() && is_extended;
         let (answer, delay) = match call {
@@ -89,6 +88,16 @@
                 (Answered::Hold(now, wait, result), delay)
             }
         };
+        // A call to another instance tells the upstream nothing of the agent's fencing token.
+        let is_carried_out = !matches!(
+            answer,
+            Answered::Start(_, StartResult::OtherInstance)
+                | Answered::Stop(_, StopResult::Unsettled)
+                | Answered::Hold(_, _, Some(HoldResult::OtherInstance))
+        );
+        if is_answered && is_carried_out {
+            self.answered_at[agent] = now;
+        }
         if is_answered {
             self.push(
                 delay,
