List a TWICE of the random runs that is not mended, with its trace

In the last one a start is under way when its upstream restarts under its name, the next life starts the task, and then can't be reached; the agent judges the lease by the clock of the life before and gives the run up 0.6 s later.

--- a/hemlockhook-dispatch/tests/random.rs
+++ b/hemlockhook-dispatch/tests/random.rs
@@ -248,6 +248,14 @@
     expect_that!(summary.violations, is_empty());
 }
 
+/// Shows that a task may run twice if an upstream restarts while a start is under way and is cut off from its
+/// agent right after it.
+#[gtest]
+fn a_run_is_not_given_up_while_the_next_life_of_its_upstream_may_lease_it() {
+    let summary = run(819_953, SafetyRules::default(), suspends());
+    expect_that!(summary.violations, is_empty());
+}
+
 #[gtest]
 fn without_fencing_unanswered_starts_a_violation_is_found() {
     let rules = SafetyRules {
