--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -5,8 +5,8 @@
 
 use hemlockhook_dispatch::agent::{
     Action, ActiveRun, Announcement, AnnouncementStatus, EndedRun, FrameHeader, HoldCall,
-    HoldResult, LinkId, Report, RunOrder, RunOutcome, StartCall, StartResult, Supervisor,
-    SupervisorPolicy,
+    HoldResult, LinkId, Report, RunOrder, RunOutcome, StartCall, StartResult, StopResult,
+    Supervisor, SupervisorPolicy,
 };
 use hemlockhook_dispatch::{Amounts, AttemptEnd, HeldAttempts, Outcome, TaskId, TaskRef};
 
@@ -175,6 +175,14 @@
         self.collect();
     }
 
+    /// Acknowledges the stop of a job's task, and lists nothing afterwards.
+    pub fn settle_stop(&mut self, job: &str) {
+        let stopped = StopResult::Stopped { clock_ms: 10_000 };
+        self.supervisor
+            .stop_answered(self.now, &attempt(job), stopped);
+        self.answer_hold(&[], &[]);
+    }
+
     pub fn lists(
         &mut self,
         running: &[(&str, u64)],
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -66,22 +66,13 @@
     expect_that!(agent.starts[1].run, gt(agent.starts[0].run));
 }
 
-/// Makes the stop of an unanswered start settle: the start never arrived.
-fn settle_unanswered_start(agent: &mut Agent, job: &str) {
-    let stopped = StopResult::Stopped { clock_ms: 10_000 };
-    agent
-        .supervisor
-        .stop_answered(agent.now, &attempt(job), stopped);
-    agent.answer_hold(&[], &[]);
-}
-
 #[gtest]
 fn a_cancelled_order_whose_start_was_unanswered_is_not_started_again() {
     let mut agent = Agent::new();
     agent.order("a", 1);
     agent.answer_start("a", StartResult::NoAnswer);
     agent.supervisor.cancelled(agent.now, LINK, &attempt("a"));
-    settle_unanswered_start(&mut agent, "a");
+    agent.settle_stop("a");
     expect_that!(agent.starts.len(), eq(1));
     expect_that!(agent.supervisor.is_idle(), eq(true));
 }
@@ -94,7 +85,7 @@
     agent.advance(500);
     // The entry is heard of again.
     agent.echo_all(1, Duration::from_millis(30));
-    settle_unanswered_start(&mut agent, "a");
+    agent.settle_stop("a");
     expect_that!(agent.starts.len(), eq(1));
     expect_that!(agent.supervisor.is_idle(), eq(true));
 }
@@ -138,7 +129,7 @@
     agent.start("a");
     agent.announce("up-1", 2, false);
     agent.answer_hold(&[], &[]);
-    settle_unanswered_start(&mut agent, "a");
+    agent.settle_stop("a");
     agent.start("b");
     agent.answer_hold_with(None);
     agent.advance_by_ticks(900);
--- a/hemlockhook-dispatch/tests/supervisor/restarts.rs
+++ b/hemlockhook-dispatch/tests/supervisor/restarts.rs
@@ -2,18 +2,9 @@
 
 use googletest::prelude::*;
 use hemlockhook_dispatch::Outcome;
-use hemlockhook_dispatch::agent::{StartResult, StopResult};
+use hemlockhook_dispatch::agent::StartResult;
 
-use crate::fixture::{Agent, attempt};
-
-/// Makes the next life of the upstream acknowledge the stop of a job's task and list nothing.
-fn settle_in_next_life(agent: &mut Agent, job: &str) {
-    let stopped = StopResult::Stopped { clock_ms: 10_000 };
-    agent
-        .supervisor
-        .stop_answered(agent.now, &attempt(job), stopped);
-    agent.answer_hold(&[], &[]);
-}
+use crate::fixture::{Agent, LINK, attempt};
 
 /// Guards against a false "not run": the lists of the next life say nothing of what the life before ran.
 #[gtest]
@@ -21,7 +12,7 @@
     let mut agent = Agent::new();
     agent.order("a", 1);
     agent.announce("up-1", 2, false);
-    settle_in_next_life(&mut agent, "a");
+    agent.settle_stop("a");
     expect_that!(agent.outcomes(), elements_are![eq(&("a", Outcome::Lost))]);
 }
 
@@ -30,10 +21,8 @@
 fn a_start_that_is_confirmed_after_its_stop_was_called_counts_as_lost() {
     let mut agent = Agent::new();
     agent.order("a", 1);
-    agent
-        .supervisor
-        .cancelled(agent.now, crate::fixture::LINK, &attempt("a"));
+    agent.supervisor.cancelled(agent.now, LINK, &attempt("a"));
     agent.answer_start("a", StartResult::Started { clock_ms: 10_000 });
-    settle_in_next_life(&mut agent, "a");
+    agent.settle_stop("a");
     expect_that!(agent.outcomes(), elements_are![eq(&("a", Outcome::Lost))]);
 }
