--- a/hemlockhook/tests/support/relay.rs
+++ b/hemlockhook/tests/support/relay.rs
@@ -1,5 +1,6 @@
 //! A TCP relay that simulates a network partition, where it stops forwarding but closes no
-//! connection, a slow link, or the loss of all connections with what is under way on them.
+//! connection, a slow link, the loss of all connections with what is under way on them, or a forwarder
+//! that passes on late what its clients send and that they have left.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -33,6 +34,10 @@
     target: Mutex<SocketAddr>,
     /// Whether nothing is forwarded from the clients, and from the target.
     is_cut: [AtomicBool; 2],
+    /// Whether what clients send is held.
+    are_requests_held: AtomicBool,
+    /// Whether the ends of the clients' streams are held.
+    are_ends_held: AtomicBool,
     /// Time for which each piece is held up, in milliseconds.
     delay_ms: AtomicU64,
     /// Bytes per second in each direction of each connection; 0 means no limit.
@@ -46,6 +51,8 @@
         let link = Arc::new(LinkState {
             target: Mutex::new(to),
             is_cut: Default::default(),
+            are_requests_held: AtomicBool::default(),
+            are_ends_held: AtomicBool::default(),
             delay_ms: AtomicU64::default(),
             rate: AtomicU64::default(),
             resets: AtomicU64::default(),
@@ -73,6 +80,19 @@
         self.link.is_cut[direction as usize].store(is_cut, Ordering::SeqCst);
     }
 
+    /// Holds what clients send, or passes it on. Unlike on a cut link, connections are opened meanwhile.
+    pub fn set_requests_held(&self, are_held: bool) {
+        self.link
+            .are_requests_held
+            .store(are_held, Ordering::SeqCst);
+    }
+
+    /// Keeps the connections of clients that have closed theirs, or closes them. A connection is closed
+    /// after what its client sent was passed on.
+    pub fn set_ends_held(&self, are_held: bool) {
+        self.link.are_ends_held.store(are_held, Ordering::SeqCst);
+    }
+
     /// Holds up what is forwarded in each direction.
     pub fn set_delay(&self, delay: Duration) {
         let millis = delay.as_millis() as u64;
@@ -129,6 +149,9 @@
             Timer::after(Duration::from_millis(delay)).await;
         }
         wait_while_cut(link, direction).await;
+        if let Direction::FromClients = direction {
+            wait_while(&link.are_requests_held).await;
+        }
         let rate = link.rate.load(Ordering::SeqCst);
         if rate > 0 {
             Timer::after(Duration::from_secs_f64(len as f64 / rate as f64)).await;
@@ -137,6 +160,9 @@
             return;
         }
     }
+    if let Direction::FromClients = direction {
+        wait_while(&link.are_ends_held).await;
+    }
 }
 
 async fn wait_until_reset(link: &LinkState, opened: u64) {
@@ -146,7 +172,11 @@
 }
 
 async fn wait_while_cut(link: &LinkState, direction: Direction) {
-    while link.is_cut[direction as usize].load(Ordering::SeqCst) {
+    wait_while(&link.is_cut[direction as usize]).await;
+}
+
+async fn wait_while(condition: &AtomicBool) {
+    while condition.load(Ordering::SeqCst) {
         Timer::after(POLL_INTERVAL).await;
     }
 }
