--- a/hemlockhook/tests/platform/campaign.rs
+++ b/hemlockhook/tests/platform/campaign.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::env;
+use std::ops::Range;
 use std::str::FromStr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -32,6 +33,9 @@
 /// Time after the last disruption after which callers are served again.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// Time by which a forwarder passes on closes later than the requests that it held, in milliseconds.
+const END_LAG_MS: Range<u64> = 50..2000;
+
 /// A kind of disruption.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "snake_case")]
@@ -52,6 +56,8 @@
     DelayLinks,
     /// The connections of callers with an entry are reset.
     ResetCallers,
+    /// What callers send an entry is held, and then passed on before their closes.
+    HoldCallers,
     MuteUpstream,
     LateStarts,
     ForeignHeartbeats,
@@ -177,6 +183,16 @@
                 relay.set_delay(Duration::ZERO);
             }
             Kind::ResetCallers => self.deployment.caller_links[entry].reset(),
+            Kind::HoldCallers => {
+                let callers = &self.deployment.caller_links[entry];
+                callers.set_requests_held(true);
+                callers.set_ends_held(true);
+                thread::sleep(length);
+                callers.set_requests_held(false);
+                let lag = Rng::with_seed(target as u64).u64(END_LAG_MS);
+                thread::sleep(Duration::from_millis(lag));
+                callers.set_ends_held(false);
+            }
             Kind::MuteUpstream => {
                 worker.set_mute(true);
                 thread::sleep(length);
