--- a/hemlockhook-dispatch/tests/world/entries.rs
+++ b/hemlockhook-dispatch/tests/world/entries.rs
@@ -9,11 +9,18 @@
 
 use super::{EntryLink, Event, Frame, Orders, Process, World};
 
+/// What a frame of an entry carries.
+#[derive(Default)]
+struct Contents {
+    runs: Vec<RunOrder>,
+    cancels: Vec<TaskRef>,
+    claims: Vec<Claim>,
+}
+
 impl World {
     pub(super) fn flush_entry(&mut self, entry: usize) {
         let now = self.now;
-        let mut frames: BTreeMap<usize, (Vec<RunOrder>, Vec<TaskRef>, Vec<Claim>)> =
-            BTreeMap::new();
+        let mut frames: BTreeMap<usize, Contents> = BTreeMap::new();
         let mut woken = BTreeSet::new();
         let agent_of = |key: AgentKey, links: &BTreeMap<usize, EntryLink>| {
             links
@@ -27,19 +34,19 @@
             match action {
                 EntryAction::Run(order) => {
                     if let Some(agent) = agent_of(order.agent, &state.links) {
-                        frames.entry(agent).or_default().0.push(order.run);
+                        frames.entry(agent).or_default().runs.push(order.run);
                     }
                 }
                 EntryAction::Cancel(key, task, _) => {
                     if let Some(agent) = agent_of(key, &state.links) {
                         let frame = frames.entry(agent).or_default();
-                        frame.0.retain(|run| run.task != task);
-                        frame.1.push(task);
+                        frame.runs.retain(|run| run.task != task);
+                        frame.cancels.push(task);
                     }
                 }
                 EntryAction::Claim(key, claim) => {
                     if let Some(agent) = agent_of(key, &state.links) {
-                        frames.entry(agent).or_default().2.push(claim);
+                        frames.entry(agent).or_default().claims.push(claim);
                     }
                 }
                 EntryAction::Wake(key) => {
@@ -81,7 +88,11 @@
                 continue;
             }
             state.sent_at.insert(agent, now);
-            let (runs, cancels, claims) = frame.unwrap_or_default();
+            let Contents {
+                runs,
+                cancels,
+                claims,
+            } = frame.unwrap_or_default();
             let header = FrameHeader {
                 seq: state.dispatcher.next_seq(key),
                 echoed,
