Keep claims until no task of an earlier submission can run, and tell of contests on new links

A review of the claims by someone who had not seen the work found, by reading:

- The end of a cancelled attempt could place tasks while the first report of a link was being handled.
Its comparison then took them for never received, and they were placed once more.
Grants now place with the next event.
- A job that was submitted again at the same entry could have its claim released while tasks of the submission before were still being stopped.
- That another entry waits was told once.
If that, or the release, was lost with a link, the claim stayed until its time had passed.
It is told again on a new link.
- An entry that was granted a job by agents of lower rank, since those of higher rank did not answer in time, went on when these told it of the other entry.
- A job that waited for another entry's claim was answered as not run when it was late, although the other may run it.
It is now answered as timed out.
- A pause of the entry counted as silence of the agents that it had asked, and the first frame of a link was sent for a claim alone although callers were not checked.
- Nothing was claimed elsewhere until an agent whose link had ended was lost, and a job whose grants were all lost counted as held.
- Jobs that wait for claims no longer lengthen a round of placement without bound.

Tests: five of these have one in dispatcher/claims.rs or supervisor/claims.rs.

Left, in the postmortem: an entry that is cut off from the agents of its claims but not from those that run its tasks, and the bound on stops that do not end.

--- a/hemlockhook-dispatch/src/agent/claims.rs
+++ b/hemlockhook-dispatch/src/agent/claims.rs
@@ -15,16 +15,17 @@
 
 #[derive(Debug, Default)]
 pub(super) struct Claims {
-    by_job: BTreeMap<JobId, JobClaims>,
+    by_job: BTreeMap<JobId, Claimants>,
     /// Jobs that several entries claim.
     contested: BTreeSet<JobId>,
     swept_at: Option<Instant>,
 }
 
-/// The claims to one job; never empty. The first one is granted.
+/// The claims to one job. The first one is granted.
 #[derive(Debug)]
-struct JobClaims {
-    claimants: Vec<Claimant>,
+struct Claimants {
+    /// In the order of their arrival.
+    in_order: Vec<Claimant>,
     /// When the present first claim became contested.
     contested_at: Option<Instant>,
 }
@@ -40,15 +41,15 @@
 impl Claims {
     /// Returns whether an entry has a claim that another one waits for.
     pub(super) fn is_contested(&self, entry: Incarnation) -> bool {
-        let is_first = |job: &JobId| self.by_job[job].claimants[0].entry == entry;
+        let is_first = |job: &JobId| self.by_job[job].in_order[0].entry == entry;
         self.contested.iter().any(is_first)
     }
 
     fn remove(&mut self, entry: Incarnation, claim: &Claim) -> Option<usize> {
         let claims = self.by_job.get_mut(&claim.job)?;
         let is_removed = |known: &Claimant| known.entry == entry && known.number == claim.number;
-        let index = claims.claimants.iter().position(is_removed)?;
-        claims.claimants.remove(index);
+        let index = claims.in_order.iter().position(is_removed)?;
+        claims.in_order.remove(index);
         Some(index)
     }
 
@@ -60,7 +61,7 @@
         self.swept_at = Some(now);
         let contested = &self.contested;
         self.by_job
-            .retain(|job, claims| contested.contains(job) || claims.claimants[0].expires > now);
+            .retain(|job, claims| contested.contains(job) || claims.in_order[0].expires > now);
     }
 }
 
@@ -85,29 +86,30 @@
 
     fn claimed(&mut self, now: Instant, entry: Incarnation, claim: &Claim, expires: Instant) {
         let Claim { job, number, .. } = claim;
-        let claims = self.claims.by_job.entry(job.clone()).or_insert(JobClaims {
-            claimants: Vec::new(),
+        let claims = self.claims.by_job.entry(job.clone()).or_insert(Claimants {
+            in_order: Vec::new(),
             contested_at: None,
         });
         let known = claims
-            .claimants
+            .in_order
             .iter()
             .position(|known| known.entry == entry);
         let index = known.unwrap_or_else(|| {
-            claims.claimants.push(Claimant {
+            claims.in_order.push(Claimant {
                 entry,
                 number: *number,
                 expires,
             });
-            claims.claimants.len() - 1
+            claims.in_order.len() - 1
         });
-        let claimant = &mut claims.claimants[index];
-        if claimant.number < *number {
-            claimant.number = *number;
+        let claimant = &mut claims.in_order[index];
+        let is_renewed = claimant.number < *number;
+        claimant.number = *number;
+        claimant.expires = expires;
+        if index == 0 && is_renewed {
             // The entry knows only of its former claim that another one waits for its end.
             claims.contested_at = None;
         }
-        claimant.expires = expires;
         let status = match index {
             0 => ClaimStatus::Granted,
             _ => ClaimStatus::Waiting,
@@ -121,7 +123,7 @@
         let Some(claims) = self.claims.by_job.get_mut(job) else {
             return;
         };
-        match claims.claimants.len() {
+        match claims.in_order.len() {
             0 => {
                 self.claims.by_job.remove(job);
                 self.claims.contested.remove(job);
@@ -132,7 +134,7 @@
             }
             _ if claims.contested_at.is_none() => {
                 claims.contested_at = Some(now);
-                let Claimant { entry, number, .. } = claims.claimants[0];
+                let Claimant { entry, number, .. } = claims.in_order[0];
                 self.claims.contested.insert(job.clone());
                 self.answer_claim(entry, job, number, ClaimStatus::Contested);
             }
@@ -140,13 +142,26 @@
         }
     }
 
+    /// Tells an entry on a new link which of its claims others wait for: what was told, and what the entry
+    /// released, may have been lost with the last link.
+    pub(super) fn repeat_contested_claims(&mut self, entry: Incarnation) {
+        let claims = &self.claims;
+        let contested = claims.contested.iter().filter_map(|job| {
+            let first = &claims.by_job[job].in_order[0];
+            (first.entry == entry).then(|| (job.clone(), first.number))
+        });
+        for (job, number) in contested.collect::<Vec<_>>() {
+            self.answer_claim(entry, &job, number, ClaimStatus::Contested);
+        }
+    }
+
     /// Grants the next claim to a job.
     fn first_claim_ended(&mut self, now: Instant, job: &JobId) {
         let Some(claims) = self.claims.by_job.get_mut(job) else {
             return;
         };
         claims.contested_at = None;
-        if let Some(&Claimant { entry, number, .. }) = claims.claimants.first() {
+        if let Some(&Claimant { entry, number, .. }) = claims.in_order.first() {
             self.answer_claim(entry, job, number, ClaimStatus::Granted);
         }
         self.claims_changed(now, job);
@@ -159,7 +174,7 @@
         let jobs: Vec<_> = self.claims.contested.iter().cloned().collect();
         for job in jobs {
             let claims = &self.claims.by_job[&job];
-            let first = &claims.claimants[0];
+            let first = &claims.in_order[0];
             let contested_at = claims.contested_at.unwrap_or(now);
             let has_expired = first.expires <= now;
             if !has_expired && !self.is_owner_lost(now, first.entry, contested_at) {
@@ -170,11 +185,11 @@
                 .by_job
                 .get_mut(&job)
                 .expect("it was found above");
-            let first = claims.claimants.remove(0);
+            let first = claims.in_order.remove(0);
             let Claimant { entry, number, .. } = first;
             // An entry without a link claims its jobs again on the next one.
             if !has_expired && self.links.is_linked(entry) {
-                claims.claimants.push(first);
+                claims.in_order.push(first);
                 self.answer_claim(entry, &job, number, ClaimStatus::Waiting);
             }
             self.first_claim_ended(now, &job);
--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -151,8 +151,8 @@
         }
     }
 
-    /// Returns when the runs of an entry at all agents will certainly have ended, unless it is heard of
-    /// before; `None` if they have. `asked` is when its sign of life became due.
+    /// Returns when the runs of an entry will have ended at all agents if it is down or paused, unless it is
+    /// heard of before; `None` if they have. `asked` is when its sign of life became due.
     pub(super) fn lost_at(
         &self,
         owner: Incarnation,
@@ -310,6 +310,7 @@
             .map(|(_, ended)| ended.clone())
             .collect();
         self.links.by_link.insert(link, entry);
+        self.repeat_contested_claims(entry);
         self.links.choose_preferred(self.policy.active_links);
         self.links.state_changed();
     }
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -105,6 +105,8 @@
     attempts: u32,
     /// Number of the last claim.
     claims: u64,
+    /// When claims without an answer were last looked for.
+    claims_settled: Option<Instant>,
     /// Number of agents evaluated as candidates for a task.
     evaluated_candidates: u64,
     actions: Vec<Action>,
@@ -128,6 +130,7 @@
             state_interval: Duration::ZERO,
             attempts: 0,
             claims: 0,
+            claims_settled: None,
             evaluated_candidates: 0,
             actions: Vec::new(),
         }
@@ -292,9 +295,10 @@
 
     /// Handles the end of a link. Attempts at the agent count as running until it links again or is
     /// considered lost.
-    pub fn unlinked(&mut self, key: AgentKey) {
+    pub fn unlinked(&mut self, now: Instant, key: AgentKey) {
         if let Some(agent) = self.agents.get_mut(key) {
             agent.is_linked = false;
+            self.claim_beside(now, key);
         }
     }
 
@@ -339,8 +343,8 @@
         self.settle_lost_agents(now);
         self.time_out(now);
         self.refuse_late_jobs(now);
-        self.check_callers(now);
         self.settle_claims(now);
+        self.check_callers(now);
         self.place_queued(now);
     }
 
@@ -351,14 +355,21 @@
         for (key, has_begun) in expired {
             let answer = match has_begun {
                 true => Answer::TimedOut,
-                false => Answer::NotRun(Refusal::Overload {
-                    retry_after: self.policy.min_retry_after,
-                }),
+                false => self.late_answer(key, self.policy.min_retry_after),
             };
             self.answer(now, key, answer);
         }
     }
 
+    /// Returns the answer to a job of which no task was placed and that comes too late. If another entry
+    /// has the job, it may run.
+    fn late_answer(&self, key: JobKey, retry_after: Duration) -> Answer {
+        match self.jobs[key].claims.waits_at() {
+            Some(_) => Answer::TimedOut,
+            None => Answer::NotRun(Refusal::Overload { retry_after }),
+        }
+    }
+
     fn answer(&mut self, now: Instant, key: JobKey, answer: Answer) {
         if let Answer::NotRun(_) = answer {
             assert!(
--- a/hemlockhook-dispatch/src/entry/dispatcher/claims.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/claims.rs
@@ -30,6 +30,7 @@
     number: u64,
     rank: u64,
     state: ClaimState,
+    was_granted: bool,
     /// Whether another entry waits for the end of the claim.
     is_contested: bool,
 }
@@ -84,6 +85,7 @@
             number,
             rank,
             state: ClaimState::Asked(now),
+            was_granted: false,
             is_contested: false,
         }
     }
@@ -101,6 +103,21 @@
             .any(|claim| claim.state == ClaimState::Granted)
     }
 
+    /// Returns whether the job is another entry's by what an agent has told, where it has to wait.
+    ///
+    /// Where the claim was granted before, the entry was silent for so long that it was given to
+    /// another; a grant elsewhere still counts. Where it never was, the other entry has the job by the
+    /// agents of higher rank.
+    fn has_lost(&self, agent: AgentKey) -> bool {
+        let is_granted = |claim: &&ClaimAt| claim.state == ClaimState::Granted;
+        let Some(granted) = self.at.iter().find(is_granted) else {
+            return true;
+        };
+        let is_first = |claim: &ClaimAt| !claim.was_granted && claim.rank > granted.rank;
+        let told = self.at.iter().find(|claim| claim.agent == agent);
+        told.is_some_and(is_first)
+    }
+
     /// Returns whether the claim is granted by all agents that answer.
     fn is_granted(&self) -> bool {
         let is_settled =
@@ -109,7 +126,7 @@
     }
 
     /// Returns the rank of the first agent at which another entry has an earlier claim.
-    fn waits_at(&self) -> Option<u64> {
+    pub(in crate::entry) fn waits_at(&self) -> Option<u64> {
         let mut claims = self.at.iter();
         let first = claims.find(|claim| claim.state == ClaimState::Waiting)?;
         Some(first.rank)
@@ -126,7 +143,10 @@
             return self.unknown_claim_answered(agent, answer);
         };
         match answer.status {
-            ClaimStatus::Granted => claim.state = ClaimState::Granted,
+            ClaimStatus::Granted => {
+                claim.state = ClaimState::Granted;
+                claim.was_granted = true;
+            }
             ClaimStatus::Waiting => claim.state = ClaimState::Waiting,
             ClaimStatus::Contested => {
                 claim.is_contested = true;
@@ -137,8 +157,7 @@
         if answer.status == ClaimStatus::Waiting {
             claim.is_contested = false;
             let job = &mut self.jobs[key];
-            if job.claims.is_held && !job.claims.has_grant() {
-                // The entry was silent for so long that its claims were given to others.
+            if job.claims.is_held && job.claims.has_lost(agent) {
                 job.claims.is_held = false;
                 if job.placed > 0 {
                     return self.answer(now, key, Answer::TimedOut);
@@ -149,17 +168,12 @@
             }
         }
         self.hold_if_granted(now, key);
+        self.place_queued(now);
     }
 
     /// Handles an answer to a claim that the entry does not make any longer.
     fn unknown_claim_answered(&mut self, agent: AgentKey, answer: &ClaimAnswer) {
-        match self.ending.get_mut(&answer.job) {
-            Some(ending) if answer.status == ClaimStatus::Contested => {
-                ending.contested_at.push((agent, answer.number));
-            }
-            Some(_) => {}
-            None => self.change_claim(agent, &answer.job, answer.number, ClaimChange::Released),
-        }
+        self.release(&answer.job, agent, answer.number);
     }
 
     /// Gives up the claims at agents that rank after the first one at which the job has to wait.
@@ -176,11 +190,20 @@
             .at
             .split_off(first_later.unwrap_or(job.claims.at.len()));
         for claim in later {
-            self.change_claim(claim.agent, &id, claim.number, ClaimChange::Released);
+            self.release(&id, claim.agent, claim.number);
+        }
+    }
+
+    /// Releases a claim, once nothing that was ordered for the job before can run.
+    fn release(&mut self, id: &JobId, agent: AgentKey, number: u64) {
+        match self.ending.get_mut(id) {
+            Some(ending) => ending.contested_at.push((agent, number)),
+            None => self.change_claim(agent, id, number, ClaimChange::Released),
         }
     }
 
-    /// Lets the tasks of a job be placed if its claim is granted.
+    /// Lets the tasks of a job be placed if its claim is granted. They are placed with the next event,
+    /// since the report that is being handled may have to be reconciled first.
     fn hold_if_granted(&mut self, now: Instant, key: JobKey) {
         if self.jobs[key].claims.is_held {
             return;
@@ -192,7 +215,6 @@
             return;
         }
         job.claims.is_held = true;
-        self.place_queued(now);
     }
 
     /// Claims a job at the agents that rank highest for it, where it has not been claimed yet.
@@ -287,15 +309,45 @@
             let count = claims.at.len();
             claims.at.retain(|claim| claim.agent != lost);
             if claims.at.len() < count {
+                // Other entries may be granted what the lost agents knew.
+                claims.is_held &= claims.has_grant();
                 self.claim(now, key);
                 self.hold_if_granted(now, key);
             }
         }
     }
 
+    /// Claims the jobs elsewhere, too, whose claims are at an agent whose link has ended.
+    pub(super) fn claim_beside(&mut self, now: Instant, unlinked: AgentKey) {
+        for key in self.jobs.keys().collect::<Vec<_>>() {
+            if self.jobs[key].claims.find(unlinked).is_some() {
+                self.claim(now, key);
+            }
+        }
+    }
+
+    /// Restarts the time within which agents have to answer claims.
+    fn ask_again(&mut self, now: Instant) {
+        for job in self.jobs.values_mut() {
+            for claim in &mut job.claims.at {
+                if let ClaimState::Asked(at) = &mut claim.state {
+                    *at = now;
+                }
+            }
+        }
+    }
+
     /// Has the next agent decide where one does not answer a claim, and forgets jobs that have ended.
     pub(super) fn settle_claims(&mut self, now: Instant) {
         let timeout = self.policy.claim_timeout;
+        let since_last = self
+            .claims_settled
+            .map(|at| now.saturating_duration_since(at));
+        self.claims_settled = Some(now);
+        if since_last.is_none_or(|since| since >= timeout) {
+            // This process may have stood still, and not the agents.
+            self.ask_again(now);
+        }
         let is_late = |claim: &ClaimAt| {
             let asked = |at| now.saturating_duration_since(at) >= timeout;
             matches!(claim.state, ClaimState::Asked(at) if asked(at))
@@ -366,7 +418,7 @@
             },
             true => {
                 for (agent, number) in ending.contested_at {
-                    self.change_claim(agent, id, number, ClaimChange::Released);
+                    self.release(id, agent, number);
                 }
             }
         }
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -10,7 +10,7 @@
 use crate::entry::job::{Job, Rank, Task};
 use crate::entry::offers::{Offer, Offers};
 use crate::entry::placement::{Candidate, choose_upstream};
-use crate::entry::{AgentKey, Answer, JobKey, Refusal};
+use crate::entry::{AgentKey, JobKey};
 use crate::{TaskId, TaskRef};
 
 /// Class of jobs that can still meet their objective, or that have begun.
@@ -19,6 +19,9 @@
 /// Class of jobs that are late and have not begun.
 const CLASS_LATE: u32 = 1;
 
+/// Number of jobs that wait for their claims after which a placement round ends.
+const MAX_UNCLAIMED: usize = 256;
+
 /// Number of priority levels that delay a job; those beyond count as the last one.
 const MAX_PRIORITY_LEVELS: u32 = 4;
 
@@ -87,8 +90,9 @@
     fn place_round(&mut self, now: Instant) {
         let mut offers = Offers::new(&self.agents, now, self.policy.agent_timeout);
         let mut blocked = 0;
+        let mut unclaimed = 0;
         let mut after: Option<Rank> = None;
-        while blocked < self.policy.look_ahead {
+        while blocked < self.policy.look_ahead && unclaimed < MAX_UNCLAIMED {
             let next = match after {
                 None => self.queue.first(),
                 Some(rank) => self.queue.range(rank..).find(|&&next| next > rank),
@@ -104,6 +108,7 @@
                 continue;
             }
             if !self.jobs[key].claims.is_held {
+                unclaimed += 1;
                 continue;
             }
             if !self.is_caller_known(now, &self.jobs[key]) {
@@ -286,8 +291,8 @@
             }
         }
         for (key, wait) in too_late {
-            let retry_after = self.policy.retry_after(wait);
-            self.answer(now, key, Answer::NotRun(Refusal::Overload { retry_after }));
+            let answer = self.late_answer(key, self.policy.retry_after(wait));
+            self.answer(now, key, answer);
         }
     }
 }
--- a/hemlockhook-dispatch/tests/dispatcher/claims.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/claims.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use hemlockhook_dispatch::entry::{Action, AgentKey, Answer, JobKey, Submission};
-use hemlockhook_dispatch::{Claim, ClaimAnswer, ClaimChange, ClaimStatus, Outcome};
+use hemlockhook_dispatch::entry::{Action, AgentKey, AgentReport, Answer, JobKey, Submission};
+use hemlockhook_dispatch::{
+    AttemptEnd, Claim, ClaimAnswer, ClaimChange, ClaimStatus, HeldAttempts, Outcome,
+};
 
-use crate::fixture::{Fixture, job, queue_config};
+use crate::fixture::{Fixture, job, queue_config, state};
 
 /// An entry whose claims a test answers.
 struct Entry {
@@ -127,8 +129,11 @@
     let mut entry = Entry::new();
     let made = std::mem::take(&mut entry.made);
     entry.tell(&made[1], ClaimStatus::Granted);
-    entry.advance(90);
-    expect_that!(entry.orders, eq(0));
+    for millis in [0, 50, 40] {
+        entry.advance(millis);
+        expect_that!(entry.orders, eq(0));
+        expect_that!(entry.made, is_empty());
+    }
     entry.advance(20);
     expect_that!(entry.orders, eq(0));
     // The third agent takes the place of the silent one.
@@ -136,6 +141,103 @@
     expect_that!(entry.orders, eq(2));
 }
 
+#[gtest]
+fn agents_are_not_taken_for_silent_after_a_pause_of_the_entry() {
+    let mut entry = Entry::new();
+    let made = std::mem::take(&mut entry.made);
+    entry.advance(0);
+    entry.advance(140);
+    expect_that!(entry.made, is_empty());
+    for claim in &made {
+        entry.tell(claim, ClaimStatus::Granted);
+    }
+    expect_that!(entry.orders, eq(2));
+}
+
+/// Two entries were granted the same job, as one of them got no answers from the agents of the other.
+#[gtest]
+fn a_job_that_another_entry_has_by_agents_of_higher_rank_is_given_up() {
+    let mut entry = Entry::new();
+    let silent = std::mem::take(&mut entry.made);
+    entry.tell(&silent[1], ClaimStatus::Granted);
+    for millis in [0, 50, 60] {
+        entry.advance(millis);
+    }
+    entry.grant_all();
+    expect_that!(entry.orders, eq(2));
+    entry.tell(&silent[0], ClaimStatus::Waiting);
+    expect_that!(entry.answers, eq(&vec![Answer::TimedOut]));
+    expect_that!(entry.cancels, eq(2));
+}
+
+/// Guards against a false "not run": the entry that came first may run the job.
+#[gtest]
+fn a_job_that_another_entry_has_is_not_answered_as_not_run() {
+    let mut entry = Entry::new();
+    let made = std::mem::take(&mut entry.made);
+    entry.tell(&made[0], ClaimStatus::Waiting);
+    for _ in 0..60 {
+        entry.advance(100);
+    }
+    expect_that!(entry.answers, eq(&vec![Answer::TimedOut]));
+}
+
+/// Guards against a release while the tasks of an earlier submission to the same entry may run.
+#[gtest]
+fn a_claim_is_not_released_while_tasks_of_an_earlier_submission_run() {
+    let mut entry = Entry::new();
+    entry.grant_all();
+    expect_that!(entry.orders, eq(2));
+    let now = entry.fixture.now;
+    entry.fixture.dispatcher.abandon(now, entry.job);
+    entry.collect();
+    let again = submit(&mut entry.fixture);
+    entry.collect();
+    let made = entry.grant_all();
+    expect_that!(entry.orders, eq(2));
+    entry.tell(&made[0], ClaimStatus::Contested);
+    entry.fixture.dispatcher.abandon(now, again);
+    entry.collect();
+    expect_that!(entry.released, is_empty());
+    entry.advance(1200);
+    expect_that!(entry.released, eq(&vec![released(&made[0])]));
+}
+
+/// Guards against an order to an agent whose first report on a link is being handled: the report, which
+/// doesn't list it, would show that it was not started.
+#[gtest]
+fn the_end_of_a_cancelled_task_places_nothing_before_the_report_is_reconciled() {
+    let mut fixture = Fixture::new(&[1.0], 4);
+    let job = submit(&mut fixture);
+    let orders = fixture.orders();
+    fixture.dispatcher.unlinked(fixture.now, fixture.agents[0]);
+    fixture.dispatcher.abandon(fixture.now, job);
+    fixture.take_actions();
+    submit(&mut fixture);
+    let linked = fixture.dispatcher.linked(fixture.now, 1, "here".into(), 0);
+    expect_that!(linked, some(eq(fixture.agents[0])));
+    expect_that!(fixture.orders(), is_empty());
+    let ends = orders.iter().map(|order| AttemptEnd {
+        task: order.run.task.clone(),
+        outcome: Outcome::Lost,
+        run_ms: 0,
+    });
+    let report = AgentReport {
+        orders_seen: fixture.sent_seqs[0],
+        state: Some(state(1.0, 4, 4)),
+        ends: ends.collect(),
+        held: Some(HeldAttempts {
+            tasks: Vec::new(),
+            received: Some(fixture.sent_seqs[0]),
+        }),
+    };
+    fixture
+        .dispatcher
+        .reported(fixture.now, fixture.agents[0], report);
+    // Each task is ordered once.
+    expect_that!(fixture.orders().len(), eq(2));
+}
+
 #[gtest]
 fn a_job_whose_claims_were_given_to_another_entry_is_given_up() {
     let mut entry = Entry::new();
--- a/hemlockhook-dispatch/tests/dispatcher/links.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/links.rs
@@ -67,7 +67,7 @@
 fn check_cancel_after_link(remove: impl FnOnce(&mut Fixture, &[Order])) {
     let mut fixture = Fixture::new(&[1.0], 10);
     let orders = submit(&mut fixture);
-    fixture.dispatcher.unlinked(fixture.agents[0]);
+    fixture.dispatcher.unlinked(fixture.now, fixture.agents[0]);
     remove(&mut fixture, &orders);
     // The agent has no link on which these could be sent.
     cancels(&mut fixture);
@@ -91,7 +91,7 @@
     };
     let submitted = fixture.dispatcher.submit(fixture.now, submission);
     let order = fixture.orders().remove(0);
-    fixture.dispatcher.unlinked(order.agent);
+    fixture.dispatcher.unlinked(fixture.now, order.agent);
     let key = submitted.expect("there is free capacity");
     fixture.dispatcher.abandon(fixture.now, key);
     cancels(&mut fixture);
@@ -137,7 +137,7 @@
 fn an_attempt_that_both_sides_hold_continues_on_the_next_link() {
     let mut fixture = Fixture::new(&[1.0], 10);
     let orders = submit(&mut fixture);
-    fixture.dispatcher.unlinked(fixture.agents[0]);
+    fixture.dispatcher.unlinked(fixture.now, fixture.agents[0]);
     link_again(&mut fixture);
     first_report(&mut fixture, &[&orders[0], &orders[1]]);
     let actions = fixture.take_actions();
@@ -150,7 +150,7 @@
     fixture.dispatcher.tick(fixture.now);
     fixture.now += Duration::from_secs(3);
     fixture.report_all();
-    fixture.dispatcher.unlinked(fixture.agents[0]);
+    fixture.dispatcher.unlinked(fixture.now, fixture.agents[0]);
     link_again(&mut fixture);
     // It is about to report, so the job is not refused.
     let submitted = fixture.submit(job("a", 1, 50), &queue_config(0));
@@ -195,14 +195,14 @@
     submit(&mut fixture);
     let received = received(&fixture);
     fixture.now += Duration::from_millis(400);
-    fixture.dispatcher.unlinked(fixture.agents[0]);
+    fixture.dispatcher.unlinked(fixture.now, fixture.agents[0]);
     link_again(&mut fixture);
     first_report_without_attempts(&mut fixture, received);
     // The orders that follow are returned unstarted.
     for order in fixture.orders() {
         fixture.end(&order, Outcome::NotStarted);
     }
-    fixture.dispatcher.unlinked(fixture.agents[0]);
+    fixture.dispatcher.unlinked(fixture.now, fixture.agents[0]);
     fixture.now += CALLER_TIMEOUT;
     fixture.dispatcher.tick(fixture.now);
     fixture.answers().remove(0)
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -101,7 +101,7 @@
     fixture.set_state(0, state(1.0, 10, 10));
     expect_that!(fixture.orders().len(), eq(1));
 
-    fixture.dispatcher.unlinked(agent);
+    fixture.dispatcher.unlinked(fixture.now, agent);
     fixture.now += Duration::from_secs(3);
     let refused = fixture
         .submit(job("late", 1, 50), &queue_config(0))
@@ -170,7 +170,7 @@
     let order = fixture.orders().remove(0);
     fixture.end(&order, Outcome::NotStarted);
     // No agent accepts the task before its caller's timeout.
-    fixture.dispatcher.unlinked(order.agent);
+    fixture.dispatcher.unlinked(fixture.now, order.agent);
     fixture.now += Duration::from_secs(21);
     fixture.dispatcher.tick(fixture.now);
     let answers = fixture.answers();
@@ -184,7 +184,7 @@
         .submit(job("a", 1, 50), &queue_config(0))
         .expect("there is free capacity");
     let first = fixture.orders().remove(0);
-    fixture.dispatcher.unlinked(first.agent);
+    fixture.dispatcher.unlinked(fixture.now, first.agent);
     let other = fixture
         .dispatcher
         .linked(fixture.now, 99, "here".into(), 0)
@@ -321,7 +321,7 @@
     expect_that!(admitted, ge(12));
 
     for &agent in &fixture.agents.clone()[1..] {
-        fixture.dispatcher.unlinked(agent);
+        fixture.dispatcher.unlinked(fixture.now, agent);
     }
     fixture.dispatcher.tick(fixture.now);
 
--- a/hemlockhook-dispatch/tests/supervisor/claims.rs
+++ b/hemlockhook-dispatch/tests/supervisor/claims.rs
@@ -91,6 +91,23 @@
     expect_that!(answers(&mut agent), eq(&told));
 }
 
+/// Guards against a claim that nobody releases: its entry has no job, and was not told of the one that waits.
+#[gtest]
+fn a_contested_claim_is_told_again_on_a_new_link() {
+    let mut agent = agent();
+    claim(&mut agent, LINK, 1);
+    agent.supervisor.unlinked(agent.now, LINK);
+    claim(&mut agent, OTHER_LINK, 9);
+    answers(&mut agent);
+    let now = agent.now;
+    agent.supervisor.linked(now, LINK + 1, ENTRY, None, now, 0);
+    agent.collect();
+    expect_that!(
+        answers(&mut agent),
+        eq(&vec![(LINK + 1, 1, ClaimStatus::Contested)])
+    );
+}
+
 #[gtest]
 fn the_claim_of_an_entry_whose_link_has_ended_ends_with_its_runs() {
     let mut agent = agent();
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -641,9 +641,9 @@
 
     fn unlink(&mut self, agent: usize, entry: usize) {
         if let Some(EntryLink { key, link, .. }) = self.entries[entry].links.remove(&agent) {
-            self.entries[entry].dispatcher.unlinked(key);
-            self.agents[agent].links.remove(&link);
             let now = self.now;
+            self.entries[entry].dispatcher.unlinked(now, key);
+            self.agents[agent].links.remove(&link);
             self.agents[agent].supervisor.unlinked(now, link);
         }
     }
--- a/hemlockhook-leased/src/convert.rs
+++ b/hemlockhook-leased/src/convert.rs
@@ -10,7 +10,7 @@
 /// Scale of a pace in messages.
 const PERMILLE: f64 = 1000.0;
 
-/// Maximum time for which a claim to a job is held.
+/// Maximum time for which a claim to a job is held. Longer than any job takes.
 const MAX_HOLD: Duration = Duration::from_secs(48 * 60 * 60);
 
 /// Decodes an attempt at a task. Returns `None` if the message lacks it.
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -290,7 +290,8 @@
         let mut state = self.lock();
         if state.links.get(&key).is_some_and(|link| link.id == id) {
             state.links.remove(&key);
-            state.dispatcher.unlinked(key);
+            let now = self.clock.now();
+            state.dispatcher.unlinked(now, key);
             state.sharing.unlinked(key);
             spdlog::warn!("an agent's link has ended", kv: { link = id });
         }
@@ -447,6 +448,14 @@
             if frame.is_none() && !is_echo_due && !is_sharing_due && !is_first {
                 continue;
             }
+            // The first frame answers the agent's hello, and counts as a sign of life.
+            if let Some(frame) = frame
+                .as_ref()
+                .filter(|_| link.sent_at.is_none() && !is_alive)
+            {
+                log_unsent(frame);
+                continue;
+            }
             let mut frame = frame.unwrap_or_default();
             frame.wants_config = std::mem::take(&mut link.is_request_due);
             if std::mem::take(&mut link.is_configuration_due) {
@@ -526,12 +535,12 @@
     spdlog::info!("another entry claims a job of this one", kv: { job, status, link });
 }
 
-/// Logs a frame that is dropped since its agent has no link. The first report on the next link is
-/// compared with what the entry has.
+/// Logs a frame that is dropped since its agent has no link, or no sign of life may be given on it yet.
+/// The first report on a link is compared with what the entry has.
 fn log_unsent(frame: &v1::EntryOrders) {
     let (runs, cancels) = (frame.runs.len(), frame.cancels.len());
     let claims = frame.claims.len();
-    spdlog::info!("a frame to an agent without a link was dropped", kv: {
+    spdlog::info!("a frame to an agent was dropped", kv: {
         runs,
         cancels,
         claims,
