Answer claims in frames of their own, and place tasks only when a claimed job is queued

Cause: each answer to a claim came in a report. It carried the state of an agent that stands by, so that the entry worked with it by a state that nothing keeps up to date, and it was echoed by one more frame. And the queue was hardly ever empty, since jobs wait there for their claims, so that each report began a round of placements, which weighs all agents.

Change: answers come in frames that carry nothing else, and leave the state, the signs of life and the echo alone. A round begins only if a queued job is claimed.

--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -48,8 +48,6 @@
     pub held: Option<HeldAttempts>,
     /// Sequence number of the entry's last frame that `state` accounts for.
     pub orders_seen: u64,
-    /// States of the entry's claims to jobs that are to be told.
-    pub claims: Vec<ClaimAnswer>,
 }
 
 /// What a frame of an entry carries besides orders and cancellations.
@@ -240,7 +238,7 @@
         let since_report = self.reported_at.map(|at| now.saturating_duration_since(at));
         match since_report {
             None => true,
-            Some(_) if !self.outbox.is_empty() || !self.claim_answers.is_empty() => true,
+            Some(_) if !self.outbox.is_empty() => true,
             Some(since_report) if has_news && is_active => {
                 since_report >= self.state_interval.min(ping_interval)
             }
@@ -425,12 +423,21 @@
                 state: state.map(|state| UpstreamState { share, ..state }),
                 held,
                 orders_seen: owner.received.unwrap_or_default(),
-                claims: std::mem::take(&mut owner.claim_answers),
             })
         };
         due.into_iter().filter_map(report).collect()
     }
 
+    /// Takes the answers to claims, by link. They are sent apart from reports: they tell nothing of the
+    /// upstream, and need no echo.
+    pub fn take_claim_answers(&mut self) -> Vec<(LinkId, Vec<ClaimAnswer>)> {
+        let owners = self.links.owners.values_mut();
+        let answered = owners.filter(|owner| !owner.claim_answers.is_empty());
+        let take =
+            |owner: &mut Owner| Some((owner.link?, std::mem::take(&mut owner.claim_answers)));
+        answered.filter_map(take).collect()
+    }
+
     /// Returns the upstream's state as reported to entries; `None` without an upstream.
     pub fn state(&self, now: Instant) -> Option<UpstreamState> {
         let upstream = self.upstream.as_ref()?;
--- a/hemlockhook-dispatch/src/entry/dispatcher/claims.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/claims.rs
@@ -136,6 +136,9 @@
 impl Dispatcher {
     /// Handles an agent's answer to a claim.
     pub fn claim_answered(&mut self, now: Instant, agent: AgentKey, answer: &ClaimAnswer) {
+        if let Some(agent) = self.agents.get_mut(agent) {
+            agent.is_claim_unanswered = false;
+        }
         let key = self.by_id.get(&answer.job).copied();
         let claim = key.and_then(|key| self.jobs[key].claims.find(agent));
         let claim = claim.filter(|claim| claim.number == answer.number);
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -73,20 +73,21 @@
 
     /// Places queued tasks in queue order, as far as agents can accept them.
     pub(super) fn place_queued(&mut self, now: Instant) {
-        if self.queue.is_empty() {
+        if !self.is_placement_due() {
             return;
         }
         self.place_round(now);
-        // Those that wait for their claims need no agent yet.
-        if self
-            .queue
-            .iter()
-            .any(|rank| self.jobs[rank.job].claims.is_held)
-        {
+        if self.is_placement_due() {
             self.wake_standby_agents(now);
         }
     }
 
+    /// Returns whether a queued job is claimed, so that its tasks may be placed.
+    fn is_placement_due(&self) -> bool {
+        let mut queued = self.queue.iter().take(MAX_UNCLAIMED);
+        queued.any(|rank| self.jobs[rank.job].claims.is_held)
+    }
+
     fn place_round(&mut self, now: Instant) {
         let mut offers = Offers::new(&self.agents, now, self.policy.agent_timeout);
         let mut blocked = 0;
--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -267,14 +267,16 @@
                 Action::Hold(call) => self.holds.push(call),
             }
         }
+        for (link, answers) in self.supervisor.take_claim_answers() {
+            let answers = answers.iter();
+            let answers = answers.map(|answer| (link, answer.number, answer.status));
+            self.claims.extend(answers);
+        }
         let reports = self.supervisor.take_reports(self.now);
         self.reports += reports.len();
         for report in &reports {
             self.reported_links.push(report.link);
             self.held.extend(report.held.clone());
-            let answers = report.claims.iter();
-            let answers = answers.map(|answer| (report.link, answer.number, answer.status));
-            self.claims.extend(answers);
             if let Some(state) = &report.state {
                 self.shares.insert(report.link, state.share);
             }
--- a/hemlockhook-dispatch/tests/world/entries.rs
+++ b/hemlockhook-dispatch/tests/world/entries.rs
@@ -153,9 +153,11 @@
         else {
             return;
         };
-        known.received = known.received.max(frame.sent);
         let key = known.key;
-        state.dispatcher.reported(now, key, frame.report);
+        if let Some(report) = frame.report {
+            known.received = known.received.max(frame.sent);
+            state.dispatcher.reported(now, key, report);
+        }
         for answer in &frame.claims {
             state.dispatcher.claim_answered(now, key, answer);
         }
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -13,7 +13,7 @@
 
 use fastrand::Rng;
 use hemlockhook_dispatch::agent::{
-    Action, Announcement, FrameHeader, HoldResult, LinkId, OrderKey, Report, RunOrder, StartResult,
+    Action, Announcement, FrameHeader, HoldResult, LinkId, OrderKey, RunOrder, StartResult,
     StopResult, Supervisor, SupervisorPolicy,
 };
 use hemlockhook_dispatch::entry::{AgentKey, AgentReport, DispatchPolicy, Dispatcher, JobKey};
@@ -183,7 +183,8 @@
 
 struct Frame {
     sent: Instant,
-    report: AgentReport,
+    /// `None` if the frame answers claims.
+    report: Option<AgentReport>,
     claims: Vec<ClaimAnswer>,
 }
 
@@ -538,26 +539,36 @@
                 },
             );
         }
+        for (link, claims) in self.agents[agent].supervisor.take_claim_answers() {
+            self.send_frame(agent, link, None, claims);
+        }
         let reports = self.agents[agent].supervisor.take_reports(now);
         for report in reports {
-            self.send_report(agent, report);
+            let link = report.link;
+            let report = AgentReport {
+                orders_seen: report.orders_seen,
+                state: report.state,
+                ends: report.ends,
+                held: report.held,
+            };
+            self.send_frame(agent, link, Some(report), Vec::new());
         }
     }
 
-    fn send_report(&mut self, agent: usize, report: Report) {
-        let Some(&(entry, incarnation)) = self.agents[agent].links.get(&report.link) else {
+    fn send_frame(
+        &mut self,
+        agent: usize,
+        link: LinkId,
+        report: Option<AgentReport>,
+        claims: Vec<ClaimAnswer>,
+    ) {
+        let Some(&(entry, incarnation)) = self.agents[agent].links.get(&link) else {
             return;
         };
-        let link = report.link;
         let frame = Frame {
             sent: self.now,
-            report: AgentReport {
-                orders_seen: report.orders_seen,
-                state: report.state,
-                ends: report.ends,
-                held: report.held,
-            },
-            claims: report.claims,
+            report,
+            claims,
         };
         let delay = self.delay(Process::Agent(agent), Process::Entry(entry));
         self.push(
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -430,6 +430,14 @@
                 Action::Hold(call) => self.ex.spawn(core.hold(call)).detach(),
             }
         }
+        for (link, answers) in state.supervisor.take_claim_answers() {
+            if let Some(link) = state.links.get(&link) {
+                link.send(v1::AgentReport {
+                    claims: answers.iter().map(write_claim_answer).collect(),
+                    ..v1::AgentReport::default()
+                });
+            }
+        }
         let reports = state.supervisor.take_reports(now);
         for report in reports {
             self.send_report(now, state, report);
@@ -524,7 +532,6 @@
             orders_seen: report.orders_seen,
             state: report.state.as_ref().map(write_state),
             ends: report.ends.iter().map(write_end).collect(),
-            claims: report.claims.iter().map(write_claim_answer).collect(),
             ..empty
         };
         if let Some(held) = report.held {
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -304,6 +304,9 @@
         let Some(link) = state.links.get_mut(&key).filter(|link| link.id == id) else {
             return;
         };
+        if !report.claims.is_empty() {
+            return self.handle_claim_answers(now, &mut state, key, id, report.claims);
+        }
         link.received_ms = link.received_ms.max(report.sent_ms);
         state.entries.extend(report.entries);
         if let Some(shared) = report.config {
@@ -340,11 +343,6 @@
                 });
             }
         }
-        let claims: Vec<_> = report
-            .claims
-            .into_iter()
-            .filter_map(read_claim_answer)
-            .collect();
         let lists_held_tasks = report.hello.is_some();
         let held = lists_held_tasks.then(|| {
             let tasks = report.held.into_iter().map(Some);
@@ -360,11 +358,23 @@
             held,
         };
         state.dispatcher.reported(now, key, report);
-        for answer in claims {
+        self.flush_to(now, &mut state, &[key]);
+    }
+
+    /// Handles the answers of an agent to claims, which come in frames of their own.
+    fn handle_claim_answers(
+        &self,
+        now: Instant,
+        state: &mut State,
+        key: AgentKey,
+        id: u64,
+        answers: Vec<v1::JobClaimAnswer>,
+    ) {
+        for answer in answers.into_iter().filter_map(read_claim_answer) {
             log_claim(&answer, id);
             state.dispatcher.claim_answered(now, key, &answer);
         }
-        self.flush_to(now, &mut state, &[key]);
+        self.flush_to(now, state, &[]);
     }
 
     /// Handles timeouts and places queued tasks. Returns whether there are unanswered jobs, which
