Wait for a second agent before jobs are claimed at one alone

An entry that has lost the links of all agents but one was granted claims by that one, where no other entry's claims are. It waits now for a second one, as long as a few cuts last; an entry that has never had two does not. Where an agent does not answer, the next one in rank is asked before the other's grant counts.

What is left is the cost of two claims and two answers a job at the weakest entries at the crest.

--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -105,6 +105,8 @@
     attempts: u32,
     /// Number of the last claim.
     claims: u64,
+    /// When enough agents for claims were last linked.
+    last_arbiters: Option<Instant>,
     /// When claims without an answer were last looked for.
     claims_settled: Option<Instant>,
     /// Number of agents evaluated as candidates for a task.
@@ -130,6 +132,7 @@
             state_interval: Duration::ZERO,
             attempts: 0,
             claims: 0,
+            last_arbiters: None,
             claims_settled: None,
             evaluated_candidates: 0,
             actions: Vec::new(),
@@ -289,6 +292,7 @@
                 self.agents.insert(agent)
             }
         };
+        self.note_arbiters(now);
         self.claim_at_linked(now, key);
         Some(key)
     }
@@ -296,6 +300,7 @@
     /// Handles the end of a link. Attempts at the agent count as running until it links again or is
     /// considered lost.
     pub fn unlinked(&mut self, now: Instant, key: AgentKey) {
+        self.note_arbiters(now);
         if let Some(agent) = self.agents.get_mut(key) {
             agent.is_linked = false;
             self.claim_beside(now, key);
--- a/hemlockhook-dispatch/src/entry/dispatcher/claims.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/claims.rs
@@ -15,6 +15,13 @@
 use crate::entry::{AgentKey, Answer, JobKey};
 use crate::{Claim, ClaimAnswer, ClaimChange, ClaimStatus, JobId, TaskRef};
 
+/// Number of agents at which a job is claimed.
+const ARBITERS: usize = 2;
+
+/// Multiple of the time after which an agent is lost for which an entry with one agent left waits for
+/// another. Cuts of a few seconds are over by then.
+const AWAITED_FACTOR: u32 = 4;
+
 /// The claims of a job.
 #[derive(Debug, Default)]
 pub(in crate::entry) struct JobClaims {
@@ -211,10 +218,14 @@
         if self.jobs[key].claims.is_held {
             return;
         }
-        // What was withdrawn while the job waited is claimed again.
-        self.claim(now, key);
+        if self.jobs[key].claims.at.len() < ARBITERS {
+            // What was withdrawn while the job waited is claimed again.
+            self.claim(now, key);
+        }
+        let awaits_agents = self.awaits_agents(now);
         let job = &mut self.jobs[key];
-        if self.ending.contains_key(&job.spec.id) || !job.claims.is_granted() {
+        let is_alone = job.claims.at.len() < ARBITERS && awaits_agents;
+        if is_alone || self.ending.contains_key(&job.spec.id) || !job.claims.is_granted() {
             return;
         }
         job.claims.is_held = true;
@@ -253,9 +264,25 @@
         }
     }
 
+    /// Returns whether the entry has lost the links of all agents but one so recently that other entries may
+    /// still claim jobs at those.
+    fn awaits_agents(&self, now: Instant) -> bool {
+        let limit = AWAITED_FACTOR * self.policy.agent_lost_after;
+        self.last_arbiters
+            .is_some_and(|at| now.saturating_duration_since(at) < limit)
+    }
+
+    /// Notes whether enough agents are linked for claims.
+    pub(super) fn note_arbiters(&mut self, now: Instant) {
+        let linked = self.agents.values().filter(|agent| agent.is_linked);
+        if linked.take(ARBITERS).count() == ARBITERS {
+            self.last_arbiters = Some(now);
+        }
+    }
+
     /// Returns the agents that rank highest for a job, highest first.
-    fn arbiters(&self, id: &JobId) -> [Option<(u64, AgentKey)>; 2] {
-        let mut best = [None; 2];
+    fn arbiters(&self, id: &JobId) -> [Option<(u64, AgentKey)>; ARBITERS] {
+        let mut best = [None; ARBITERS];
         for (key, agent) in &self.agents {
             if !agent.is_linked || agent.is_claim_unanswered {
                 continue;
@@ -367,12 +394,14 @@
                     claim.agent
                 })
                 .collect();
-            if late.is_empty() && claims.has_grant() {
+            if late.is_empty() && claims.has_grant() && claims.at.len() >= ARBITERS {
                 continue;
             }
             for agent in late {
                 self.agents[agent].is_claim_unanswered = true;
             }
+            // The next agents in rank take the place of silent ones.
+            self.claim(now, key);
             self.hold_if_granted(now, key);
         }
         let is_over = |ending: &EndingJob| ending.until <= now;
--- a/hemlockhook-dispatch/tests/dispatcher/claims.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/claims.rs
@@ -141,6 +141,19 @@
     expect_that!(entry.orders, eq(2));
 }
 
+/// Guards against two entries with one job, one of which had lost the links of all agents but one.
+#[gtest]
+fn an_entry_that_has_lost_all_agents_but_one_waits_for_another() {
+    let mut fixture = Fixture::new(&[1.0; 2], 4);
+    let unlinked = fixture.agents[1];
+    fixture.dispatcher.unlinked(fixture.now, unlinked);
+    submit(&mut fixture);
+    expect_that!(fixture.orders(), is_empty());
+    let linked = fixture.dispatcher.linked(fixture.now, 2, "here".into(), 0);
+    expect_that!(linked, some(eq(unlinked)));
+    expect_that!(fixture.orders().len(), eq(2));
+}
+
 #[gtest]
 fn agents_are_not_taken_for_silent_after_a_pause_of_the_entry() {
     let mut entry = Entry::new();
