Keep a job that starts as soon as it is claimed when its expected run time is long

Cause: a job that is expected to run for longer than its caller waits is admitted if it can start at once, since estimates are rough. It used to be placed at that moment. Now a tick may fall between its claim and the answer, and the check for queued jobs that come too late refused it.

Change: that check leaves a job alone that waits for nothing but its claim.

a_job_with_a_long_expected_run_time_is_not_refused_before_its_claim_is_answered fails without the change.

--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -284,8 +284,11 @@
                 false => Duration::ZERO,
             };
             let left = job.useful_until.saturating_duration_since(now);
-            let is_too_late =
-                !job.has_begun && wait.saturating_add(job.remaining_run_time()) > left;
+            // Estimates are rough: what can start as soon as it is claimed is not refused for them.
+            let starts_at_once = !job.claims.is_held && wait.is_zero();
+            let is_too_late = !job.has_begun
+                && !starts_at_once
+                && wait.saturating_add(job.remaining_run_time()) > left;
             match is_too_late {
                 true => too_late.push((rank.job, wait)),
                 false => add_queued(load, job),
--- a/hemlockhook-dispatch/tests/dispatcher/claims.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/claims.rs
@@ -154,6 +154,25 @@
     expect_that!(fixture.orders().len(), eq(2));
 }
 
+/// Guards against a refusal while the claim is under way of a job that would start at once.
+#[gtest]
+fn a_job_with_a_long_expected_run_time_is_not_refused_before_its_claim_is_answered() {
+    let mut fixture = Fixture::new(&[1.0; 2], 4);
+    fixture.dispatcher.tick(fixture.now);
+    fixture.now += Duration::from_secs(3);
+    fixture.report_all();
+    let submission = Submission {
+        spec: job("long", 1, 30_000),
+        queue_config: queue_config(0),
+        caller_timeout: Some(Duration::from_secs(1)),
+        caller_seen: Some(fixture.now),
+    };
+    let submitted = fixture.dispatcher.submit(fixture.now, submission);
+    expect_that!(submitted, ok(anything()));
+    fixture.dispatcher.tick(fixture.now);
+    expect_that!(fixture.orders().len(), eq(1));
+}
+
 #[gtest]
 fn agents_are_not_taken_for_silent_after_a_pause_of_the_entry() {
     let mut entry = Entry::new();
