Draw incarnations from the operating system's random numbers

All programs use new_incarnation, which asks the operating system. An entry that sees one incarnation from agents of two names logs an error and refuses the second.

--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use slotmap::new_key_type;
+use strum::IntoStaticStr;
 
 use crate::agent::UpstreamState;
 use crate::entry::JobKey;
@@ -15,6 +16,31 @@
     pub struct AgentKey;
 }
 
+/// What an agent states about itself when it opens a link.
+#[derive(Clone, Debug)]
+pub struct AgentHello {
+    /// Name of the agent's instance.
+    pub name: Arc<str>,
+    /// Incarnation of the agent.
+    pub incarnation: Incarnation,
+    /// Data center of the agent.
+    pub data_center: Arc<str>,
+    /// When the hello was sent, by the agent's clock.
+    pub sent_ms: u64,
+}
+
+/// Reason for which a link of an agent is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum LinkRefusal {
+    /// The agent has sent a later hello: it has given up the connection of this one, which was
+    /// delayed or lay in the socket while this process stood still.
+    Outdated,
+    /// An agent of another name has the same incarnation. What one of the two holds would be taken
+    /// for what the other has lost.
+    DuplicateIncarnation,
+}
+
 /// A report of an agent.
 #[derive(Clone, Debug)]
 pub struct AgentReport {
@@ -31,6 +57,7 @@
 /// An agent and its upstream.
 #[derive(Debug)]
 pub(super) struct Agent {
+    pub(super) name: Arc<str>,
     pub(super) incarnation: Incarnation,
     pub(super) data_center: Arc<str>,
     /// When the hello of its last link was sent, by the agent's clock.
@@ -59,16 +86,12 @@
 }
 
 impl Agent {
-    pub(super) fn new(
-        now: Instant,
-        incarnation: Incarnation,
-        data_center: Arc<str>,
-        hello_ms: u64,
-    ) -> Self {
+    pub(super) fn new(now: Instant, hello: AgentHello) -> Self {
         Self {
-            incarnation,
-            data_center,
-            hello_ms,
+            name: hello.name,
+            incarnation: hello.incarnation,
+            data_center: hello.data_center,
+            hello_ms: hello.sent_ms,
             is_linked: true,
             last_report: now,
             awaits_first_report: true,
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -20,8 +20,10 @@
 use crate::entry::agents::Agent;
 use crate::entry::estimate::Estimates;
 use crate::entry::job::{Job, Rank, Step, Task};
-use crate::entry::{AgentKey, AgentReport, Answer, DispatchPolicy, JobKey, Refusal};
-use crate::{Claim, Incarnation, JobId, JobSpec, QueueConfig, TaskId, TaskRef};
+use crate::entry::{
+    AgentHello, AgentKey, AgentReport, Answer, DispatchPolicy, JobKey, LinkRefusal, Refusal,
+};
+use crate::{Claim, JobId, JobSpec, QueueConfig, TaskId, TaskRef};
 
 /// Time to send a task to an agent and to receive its result.
 const DISPATCH_OVERHEAD: Duration = Duration::from_millis(8);
@@ -258,26 +260,19 @@
         true
     }
 
-    /// Registers a new link of an agent, whose hello was sent at `hello_ms` by the agent's clock.
-    ///
-    /// Returns `None` if the agent has sent a later hello: it has given up the connection of this one,
-    /// which was delayed or lay in the socket while this process stood still.
-    pub fn linked(
-        &mut self,
-        now: Instant,
-        incarnation: Incarnation,
-        data_center: Arc<str>,
-        hello_ms: u64,
-    ) -> Option<AgentKey> {
-        let known =
-            |(key, agent): (AgentKey, &Agent)| (agent.incarnation == incarnation).then_some(key);
-        let key = match self.agents.iter().find_map(known) {
-            Some(key) => {
-                let agent = &mut self.agents[key];
-                if hello_ms < agent.hello_ms {
-                    return None;
-                }
-                agent.hello_ms = hello_ms;
+    /// Registers a new link of an agent, or returns why it is refused.
+    pub fn linked(&mut self, now: Instant, hello: AgentHello) -> Result<AgentKey, LinkRefusal> {
+        let is_known = |agent: &Agent| agent.incarnation == hello.incarnation;
+        let known = self.agents.iter_mut().find(|(_, agent)| is_known(agent));
+        let key = match known {
+            Some((_, agent)) if agent.name != hello.name => {
+                return Err(LinkRefusal::DuplicateIncarnation);
+            }
+            Some((_, agent)) if hello.sent_ms < agent.hello_ms => {
+                return Err(LinkRefusal::Outdated);
+            }
+            Some((key, agent)) => {
+                agent.hello_ms = hello.sent_ms;
                 agent.is_linked = true;
                 agent.last_report = now;
                 // Its first report tells what it holds and whether it accepts work.
@@ -288,13 +283,12 @@
             }
             None => {
                 self.last_new_agent = Some(now);
-                let agent = Agent::new(now, incarnation, data_center, hello_ms);
-                self.agents.insert(agent)
+                self.agents.insert(Agent::new(now, hello))
             }
         };
         self.note_arbiters(now);
         self.claim_at_linked(now, key);
-        Some(key)
+        Ok(key)
     }
 
     /// Handles the end of a link. Attempts at the agent count as running until it links again or is
--- a/hemlockhook-dispatch/src/entry/mod.rs
+++ b/hemlockhook-dispatch/src/entry/mod.rs
@@ -11,7 +11,7 @@
 mod sharing;
 
 pub use admission::Refusal;
-pub use agents::{AgentKey, AgentReport};
+pub use agents::{AgentHello, AgentKey, AgentReport, LinkRefusal};
 pub use dispatcher::{Action, CancelCause, Dispatcher, Order, Submission};
 pub use job::{Answer, JobKey};
 pub use policy::{DispatchPolicy, DispatchRules};
--- a/hemlockhook-dispatch/tests/dispatcher/claims.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/claims.rs
@@ -8,7 +8,7 @@
     AttemptEnd, Claim, ClaimAnswer, ClaimChange, ClaimStatus, HeldAttempts, Outcome,
 };
 
-use crate::fixture::{Fixture, job, queue_config, state};
+use crate::fixture::{Fixture, hello, job, queue_config, state};
 
 /// An entry whose claims a test answers.
 struct Entry {
@@ -149,8 +149,8 @@
     fixture.dispatcher.unlinked(fixture.now, unlinked);
     submit(&mut fixture);
     expect_that!(fixture.orders(), is_empty());
-    let linked = fixture.dispatcher.linked(fixture.now, 2, "here".into(), 0);
-    expect_that!(linked, some(eq(unlinked)));
+    let linked = fixture.dispatcher.linked(fixture.now, hello(2, 0));
+    expect_that!(linked, ok(eq(unlinked)));
     expect_that!(fixture.orders().len(), eq(2));
 }
 
@@ -246,8 +246,8 @@
     fixture.dispatcher.abandon(fixture.now, job);
     fixture.take_actions();
     submit(&mut fixture);
-    let linked = fixture.dispatcher.linked(fixture.now, 1, "here".into(), 0);
-    expect_that!(linked, some(eq(fixture.agents[0])));
+    let linked = fixture.dispatcher.linked(fixture.now, hello(1, 0));
+    expect_that!(linked, ok(eq(fixture.agents[0])));
     expect_that!(fixture.orders(), is_empty());
     let ends = orders.iter().map(|order| AttemptEnd {
         task: order.run.task.clone(),
--- a/hemlockhook-dispatch/tests/dispatcher/fixture.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/fixture.rs
@@ -6,7 +6,8 @@
 
 use hemlockhook_dispatch::agent::UpstreamState;
 use hemlockhook_dispatch::entry::{
-    Action, AgentKey, AgentReport, Answer, DispatchPolicy, Dispatcher, Order, Refusal, Submission,
+    Action, AgentHello, AgentKey, AgentReport, Answer, DispatchPolicy, Dispatcher, Order, Refusal,
+    Submission,
 };
 use hemlockhook_dispatch::{
     Amounts, AttemptEnd, ClaimAnswer, ClaimChange, ClaimStatus, JobSpec, Outcome, QueueConfig,
@@ -23,6 +24,16 @@
     pub sent_seqs: Vec<u64>,
 }
 
+/// Returns the hello of an agent, with a name of its own for each incarnation.
+pub fn hello(incarnation: u64, sent_ms: u64) -> AgentHello {
+    AgentHello {
+        name: format!("agent-{incarnation}").into(),
+        incarnation,
+        data_center: "here".into(),
+        sent_ms,
+    }
+}
+
 impl Fixture {
     /// Creates an entry with one agent per given pace, each of whose upstreams has `cores` cores.
     pub fn new(paces: &[f64], cores: u64) -> Self {
@@ -31,8 +42,8 @@
         let mut agents = Vec::new();
         for (index, pace) in paces.iter().enumerate() {
             let key = dispatcher
-                .linked(now, index as u64 + 1, "here".into(), 0)
-                .expect("no later hello was sent");
+                .linked(now, hello(index as u64 + 1, 0))
+                .expect("the link is not refused");
             let report = AgentReport {
                 orders_seen: 0,
                 state: Some(state(*pace, cores, cores)),
--- a/hemlockhook-dispatch/tests/dispatcher/flood.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/flood.rs
@@ -10,7 +10,7 @@
 };
 use hemlockhook_dispatch::{Amounts, AttemptEnd, Outcome};
 
-use crate::fixture::{CORE, job, queue_config, state, take_granted};
+use crate::fixture::{CORE, hello, job, queue_config, state, take_granted};
 
 const AGENTS: u64 = 11;
 
@@ -39,8 +39,8 @@
         let mut free = BTreeMap::new();
         for incarnation in 1..=AGENTS {
             let key = dispatcher
-                .linked(now, incarnation, "here".into(), 0)
-                .expect("no later hello was sent");
+                .linked(now, hello(incarnation, 0))
+                .expect("the link is not refused");
             free.insert(key, CORES);
         }
         let mut replay = Self {
--- a/hemlockhook-dispatch/tests/dispatcher/links.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/links.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use hemlockhook_dispatch::entry::{Action, AgentReport, Answer, Order, Refusal, Submission};
+use hemlockhook_dispatch::entry::{
+    Action, AgentReport, Answer, LinkRefusal, Order, Refusal, Submission,
+};
 use hemlockhook_dispatch::{HeldAttempts, Outcome, TaskRef};
 
-use crate::fixture::{Fixture, job, queue_config, state};
+use crate::fixture::{Fixture, hello, job, queue_config, state};
 
 /// Time for which callers wait. A silent agent is not lost within it.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -33,8 +35,8 @@
 fn link_again(fixture: &mut Fixture) {
     let key = fixture
         .dispatcher
-        .linked(fixture.now, 1, "here".into(), 0)
-        .expect("no later hello was sent");
+        .linked(fixture.now, hello(1, 0))
+        .expect("the link is not refused");
     expect_that!(key, eq(fixture.agents[0]));
 }
 
@@ -123,8 +125,8 @@
         // Another agent runs the second attempt, which fails as well.
         let other = fixture
             .dispatcher
-            .linked(fixture.now, 2, "here".into(), 0)
-            .expect("no later hello was sent");
+            .linked(fixture.now, hello(2, 0))
+            .expect("the link is not refused");
         fixture.agents.push(other);
         fixture.sent_seqs.push(0);
         fixture.set_state(1, state(1.0, 10, 10));
@@ -231,19 +233,33 @@
 #[gtest]
 fn a_connection_that_was_given_up_does_not_replace_a_newer_link() {
     let mut fixture = Fixture::new(&[], 10);
-    let newer = fixture
-        .dispatcher
-        .linked(fixture.now, 1, "here".into(), 600);
+    let newer = fixture.dispatcher.linked(fixture.now, hello(1, 600));
     let agent = newer.expect("it is the first hello");
     fixture.agents.push(agent);
     fixture.sent_seqs.push(0);
     first_report(&mut fixture, &[]);
-    let older = fixture
-        .dispatcher
-        .linked(fixture.now, 1, "here".into(), 100);
-    expect_that!(older, none());
+    let older = fixture.dispatcher.linked(fixture.now, hello(1, 100));
+    expect_that!(older, err(eq(LinkRefusal::Outdated)));
     // The newer link is used on.
     let submitted = fixture.submit(job("a", 1, 50), &queue_config(0));
     expect_that!(submitted, ok(anything()));
     expect_that!(fixture.orders().len(), eq(1));
 }
+
+/// Two agents that had drawn the same incarnation replaced each other's link every 35 ms, and with each
+/// new link the entry ended what the other one ran as lost, and placed it again beside that run.
+#[gtest]
+fn a_second_agent_with_the_incarnation_of_another_is_refused() {
+    let mut fixture = Fixture::new(&[1.0], 10);
+    let orders = submit(&mut fixture);
+    let mut other = hello(1, 600);
+    other.name = "agent-2".into();
+    let linked = fixture.dispatcher.linked(fixture.now, other);
+    expect_that!(linked, err(eq(LinkRefusal::DuplicateIncarnation)));
+    // The link of the first one is used on, and nothing is placed again.
+    expect_that!(fixture.orders(), is_empty());
+    for order in &orders {
+        fixture.end(order, Outcome::Done);
+    }
+    expect_that!(fixture.answers(), elements_are![eq(&Answer::Completed)]);
+}
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use fixture::{Fixture, job, queue_config, state};
+use fixture::{Fixture, hello, job, queue_config, state};
 use googletest::prelude::*;
 use hemlockhook_dispatch::entry::{
     AgentReport, Answer, DispatchPolicy, Order, Refusal, Submission,
@@ -94,8 +94,8 @@
     fixture.now += Duration::from_millis(200);
     let agent = fixture
         .dispatcher
-        .linked(fixture.now, 1, "here".into(), 0)
-        .expect("no later hello was sent");
+        .linked(fixture.now, hello(1, 0))
+        .expect("the link is not refused");
     fixture.agents.push(agent);
     fixture.sent_seqs.push(0);
     fixture.set_state(0, state(1.0, 10, 10));
@@ -187,8 +187,8 @@
     fixture.dispatcher.unlinked(fixture.now, first.agent);
     let other = fixture
         .dispatcher
-        .linked(fixture.now, 99, "here".into(), 0)
-        .expect("no later hello was sent");
+        .linked(fixture.now, hello(99, 0))
+        .expect("the link is not refused");
     fixture.agents.push(other);
     fixture.sent_seqs.push(0);
     for elapsed in [500, 1000] {
--- a/hemlockhook-dispatch/tests/dispatcher/odd_jobs.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/odd_jobs.rs
@@ -13,7 +13,7 @@
     Amounts, AttemptEnd, JobSpec, MAX_TASKS, Outcome, QueueConfig, StepSpec, Unsupported,
 };
 
-use crate::fixture::take_granted;
+use crate::fixture::{hello, take_granted};
 
 fn amounts(cpu: u64) -> Amounts {
     Amounts {
@@ -67,8 +67,8 @@
     let now = Instant::now();
     let mut dispatcher = Dispatcher::new(DispatchPolicy::default());
     let key = dispatcher
-        .linked(now, 1, "here".into(), 0)
-        .expect("no later hello was sent");
+        .linked(now, hello(1, 0))
+        .expect("the link is not refused");
     let state = UpstreamState {
         is_usable: true,
         service: "s".into(),
--- a/hemlockhook-dispatch/tests/dispatcher/start.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/start.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use hemlockhook_dispatch::entry::{AgentReport, Answer, Refusal};
 
-use crate::fixture::{CORE, Fixture, job, queue_config, state};
+use crate::fixture::{CORE, Fixture, hello, job, queue_config, state};
 
 /// Cores of an upstream.
 const CORES: u64 = 10;
@@ -14,8 +14,8 @@
 fn link(fixture: &mut Fixture, incarnation: u64) {
     let dispatcher = &mut fixture.dispatcher;
     let key = dispatcher
-        .linked(fixture.now, incarnation, "here".into(), 0)
-        .expect("no later hello was sent");
+        .linked(fixture.now, hello(incarnation, 0))
+        .expect("the link is not refused");
     let report = AgentReport {
         orders_seen: 0,
         state: Some(state(1.0, CORES, CORES)),
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -16,7 +16,9 @@
     Action, Announcement, FrameHeader, HoldResult, LinkId, OrderKey, RunOrder, StartResult,
     StopResult, Supervisor, SupervisorPolicy,
 };
-use hemlockhook_dispatch::entry::{AgentKey, AgentReport, DispatchPolicy, Dispatcher, JobKey};
+use hemlockhook_dispatch::entry::{
+    AgentHello, AgentKey, AgentReport, DispatchPolicy, Dispatcher, JobKey,
+};
 use hemlockhook_dispatch::{Amounts, Claim, ClaimAnswer, JobSpec, QueueConfig, StepSpec, TaskRef};
 
 use upstream::Upstream;
@@ -633,11 +635,17 @@
         self.agents[agent]
             .supervisor
             .linked(now, link, incarnation, replaced, now, incarnation);
+        let hello = AgentHello {
+            name: format!("agent-{agent}").into(),
+            incarnation: self.agents[agent].incarnation,
+            data_center: "dc".into(),
+            sent_ms: 0,
+        };
         let state = &mut self.entries[entry];
         let key = state
             .dispatcher
-            .linked(now, self.agents[agent].incarnation, "dc".into(), 0)
-            .expect("no later hello was sent");
+            .linked(now, hello)
+            .expect("the link is not refused");
         let link = EntryLink {
             key,
             link,
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -16,7 +16,7 @@
 use hemlockhook_proto::v1;
 use hemlockhook_runtime::executor::Executor;
 use hemlockhook_runtime::metrics::Metrics;
-use hemlockhook_types::Clock;
+use hemlockhook_types::{Clock, new_incarnation};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::agent::metrics::AgentMetrics;
@@ -89,7 +89,7 @@
         let epoch = clock.now();
         Self {
             ex,
-            incarnation: fastrand::u64(1..),
+            incarnation: new_incarnation(),
             name: settings.name.clone(),
             data_center: settings.data_center.clone(),
             clock,
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -9,14 +9,14 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use hemlockhook_dispatch::entry::{
-    Action, AgentKey, AgentReport, CancelCause, ConfigurationSharing, ConfigurationSource,
-    Dispatcher, JobKey,
+    Action, AgentHello, AgentKey, AgentReport, CancelCause, ConfigurationSharing,
+    ConfigurationSource, Dispatcher, JobKey, LinkRefusal,
 };
 use hemlockhook_dispatch::{ClaimAnswer, ClaimStatus, HeldAttempts, TaskRef};
 use hemlockhook_ports::leased::{Configuration, MalformedMessage};
 use hemlockhook_proto::v1;
 use hemlockhook_runtime::metrics::Metrics;
-use hemlockhook_types::Clock;
+use hemlockhook_types::{Clock, new_incarnation};
 
 use self::callers::Waiters;
 use crate::convert::{
@@ -94,8 +94,8 @@
     pub(crate) fn new(settings: &EntrySettings, clock: Arc<dyn Clock>, metrics: &Metrics) -> Self {
         let address = settings.links_address.to_string();
         Self {
-            // Agents send 0 if they were not linked with an entry before.
-            incarnation: fastrand::u64(1..),
+            // Never 0, which agents send if they were not linked with an entry before.
+            incarnation: new_incarnation(),
             clock,
             metrics: EntryMetrics::new(metrics),
             state: Mutex::new(State {
@@ -250,7 +250,7 @@
     }
 
     /// Registers a new link of the agent that sent `hello` at `sent_ms` by its clock. Returns `None` if
-    /// the agent has opened another one since.
+    /// it is refused.
     pub(crate) fn open_link(
         &self,
         id: u64,
@@ -260,14 +260,22 @@
     ) -> Option<AgentKey> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let data_center = hello.data_center.as_str().into();
         let agent = hello.name.as_str();
-        let key = state
-            .dispatcher
-            .linked(now, hello.incarnation, data_center, sent_ms);
-        let Some(key) = key else {
-            spdlog::warn!("refused a link that its agent has given up", kv: { agent, link = id });
-            return None;
+        let linked = state.dispatcher.linked(
+            now,
+            AgentHello {
+                name: agent.into(),
+                incarnation: hello.incarnation,
+                data_center: hello.data_center.as_str().into(),
+                sent_ms,
+            },
+        );
+        let key = match linked {
+            Ok(key) => key,
+            Err(refusal) => {
+                log_refused_link(refusal, hello, id);
+                return None;
+            }
         };
         spdlog::info!("an agent has linked", kv: { agent, link = id });
         let link = Link {
@@ -535,6 +543,23 @@
     spdlog::info!("cancelling an attempt", kv: { job, task = index, attempt, cause });
 }
 
+fn log_refused_link(refusal: LinkRefusal, hello: &v1::LeasedHello, link: u64) {
+    let agent = hello.name.as_str();
+    let incarnation = hello.incarnation;
+    match refusal {
+        LinkRefusal::Outdated => {
+            spdlog::warn!("refused a link that its agent has given up", kv: { agent, link });
+        }
+        LinkRefusal::DuplicateIncarnation => {
+            spdlog::error!("refused an agent that has the incarnation of another agent", kv: {
+                agent,
+                incarnation,
+                link,
+            });
+        }
+    }
+}
+
 /// Logs an answer that shows that another entry has the job, too.
 fn log_claim(answer: &ClaimAnswer, link: u64) {
     if answer.status == ClaimStatus::Granted {
--- a/hemlockhook-leased/src/entry/links.rs
+++ b/hemlockhook-leased/src/entry/links.rs
@@ -56,7 +56,7 @@
         let id = self.last_link.fetch_add(1, Ordering::Relaxed) + 1;
         let (tx, rx) = outgoing_queue();
         let Some(key) = self.core.open_link(id, tx, &hello, first.sent_ms) else {
-            return Err(Status::aborted("the agent has opened another link since"));
+            return Err(Status::aborted("the link is refused"));
         };
         self.core.handle_report(key, id, first);
 
--- a/hemlockhook-types/src/id.rs
+++ b/hemlockhook-types/src/id.rs
@@ -34,6 +34,18 @@
 }
 
 /// Generates a random incarnation for a starting process. It is never zero.
+///
+/// It is drawn from the operating system's random numbers. A generator that is seeded by the clock
+/// gave two processes that started in the same tick of the clock the same incarnation.
+///
+/// # Panics
+///
+/// Panics if the operating system has no random numbers.
 pub fn new_incarnation() -> Incarnation {
-    fastrand::u64(1..)
+    loop {
+        let incarnation = getrandom::u64().expect("the operating system has random numbers");
+        if incarnation != 0 {
+            return incarnation;
+        }
+    }
 }
--- a/hemlockhook/src/local_deployment.rs
+++ b/hemlockhook/src/local_deployment.rs
@@ -21,6 +21,7 @@
 use hemlockhook_types::{Clock, SystemClock};
 use http::Request;
 use http_body_util::Full;
+use uuid::Uuid;
 
 /// Time limit for a deployment to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(60);
@@ -293,7 +294,7 @@
 
     async fn append_config(&self, base: u64, document: String) -> eyre::Result<()> {
         let record = ConfigRecord {
-            change_id: format!("demo-{:x}", fastrand::u64(..)),
+            change_id: Uuid::now_v7().to_string(),
             base,
             document,
             author: "demo".to_owned(),
