Keep tasks from agents in drained data centers in the dispatcher

Operators can drain a data center, which entries ignored. The dispatcher uses no agents in drained data centers, refuses jobs that could run only there at once, and wakes standby agents of others in their place.

--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -63,6 +63,8 @@
     /// When the hello of its last link was sent, by the agent's clock.
     pub(super) hello_ms: u64,
     pub(super) is_linked: bool,
+    /// Whether its data center is drained.
+    pub(super) is_drained: bool,
     /// Time of the last report.
     pub(super) last_report: Instant,
     /// Whether the first report on its link, which lists what it holds, has yet to arrive.
@@ -93,6 +95,7 @@
             data_center: hello.data_center,
             hello_ms: hello.sent_ms,
             is_linked: true,
+            is_drained: false,
             last_report: now,
             awaits_first_report: true,
             state: None,
@@ -109,13 +112,13 @@
     pub(super) fn usable(&self, now: Instant, timeout: Duration) -> Option<&UpstreamState> {
         let is_fresh = now.saturating_duration_since(self.last_report) < timeout;
         let state = self.state.as_ref()?;
-        (self.is_linked && is_fresh && state.is_usable).then_some(state)
+        (self.is_linked && is_fresh && state.is_usable && !self.is_drained).then_some(state)
     }
 
     /// Returns whether the agent is linked and about to report its state.
     pub(super) fn is_about_to_report(&self, now: Instant, timeout: Duration) -> bool {
         let is_fresh = now.saturating_duration_since(self.last_report) < timeout;
-        self.is_linked && is_fresh && self.awaits_first_report
+        self.is_linked && is_fresh && self.awaits_first_report && !self.is_drained
     }
 
     /// Returns whether the agent is linked and stands by: it reports rarely, so that its state is too
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod capacity;
 mod claims;
+mod drains;
 mod ends;
 mod queue;
 mod standby;
@@ -17,6 +18,7 @@
 use self::claims::EndingJob;
 pub(in crate::entry) use self::claims::JobClaims;
 use crate::agent::RunOrder;
+use crate::drains::Drains;
 use crate::entry::agents::Agent;
 use crate::entry::estimate::Estimates;
 use crate::entry::job::{Job, Rank, Step, Task};
@@ -93,6 +95,7 @@
     ending: BTreeMap<JobId, EndingJob>,
     queue: BTreeSet<Rank>,
     estimates: Estimates,
+    drains: Drains,
     is_leaving: bool,
     /// When the first tick was handled.
     started: Option<Instant>,
@@ -127,6 +130,7 @@
             ending: BTreeMap::new(),
             queue: BTreeSet::new(),
             estimates: Estimates::default(),
+            drains: Drains::default(),
             is_leaving: false,
             started: None,
             last_new_agent: None,
@@ -286,6 +290,8 @@
                 self.agents.insert(Agent::new(now, hello))
             }
         };
+        let agent = &mut self.agents[key];
+        agent.is_drained = self.drains.contains(&agent.data_center);
         self.note_arbiters(now);
         self.claim_at_linked(now, key);
         Ok(key)
@@ -342,6 +348,10 @@
         self.settle_lost_agents(now);
         self.time_out(now);
         self.refuse_late_jobs(now);
+        if self.usable_agents(now) == 0 {
+            self.refuse_drained_jobs(now);
+        }
+        self.replace_drained_agents(now);
         self.settle_claims(now);
         self.check_callers(now);
         self.place_queued(now);
--- a/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
@@ -30,12 +30,16 @@
         if self.is_gathering_agents(now) {
             return Ok(());
         }
+        if self.needs_drained_agents(job) {
+            return Err(Refusal::NoUpstream { retry_after });
+        }
         if states().next().is_none() {
             // Right after a start the agents have yet to link, which takes a fraction of a second, and
             // those that have linked again have yet to report.
             let is_about_to_report = |agent: &Agent| agent.is_about_to_report(now, timeout);
             let are_about_to_report = self.agents.values().any(is_about_to_report);
-            return match self.is_starting(now) || are_about_to_report {
+            let is_expected = are_about_to_report || self.can_wake_for(now, job);
+            return match self.is_starting(now) || is_expected {
                 true => Ok(()),
                 false => Err(Refusal::NoUpstream { retry_after }),
             };
--- a/hemlockhook-dispatch/src/entry/dispatcher/standby.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/standby.rs
@@ -8,6 +8,12 @@
 
 use super::{Action, Dispatcher};
 use crate::entry::AgentKey;
+use crate::entry::agents::Agent;
+
+/// Time for which an agent that was woken counts as a replacement of a drained one. Below the time for
+/// which its link is then active (`SupervisorPolicy::wake_duration`, 2 s), so that it is woken again
+/// before its reports become rare.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(1500);
 
 impl Dispatcher {
     /// Returns the minimum time between reports of an agent that carry only a changed state.
@@ -31,7 +37,9 @@
         }
         let timeout = self.policy.agent_timeout;
         let standby = self.agents.iter().filter(|(_, agent)| {
-            agent.is_standing_by(now, timeout) && !is_recent(agent.woken_at, agent_pause)
+            agent.is_standing_by(now, timeout)
+                && !agent.is_drained
+                && !is_recent(agent.woken_at, agent_pause)
         });
         // Those that were not requested for the longest time come first.
         let mut standby: Vec<(Option<Instant>, AgentKey)> =
@@ -43,8 +51,49 @@
         }
         self.last_wake = Some(now);
         for (_, key) in standby {
-            self.agents[key].woken_at = Some(now);
-            self.actions.push(Action::Wake(key));
+            self.wake(now, key);
+        }
+    }
+
+    /// Requests the states of as many agents that stand by as there are drained ones with active links,
+    /// as long as there are jobs.
+    ///
+    /// Admission counts only on agents that report. When a data center is drained, a third of them may
+    /// be missing at once.
+    pub(super) fn replace_drained_agents(&mut self, now: Instant) {
+        if self.drains.data_centers.is_empty() || self.jobs.is_empty() {
+            return;
+        }
+        let timeout = self.policy.agent_timeout;
+        let is_replacement = |agent: &Agent| {
+            let woken_at = agent.woken_at;
+            woken_at.is_some_and(|at| now.saturating_duration_since(at) < REPLACEMENT_INTERVAL)
+        };
+        let was_woken = |agent: &Agent| {
+            let woken_at = agent.woken_at;
+            woken_at.is_some_and(|at| now.saturating_duration_since(at) < REPLACEMENT_INTERVAL * 2)
+        };
+        let (mut drained, mut replacements) = (0_usize, 0);
+        let mut available = Vec::new();
+        for (key, agent) in self.agents.iter().filter(|(_, agent)| agent.is_linked) {
+            match agent.is_standing_by(now, timeout) {
+                is_standing_by if agent.is_drained => drained += usize::from(!is_standing_by),
+                _ if is_replacement(agent) => replacements += 1,
+                is_standing_by if is_standing_by || was_woken(agent) => {
+                    available.push((agent.woken_at, key));
+                }
+                _ => {}
+            }
         }
+        available.sort_unstable();
+        available.truncate(drained.saturating_sub(replacements));
+        for (_, key) in available {
+            self.wake(now, key);
+        }
+    }
+
+    fn wake(&mut self, now: Instant, key: AgentKey) {
+        self.agents[key].woken_at = Some(now);
+        self.actions.push(Action::Wake(key));
     }
 }
--- a/hemlockhook-dispatch/src/lib.rs
+++ b/hemlockhook-dispatch/src/lib.rs
@@ -8,12 +8,14 @@
 pub mod agent;
 mod amounts;
 mod claims;
+mod drains;
 pub mod entry;
 mod job;
 mod task;
 
 pub use amounts::Amounts;
 pub use claims::{Claim, ClaimAnswer, ClaimChange, ClaimStatus};
+pub use drains::{DataCenter, DrainRead, Drains};
 pub use job::{
     JobSpec, MAX_RUN_TIME, MAX_TASKS, QueueConfig, ServiceConfig, StepSpec, Unsupported,
 };
