Let agents follow drains, and report a cold upstream as slower

A drained agent returns waiting orders, refuses new ones and retries no start, and finishes what runs. Announcements state how long an upstream is cold; until then the pace that entries are told is multiplied by a factor of the policy (1, no effect, by default), and its runs teach no pace.

--- a/hemlockhook-dispatch/src/agent/health.rs
+++ b/hemlockhook-dispatch/src/agent/health.rs
@@ -108,6 +108,11 @@
         let current = self.pace();
         let ratio = ratio.clamp(current * min, current * max);
         self.log_pace += self.policy.pace_weight * (ratio.ln() - self.log_pace);
+        self.record_cold_success();
+    }
+
+    /// Records a successful run whose time says nothing of the pace.
+    pub fn record_cold_success(&mut self) {
         self.failures = 0;
         self.fails_several_jobs = false;
         self.is_probing = false;
--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -454,7 +454,7 @@
             free,
             labels: upstream.announcement.labels.clone(),
             waiting: self.waiting.len() as u32,
-            pace: self.health.pace(),
+            pace: self.reported_pace(now),
             entries: self.links.active(now),
             share: 1.0,
         })
--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -79,7 +79,9 @@
         };
         let job = order.order.task.task.job.clone();
         match outcome {
+            Outcome::Done if self.is_cold_run(started_at) => self.health.record_cold_success(),
             Outcome::Done => {
+                let order = &self.orders[key];
                 let run_time = order.run_time;
                 let expected = order.order.expected;
                 self.health.record_success(run_time, expected);
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -8,6 +8,7 @@
 mod call;
 mod claims;
 mod clock;
+mod drained;
 mod due;
 mod ended;
 mod health;
@@ -84,6 +85,8 @@
     is_poll_pending: bool,
     /// Whether the process is shutting down.
     is_leaving: bool,
+    /// Whether the agent's data center is drained.
+    is_drained: bool,
     actions: Vec<Action>,
 }
 
@@ -108,6 +111,7 @@
             is_long_poll_pending: false,
             is_poll_pending: false,
             is_leaving: false,
+            is_drained: false,
             actions: Vec::new(),
         }
     }
@@ -395,6 +399,7 @@
         self.health
             .decay_idle_pace(now, self.reserved() == Amounts::default());
         self.drop_old_ends(now);
+        self.note_warm_upstream(now);
         self.settle_claims(now);
         self.hold(now, self.policy.hold_wait);
         self.start_waiting(now);
@@ -435,6 +440,7 @@
         };
         let since_announcement = now.saturating_duration_since(upstream.last_announced);
         !self.is_leaving
+            && !self.is_drained
             && !upstream.is_leaving
             && upstream.replaced_at.is_none()
             && (upstream.are_runs_listed || !self.policy.rules.lists_runs_first)
--- a/hemlockhook-dispatch/src/agent/policy.rs
+++ b/hemlockhook-dispatch/src/agent/policy.rs
@@ -80,6 +80,9 @@
     /// Maximum number of orders waiting beyond the free capacity, in percent of the orders that the
     /// upstream can run at once.
     pub waiting_percent: usize,
+    /// Factor on the reported pace of an upstream while it is cold after its start. At 1, announcements
+    /// that an upstream is cold have no effect.
+    pub cold_pace_factor: f64,
     /// Thresholds and pauses for unhealthy upstreams.
     pub health: HealthPolicy,
 }
@@ -103,6 +106,7 @@
             run_retention: Duration::from_secs(15),
             announcement_timeout: Duration::from_secs(6),
             waiting_percent: 30,
+            cold_pace_factor: 1.0,
             health: HealthPolicy::default(),
         }
     }
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -11,6 +11,9 @@
 /// start time is unknown.
 pub(super) const REPLACED_AFTER: Duration = Duration::from_secs(3);
 
+/// Maximum time for which an upstream counts as cold, whatever it announces.
+const MAX_COLD: Duration = Duration::from_secs(600);
+
 /// An upstream's announcement of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Announcement {
@@ -30,6 +33,8 @@
     pub is_leaving: bool,
     /// The upstream's clock, in milliseconds; `None` if the reading is too old.
     pub clock_ms: Option<u64>,
+    /// How much longer the upstream runs tasks slower than usual, after its start.
+    pub cold: Duration,
 }
 
 /// What an agent made of an announcement.
@@ -96,6 +101,10 @@
     pub(super) unanswered_holds: u32,
     /// The last end of a lease that was asked for, by the upstream's clock; 0 if there was none.
     pub(super) leased_until_ms: u64,
+    /// Until when it is cold.
+    pub(super) cold_until: Instant,
+    /// Whether it was cold at the last tick.
+    pub(super) was_cold: bool,
     /// The last announcement.
     pub(super) announcement: Announcement,
     pub(super) clock: ClockBound,
@@ -121,6 +130,8 @@
             are_ends_acknowledged: true,
             unanswered_holds: 0,
             leased_until_ms: 0,
+            cold_until: now + announcement.cold.min(MAX_COLD),
+            was_cold: false,
             clock,
             announcement,
         }
@@ -145,6 +156,11 @@
         now.saturating_duration_since(self.last_announced) > limit
     }
 
+    /// Returns whether it runs tasks slower than usual because it started recently.
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+
     /// Returns whether it leaves calls unanswered.
     pub(super) fn is_silent(&self) -> bool {
         self.unanswered_holds >= MAX_UNANSWERED_HOLDS
@@ -160,6 +176,12 @@
             self.clock.read(now, None, clock_ms);
         }
         self.is_leaving |= announcement.is_leaving;
+        let cold_until = now + announcement.cold.min(MAX_COLD);
+        // A time that does not shrink from one announcement to the next counts from the first one.
+        self.cold_until = match announcement.cold > self.announcement.cold {
+            true => cold_until,
+            false => cold_until.min(self.cold_until),
+        };
         self.capacity = announcement.capacity;
         self.announcement = announcement;
         true
--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -42,10 +42,22 @@
 impl Agent {
     /// Creates an agent whose upstream has four cores and no active runs.
     pub fn new() -> Self {
+        Self::with_policy(SupervisorPolicy::default())
+    }
+
+    /// Creates an agent like [`Agent::new`] that reports cold upstreams as half as fast.
+    pub fn cold_aware() -> Self {
+        Self::with_policy(SupervisorPolicy {
+            cold_pace_factor: 2.0,
+            ..SupervisorPolicy::default()
+        })
+    }
+
+    fn with_policy(policy: SupervisorPolicy) -> Self {
         let now = Instant::now();
         let mut agent = Self {
             now,
-            supervisor: Supervisor::new(SupervisorPolicy::default(), 100),
+            supervisor: Supervisor::new(policy, 100),
             starts: Vec::new(),
             holds: Vec::new(),
             stops: 0,
@@ -104,6 +116,7 @@
             labels: Vec::new(),
             is_leaving,
             clock_ms: Some(10_000),
+            cold: Duration::ZERO,
         };
         let status = self.supervisor.announced(self.now, announcement);
         if status == AnnouncementStatus::Accepted {
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the supervisor: capacity, leases, unanswered starts and upstream health.
 
 mod claims;
+mod drains;
 mod fences;
 mod fixture;
 mod links;
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -686,6 +686,7 @@
             labels: Vec::new(),
             is_leaving: false,
             clock_ms: Some(upstream.clock_ms(now)),
+            cold: Duration::ZERO,
         };
         self.agents[agent].supervisor.announced(now, announcement);
         self.flush_agent(agent);
@@ -711,6 +712,7 @@
             labels: Vec::new(),
             is_leaving: false,
             clock_ms: Some(1000),
+            cold: Duration::ZERO,
         };
         self.agents[agent].supervisor.announced(now, announcement);
         self.flush_agent(agent);
--- a/hemlockhook-leased/src/agent/record.rs
+++ b/hemlockhook-leased/src/agent/record.rs
@@ -1,5 +1,7 @@
 //! The last announcement of its upstream that an agent stores for its next incarnation.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use hemlockhook_dispatch::Amounts;
 use hemlockhook_dispatch::agent::Announcement;
@@ -34,6 +36,8 @@
         labels: record.labels.into_iter().map(Into::into).collect(),
         is_leaving: record.is_leaving,
         clock_ms: None,
+        // The upstream's next announcement tells it.
+        cold: Duration::ZERO,
     })
 }
 
