Tell entries and agents of drained data centers

The entry reads the operators' records with the configuration, whose reads now tell which keys exist, and sends the set in a new field of its frames; agents pass it on to entries that have read less.

--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -23,6 +23,7 @@
 use crate::convert::{
     read_claim, read_order, read_task, write_claim_answer, write_end, write_state, write_task,
 };
+use crate::drains::{KnownDrains, PeerDrains};
 use crate::settings::AgentSettings;
 
 /// The agent's state, shared by its links, calls and servers.
@@ -58,6 +59,7 @@
     linked_entries: BTreeSet<String>,
     config_version: u64,
     config_document: Bytes,
+    drains: KnownDrains,
 }
 
 struct Link {
@@ -68,6 +70,7 @@
     is_first_report: bool,
     /// Previous incarnation of the entry; 0 if there was none.
     previous_incarnation: u64,
+    drains: PeerDrains,
 }
 
 impl<U> Core<U>
@@ -106,6 +109,7 @@
                 linked_entries: BTreeSet::new(),
                 config_version: 0,
                 config_document: Bytes::new(),
+                drains: KnownDrains::new(settings.drains, metrics),
             }),
         }
     }
@@ -281,6 +285,8 @@
         };
         let report = v1::AgentReport {
             hello: Some(hello),
+            // The entry must know of drains before it places a task.
+            drains: state.drains.to_send(&mut PeerDrains::default()),
             ..self.empty_report(now, &state)
         };
         (report, now)
@@ -307,6 +313,7 @@
                     sent_entries: 0,
                     is_first_report: true,
                     previous_incarnation,
+                    drains: PeerDrains::default(),
                 },
             );
             state
@@ -349,6 +356,7 @@
                 wants_state: frame.wants_state,
             };
             state.supervisor.frame_received(now, link, &header);
+            self.receive_drains(now, state, link, frame.drains);
             if let Some(shared) = frame
                 .config
                 .filter(|shared| shared.version > state.config_version)
@@ -378,6 +386,23 @@
         })
     }
 
+    /// Takes what an entry says of drained data centers into account, before its orders.
+    fn receive_drains(
+        &self,
+        now: Instant,
+        state: &mut State,
+        link: LinkId,
+        drains: Option<v1::DataCenterDrains>,
+    ) {
+        let Some(link) = state.links.get_mut(&link) else {
+            return;
+        };
+        if state.drains.received(&mut link.drains, drains, "entry") {
+            let is_drained = state.drains.current().contains(&self.data_center);
+            state.supervisor.set_drained(now, is_drained);
+        }
+    }
+
     /// Applies an event to the state, and performs the resulting actions.
     fn handle<F, T>(self: &Arc<Self>, event: F) -> T
     where
@@ -551,6 +576,7 @@
             link.sent_entries = linked_entries.len();
             frame.entries = linked_entries.iter().cloned().collect();
         }
+        frame.drains = state.drains.to_send(&mut link.drains);
         link.send(frame);
     }
 
--- a/hemlockhook-leased/src/agent/mod.rs
+++ b/hemlockhook-leased/src/agent/mod.rs
@@ -152,7 +152,8 @@
             }
         }
     };
-    follow(&*store, RecordSet::Entries, ENTRIES_POLICY, on_record).await;
+    let entries = RecordSet::Entries;
+    follow(&*store, entries, ENTRIES_POLICY, |_| {}, on_record).await;
 }
 
 /// Restores the upstream that the agent's previous incarnation stored, and stores its changes.
--- a/hemlockhook-leased/src/convert.rs
+++ b/hemlockhook-leased/src/convert.rs
@@ -2,7 +2,8 @@
 
 use hemlockhook_dispatch::agent::{RunOrder, UpstreamState};
 use hemlockhook_dispatch::{
-    Amounts, AttemptEnd, Claim, ClaimAnswer, ClaimChange, ClaimStatus, Outcome, TaskId, TaskRef,
+    Amounts, AttemptEnd, Claim, ClaimAnswer, ClaimChange, ClaimStatus, Drains, Outcome, TaskId,
+    TaskRef,
 };
 use hemlockhook_proto::v1;
 use std::time::Duration;
@@ -211,3 +212,23 @@
         share_permille: ((state.share * PERMILLE) as u32).max(1),
     }
 }
+
+/// Decodes the set of drained data centers.
+pub(crate) fn read_drains(drains: v1::DataCenterDrains) -> Drains {
+    Drains {
+        position: drains.position,
+        data_centers: drains.data_centers.into_iter().map(Into::into).collect(),
+    }
+}
+
+/// Encodes the set of drained data centers.
+pub(crate) fn write_drains(drains: &Drains) -> v1::DataCenterDrains {
+    v1::DataCenterDrains {
+        position: drains.position,
+        data_centers: drains
+            .data_centers
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
+    }
+}
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -12,7 +12,7 @@
     Action, AgentHello, AgentKey, AgentReport, CancelCause, ConfigurationSharing,
     ConfigurationSource, Dispatcher, JobKey, LinkRefusal,
 };
-use hemlockhook_dispatch::{ClaimAnswer, ClaimStatus, HeldAttempts, TaskRef};
+use hemlockhook_dispatch::{ClaimAnswer, ClaimStatus, DrainRead, HeldAttempts, TaskRef};
 use hemlockhook_ports::leased::{Configuration, MalformedMessage};
 use hemlockhook_proto::v1;
 use hemlockhook_runtime::metrics::Metrics;
@@ -22,6 +22,7 @@
 use crate::convert::{
     read_claim_answer, read_end, read_state, read_task, write_claim, write_order, write_task,
 };
+use crate::drains::{KnownDrains, PeerDrains};
 use crate::entry::metrics::EntryMetrics;
 use crate::settings::EntrySettings;
 
@@ -67,6 +68,7 @@
     ignored_configurations: u64,
     /// Addresses of the known entries, including this one.
     entries: BTreeSet<String>,
+    drains: KnownDrains,
     is_leaving: bool,
     /// When an agent was last known to accept work.
     last_usable: Option<Instant>,
@@ -88,6 +90,7 @@
     is_request_due: bool,
     /// Number of entry addresses that the agent has been sent.
     sent_entries: usize,
+    drains: PeerDrains,
 }
 
 impl Core {
@@ -108,6 +111,7 @@
                 decode_configuration: None,
                 ignored_configurations: 0,
                 entries: BTreeSet::from([address.clone()]),
+                drains: KnownDrains::new(settings.drains, metrics),
                 is_leaving: false,
                 last_usable: None,
             }),
@@ -141,7 +145,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
-        if state.dispatcher.usable_agents(now) > 0 {
+        if state.dispatcher.serving_agents(now) > 0 {
             state.last_usable = Some(now);
         }
         let has_agents = state
@@ -186,6 +190,19 @@
         self.lock().decode_configuration = Some(decode);
     }
 
+    /// Takes a read of the operators' records into account, and tells all agents of changed drains.
+    pub(crate) fn read_drains<F>(&self, read: F)
+    where
+        F: FnOnce() -> DrainRead,
+    {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.drains.read(read) {
+            state.apply_drains(now);
+            self.flush_to_all(now, &mut state);
+        }
+    }
+
     /// Applies a configuration if it is newer than the one in force. Returns whether it is valid.
     pub(crate) fn update_configuration(
         &self,
@@ -287,6 +304,7 @@
             is_configuration_due: false,
             is_request_due: false,
             sent_entries: 0,
+            drains: PeerDrains::default(),
         };
         state.links.insert(key, link);
         state.sharing.linked(key, hello.incarnation);
@@ -309,18 +327,22 @@
     pub(crate) fn handle_report(&self, key: AgentKey, id: u64, report: v1::AgentReport) {
         let now = self.clock.now();
         let mut state = self.lock();
+        let state = &mut *state;
         let Some(link) = state.links.get_mut(&key).filter(|link| link.id == id) else {
             return;
         };
         if !report.claims.is_empty() {
-            return self.handle_claim_answers(now, &mut state, key, id, report.claims);
+            return self.handle_claim_answers(now, state, key, id, report.claims);
         }
         link.received_ms = link.received_ms.max(report.sent_ms);
+        let are_drains_changed = state
+            .drains
+            .received(&mut link.drains, report.drains, "agent");
         state.entries.extend(report.entries);
         if let Some(shared) = report.config {
             self.apply_configuration(
                 now,
-                &mut state,
+                state,
                 shared.document.into(),
                 ConfigurationSource::Agent,
             );
@@ -365,8 +387,14 @@
             ends,
             held,
         };
+        if are_drains_changed {
+            state.apply_drains(now);
+        }
         state.dispatcher.reported(now, key, report);
-        self.flush_to(now, &mut state, &[key]);
+        match are_drains_changed {
+            true => self.flush_to_all(now, state),
+            false => self.flush_to(now, state, &[key]),
+        }
     }
 
     /// Handles the answers of an agent to claims, which come in frames of their own.
@@ -463,6 +491,9 @@
             let is_echo_due = is_alive && link.received_ms > link.echoed_ms && is_quiet;
             let is_sharing_due = link.is_configuration_due || link.is_request_due;
             let is_first = is_alive && link.sent_at.is_none();
+            let are_drains_due =
+                state.drains.is_frame_due(&link.drains) && (is_alive || link.sent_at.is_some());
+            let is_sharing_due = is_sharing_due || are_drains_due;
             if frame.is_none() && !is_echo_due && !is_sharing_due && !is_first {
                 continue;
             }
@@ -486,6 +517,7 @@
                 link.sent_entries = state.entries.len();
                 frame.entries = state.entries.iter().cloned().collect();
             }
+            frame.drains = state.drains.to_send(&mut link.drains);
             frame.incarnation = self.incarnation;
             frame.state_interval_ms = state.dispatcher.state_interval().as_millis() as u32;
             if is_alive {
@@ -508,6 +540,10 @@
 }
 
 impl State {
+    fn apply_drains(&mut self, now: Instant) {
+        self.dispatcher.set_drains(now, self.drains.current());
+    }
+
     /// Marks the links on which the configuration is to be sent or requested.
     fn share_configuration(&mut self, now: Instant) {
         for key in self.sharing.recipients(now) {
--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -14,6 +14,7 @@
 use async_net::TcpListener;
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use hemlockhook_dispatch::DrainRead;
 use hemlockhook_dispatch::entry::ConfigurationSource;
 use hemlockhook_ports::leased::{CONFIGURATION_KEY, CallerProtocol, RecordSet, Store};
 use hemlockhook_proto::v1::leased_server::LeasedServer;
@@ -29,7 +30,7 @@
 use crate::entry::links::LinkService;
 use crate::process::{listen, serve_metrics};
 use crate::settings::EntrySettings;
-use crate::watch::{FollowPolicy, follow, put};
+use crate::watch::{FollowPolicy, ReadRecords, follow, put};
 
 /// Tick interval while jobs are unanswered.
 const BUSY_TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -205,6 +206,19 @@
         move |document: &Bytes| protocol.read_configuration(document)
     };
     core.set_configuration_decoder(Box::new(decode));
+    let on_read = |read: ReadRecords<'_>| {
+        core.read_drains(|| {
+            let record = |(key, value): &(String, Bytes)| {
+                let name = protocol.drained_data_center(key)?;
+                Some((name.into(), !value.is_empty()))
+            };
+            DrainRead {
+                next: read.next,
+                lists_all_keys: read.lists_all_keys,
+                records: read.items.iter().filter_map(record).collect(),
+            }
+        });
+    };
     let on_record = |key: &str, value: &Bytes| {
         key != CONFIGURATION_KEY
             || core.update_configuration(value.clone(), ConfigurationSource::Store)
@@ -213,6 +227,7 @@
         &*store,
         RecordSet::Operators,
         CONFIGURATION_POLICY,
+        on_read,
         on_record,
     )
     .await;
--- a/hemlockhook-leased/src/lib.rs
+++ b/hemlockhook-leased/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod agent;
 mod convert;
+mod drains;
 pub mod entry;
 mod process;
 mod settings;
--- a/hemlockhook-leased/src/settings.rs
+++ b/hemlockhook-leased/src/settings.rs
@@ -26,6 +26,10 @@
 /// time.
 const AGENT_LOST_PERCENT: u32 = 75;
 
+/// Factor on the pace of a cold upstream, if drains are followed. The platform does not state how much
+/// slower a cold upstream is; at 2, tasks without slack go to any warm one of at least half its speed.
+const COLD_PACE_FACTOR: f64 = 2.0;
+
 /// Settings of an entry.
 #[derive(Clone, Debug, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
@@ -63,6 +67,10 @@
     #[garde(range(min = 1.0, max = 100.0))]
     #[serde(default = "default_distance")]
     pub distance_factor: f64,
+    /// Whether the operators' requests to drain data centers are followed.
+    #[garde(skip)]
+    #[serde(default)]
+    pub drains: bool,
     /// Minimum level of the log lines that are written.
     #[garde(skip)]
     #[serde(default)]
@@ -107,6 +115,10 @@
     #[garde(range(min = 100, max = 600_000))]
     #[serde(default = "default_lease")]
     pub max_lease_ms: u32,
+    /// Whether the agent follows drains of its data center, and reports a cold upstream as slower.
+    #[garde(skip)]
+    #[serde(default)]
+    pub drains: bool,
     /// Minimum level of the log lines that are written.
     #[garde(skip)]
     #[serde(default)]
@@ -164,6 +176,7 @@
             max_lease,
             owner_timeout: resubmit * OWNER_TIMEOUT_PERCENT / 100,
             owner_lost_after: resubmit * AGENT_LOST_PERCENT / 100,
+            cold_pace_factor: if self.drains { COLD_PACE_FACTOR } else { 1.0 },
             ..SupervisorPolicy::default()
         }
     }
--- a/hemlockhook-leased/src/watch.rs
+++ b/hemlockhook-leased/src/watch.rs
@@ -5,7 +5,7 @@
 
 use async_io::Timer;
 use bytes::Bytes;
-use hemlockhook_ports::leased::{RecordSet, Store, StoreError};
+use hemlockhook_ports::leased::{Position, RecordSet, Store, StoreError};
 
 /// Time without progress after which a call to the platform's store fails, not counting the wait that
 /// the call asks for.
@@ -28,16 +28,29 @@
     pub(crate) pause: Duration,
 }
 
-/// Calls `on_record` with the latest record of each key, at first and after changes. If it returns
+/// What a read tells of the records besides their values.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadRecords<'a> {
+    /// Keys and values, oldest first. An empty value marks a deleted record.
+    pub(crate) items: &'a [(String, Bytes)],
+    /// Whether `items` has all records that exist, so that a record with another key is deleted.
+    pub(crate) lists_all_keys: bool,
+    /// Start of the next read.
+    pub(crate) next: Position,
+}
+
+/// Calls `on_read` for each read that succeeded, and then `on_record` with the latest record of each key, at first and after changes. If it returns
 /// false, the record isn't valid, and it is called with the one before, if that was read too. Never
 /// returns.
-pub(crate) async fn follow<S, F>(
+pub(crate) async fn follow<S, R, F>(
     store: &S,
     records: RecordSet,
     policy: FollowPolicy,
+    mut on_read: R,
     mut on_record: F,
 ) where
     S: Store,
+    R: FnMut(ReadRecords<'_>),
     F: FnMut(&str, &Bytes) -> bool,
 {
     let mut position = None;
@@ -66,7 +79,14 @@
                     failures = 0;
                 }
                 backoff = MIN_BACKOFF;
+                let is_latest = position.is_none();
                 position = batch.is_complete.then_some(batch.next);
+                on_read(ReadRecords {
+                    items: &batch.items,
+                    // The key of a record that can't be decoded is unknown.
+                    lists_all_keys: is_latest && batch.is_complete && batch.malformed == 0,
+                    next: batch.next,
+                });
                 if batch.malformed > 0 {
                     spdlog::warn!("records that can't be decoded are left out", kv: {
                         records:? = records,
@@ -120,3 +140,6 @@
         backoff = (backoff * 2).min(MAX_BACKOFF * 4);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/hemlockhook-ports/src/leased.rs
+++ b/hemlockhook-ports/src/leased.rs
@@ -80,6 +80,10 @@
     /// Encodes a reply.
     fn write(&self, reply: &Reply) -> Response<Full<Bytes>>;
 
+    /// Returns the data center whose drain a record with this key among the operators' records
+    /// requests; `None` if it is another record. A record with an empty value ends the drain.
+    fn drained_data_center<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// Decodes a configuration.
     fn read_configuration(&self, document: &[u8]) -> Result<Configuration, MalformedMessage>;
 }
--- a/hemlockhook/tests/platform/deployment.rs
+++ b/hemlockhook/tests/platform/deployment.rs
@@ -52,15 +52,24 @@
 impl Deployment {
     /// Starts a deployment with a configuration, and waits until all entries are ready.
     pub fn start(name: &str, entries: usize, workers: usize) -> Self {
-        Self::start_with(name, entries, workers, false)
+        Self::start_with(name, entries, &vec![None; workers], false)
     }
 
     /// Starts a deployment whose callers and agents reach each entry only through relays.
     pub fn start_relayed(name: &str, entries: usize, workers: usize) -> Self {
-        Self::start_with(name, entries, workers, true)
+        Self::start_with(name, entries, &vec![None; workers], true)
     }
 
-    fn start_with(name: &str, entries: usize, workers: usize, is_relayed: bool) -> Self {
+    /// Starts a deployment that follows drains, with a worker in each of the given data centers.
+    pub fn start_in(name: &str, entries: usize, data_centers: &[&str]) -> Self {
+        let data_centers: Vec<_> = data_centers.iter().copied().map(Some).collect();
+        Self::start_with(name, entries, &data_centers, false)
+    }
+
+    /// Starts a deployment with a worker for each element of `workers`: its data center if the
+    /// deployment follows drains.
+    fn start_with(name: &str, entries: usize, workers: &[Option<&str>], is_relayed: bool) -> Self {
+        let follows_drains = workers.iter().any(Option::is_some);
         let threads = Threads::start("standin", 2);
         let ex = threads.traffic();
         let (stop, stopped) = async_channel::bounded(1);
@@ -104,7 +113,7 @@
             let text = format!(
                 "name: entry-{index}\ndata_center: here\ncallers_address: {callers}\n\
                  ready_address: {ready}\nlinks_address: {link}\nmetrics_address: {metrics}\n\
-                 store_address: {store}\n"
+                 store_address: {store}\ndrains: {follows_drains}\n"
             );
             deployment.store_links.push(store_link);
             deployment
@@ -131,15 +140,17 @@
             }
             links.push(link.to_string());
         }
-        for index in 0..workers {
+        for (index, data_center) in workers.iter().enumerate() {
+            let data_center = data_center.unwrap_or("here");
             let worker = WorkerStandin::new(&format!("w-{index}"), deployment.observations.clone());
             let [announcements, upstream] = [(); 2].map(|()| addresses.allocate());
             let standin = worker.clone();
             let handler = move |req| standin.clone().handle(req);
             listen(&ex, upstream, stopped.clone(), handler);
             let text = format!(
-                "name: agent-{index}\ndata_center: here\nannouncements_address: {announcements}\n\
-                 upstream_address: {upstream}\nstore_address: {store_addr}\nentries: [{}]\n",
+                "name: agent-{index}\ndata_center: {data_center}\nannouncements_address: {announcements}\n\
+                 upstream_address: {upstream}\nstore_address: {store_addr}\ndrains: {follows_drains}\n\
+                 entries: [{}]\n",
                 links
                     .iter()
                     .map(|link| format!("\"{link}\""))
--- a/hemlockhook/tests/platform/main.rs
+++ b/hemlockhook/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod departed_callers;
 mod deployment;
+mod drains;
 mod late_callers;
 mod malformed;
 #[path = "../support/relay.rs"]
