Refuse no job for a drain while agents have yet to report

During a drain an entry that has just started, or whose agents have linked again, does not know yet which upstreams there are. It waits for them as without a drain. Adds tests of which frames carry the drained set.

--- a/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
@@ -30,7 +30,7 @@
         if self.is_gathering_agents(now) {
             return Ok(());
         }
-        if self.needs_drained_agents(job) {
+        if self.needs_drained_agents(now, job) {
             return Err(Refusal::NoUpstream { retry_after });
         }
         if states().next().is_none() {
--- a/hemlockhook-dispatch/src/entry/dispatcher/drains.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/drains.rs
@@ -33,9 +33,14 @@
     }
 
     /// Returns whether a task of a job fits only upstreams in drained data centers, among those of the
-    /// linked agents.
-    pub(super) fn needs_drained_agents(&self, job: &Job) -> bool {
-        if self.drains.data_centers.is_empty() {
+    /// linked agents. Not known while agents have yet to link or to report.
+    pub(super) fn needs_drained_agents(&self, now: Instant, job: &Job) -> bool {
+        if self.drains.data_centers.is_empty() || self.is_starting(now) {
+            return false;
+        }
+        let timeout = self.policy.agent_timeout;
+        let mut agents = self.agents.values();
+        if agents.any(|agent| agent.is_about_to_report(now, timeout)) {
             return false;
         }
         let can_run = |is_drained: bool, step: &crate::StepSpec| {
@@ -70,12 +75,12 @@
 
     /// Refuses queued jobs that have not begun and could run only in drained data centers.
     pub(super) fn refuse_drained_jobs(&mut self, now: Instant) {
-        if self.drains.data_centers.is_empty() || self.is_gathering_agents(now) {
+        if self.drains.data_centers.is_empty() {
             return;
         }
         let is_refused = |key: &JobKey| {
             let job = &self.jobs[*key];
-            !job.has_begun && self.needs_drained_agents(job)
+            !job.has_begun && self.needs_drained_agents(now, job)
         };
         let queued = self.queue.iter().map(|rank| rank.job);
         let refused: Vec<_> = queued.filter(is_refused).collect();
--- a/hemlockhook-leased/src/drains.rs
+++ b/hemlockhook-leased/src/drains.rs
@@ -99,3 +99,59 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    fn read(next: u64, names: &[&str]) -> DrainRead {
+        DrainRead {
+            next,
+            lists_all_keys: true,
+            records: names.iter().map(|&name| (name.into(), true)).collect(),
+        }
+    }
+
+    /// Guards against a frame to each agent for each published configuration, and against an agent that
+    /// is told of a drain only with the next order.
+    #[gtest]
+    fn a_frame_is_due_only_when_the_names_have_changed() {
+        let mut drains = KnownDrains::new(true, &Metrics::new());
+        let mut peer = PeerDrains::default();
+        let mut seen = Vec::new();
+        for next in [
+            read(3, &[]),
+            read(4, &["east"]),
+            read(4, &["east"]),
+            read(5, &["east"]),
+        ] {
+            let is_changed = drains.read(|| next);
+            let is_due = drains.is_frame_due(&peer);
+            let sent = drains.to_send(&mut peer).map(|sent| sent.position);
+            seen.push((is_changed, is_due, sent));
+        }
+        let expected = [
+            (false, false, Some(3)),
+            (true, true, Some(4)),
+            (false, false, None),
+            (false, false, Some(5)),
+        ];
+        expect_that!(seen, eq(&expected));
+    }
+
+    /// Guards against drains that are followed, or told to others, where the setting is not given.
+    #[gtest]
+    fn nothing_is_known_without_the_setting() {
+        let mut drains = KnownDrains::new(false, &Metrics::new());
+        let mut peer = PeerDrains::default();
+        let told = v1::DataCenterDrains {
+            position: 9,
+            data_centers: vec!["east".to_owned()],
+        };
+        expect_that!(drains.read(|| read(4, &["east"])), eq(false));
+        expect_that!(drains.received(&mut peer, Some(told), "agent"), eq(false));
+        expect_that!(drains.to_send(&mut peer), none());
+    }
+}
