Let the upstream's own lists decide between announcements

An agent accepts the first announcement, and one of another writer stayed in force for good if it had no start time or a later one than the upstream: the upstream answers, so that its own announcements remained candidates or counted as outdated. The start time in lists that were requested since then now decides. An announcement that has it replaces one that has another or none, by the same path as a restart under the same name: runs are stopped, not given up. Only confirmed announcements are stored, and the read of the stored one is retried.

--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -168,7 +168,15 @@
         self.links.state_changed();
     }
 
-    /// Returns the upstream's last announcement, which is stored for the agent's next incarnation.
+    /// Returns the upstream's last announcement if its lists confirm it, to be stored for the agent's next
+    /// incarnation.
+    pub fn confirmed_upstream(&self) -> Option<&Announcement> {
+        let upstream = self.upstream.as_ref();
+        let confirmed = upstream.filter(|upstream| upstream.is_confirmed());
+        confirmed.map(|upstream| &upstream.announcement)
+    }
+
+    /// Returns the upstream's last announcement.
     pub fn upstream(&self) -> Option<&Announcement> {
         self.upstream
             .as_ref()
@@ -364,6 +372,7 @@
             return;
         }
         match result {
+            HoldResult::Lists { started_ms, .. } if self.start_listed(now, sent, started_ms) => {}
             HoldResult::OldFence => {
                 self.fence_refused(now, Some(sent));
                 self.hold(now, Duration::ZERO);
--- a/hemlockhook-dispatch/src/agent/replacement.rs
+++ b/hemlockhook-dispatch/src/agent/replacement.rs
@@ -18,6 +18,9 @@
         let Some(upstream) = &mut self.upstream else {
             return self.accept(now, announcement);
         };
+        if upstream.is_corrected_by(&announcement) {
+            return self.accept(now, announcement);
+        }
         let is_same_service = upstream.announcement.service == announcement.service;
         if upstream.is_same_incarnation(&announcement) {
             if !is_same_service {
@@ -45,6 +48,31 @@
         AnnouncementStatus::Unverified
     }
 
+    /// Reads the start time in lists that were requested at `sent`. Returns whether an announcement that
+    /// has it took the place of the one in force.
+    ///
+    /// Another writer's announcement may have come first, without a start time or with a wrong one. The
+    /// upstream answers for it, so that its own would never be accepted.
+    pub(super) fn start_listed(&mut self, now: Instant, sent: Instant, started_ms: u64) -> bool {
+        let Some(upstream) = &mut self.upstream else {
+            return false;
+        };
+        // The answer to an earlier call may be that of the incarnation before.
+        let is_late = sent < upstream.known_since || Some(sent) < upstream.replaced_at;
+        if started_ms == 0 || is_late {
+            return false;
+        }
+        upstream.listed_started_ms = started_ms;
+        let candidate = self.candidate.as_ref();
+        if !candidate.is_some_and(|candidate| upstream.is_corrected_by(candidate)) {
+            return false;
+        }
+        if let Some(announcement) = self.candidate.take() {
+            self.accept(now, announcement);
+        }
+        true
+    }
+
     fn accept(&mut self, now: Instant, announcement: Announcement) -> AnnouncementStatus {
         self.replace_upstream(now, announcement);
         self.links.state_changed();
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -89,6 +89,10 @@
     pub(super) is_successor_fenced: bool,
     /// Whether it took the place of another incarnation with the same name.
     pub(super) has_predecessor: bool,
+    /// When it took the place of another one, or was announced first.
+    pub(super) known_since: Instant,
+    /// Start time in the last lists of the upstream with this name; 0 if they had none.
+    pub(super) listed_started_ms: u64,
     /// When the last announcement was received.
     pub(super) last_announced: Instant,
     /// Whether its lists have been read, so that its active runs are known.
@@ -124,6 +128,8 @@
             replaced_at: None,
             is_successor_fenced: false,
             has_predecessor: false,
+            known_since: now,
+            listed_started_ms: 0,
             last_announced: now,
             are_runs_listed: false,
             ends_seen: 0,
@@ -142,6 +148,22 @@
             && announcement.started_ms == self.announcement.started_ms
     }
 
+    /// Returns whether the upstream's lists show that an announcement is right, and the one in force is
+    /// not or was found to be replaced.
+    pub(super) fn is_corrected_by(&self, announcement: &Announcement) -> bool {
+        let listed_ms = self.listed_started_ms;
+        let is_listed = listed_ms != 0 && announcement.started_ms == listed_ms;
+        let is_wrong = self.announcement.started_ms != listed_ms || self.replaced_at.is_some();
+        announcement.instance == self.instance && is_listed && is_wrong
+    }
+
+    /// Returns whether the upstream's lists were read and do not contradict the announcement.
+    pub(super) fn is_confirmed(&self) -> bool {
+        let listed_ms = self.listed_started_ms;
+        let is_same_start = listed_ms == 0 || listed_ms == self.announcement.started_ms;
+        self.are_runs_listed && self.replaced_at.is_none() && is_same_start
+    }
+
     /// Returns whether an announcement of another incarnation is of a later one.
     pub(super) fn is_replaced_by(&self, now: Instant, announcement: &Announcement) -> bool {
         let is_silent = self.is_unannounced(now, REPLACED_AFTER);
--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -54,8 +54,29 @@
     }
 
     fn with_policy(policy: SupervisorPolicy) -> Self {
+        let mut agent = Self::unlinked(policy);
+        agent.announce("up-1", 1, false);
+        agent.answer_hold(&[], &[]);
+        agent.link();
+        agent
+    }
+
+    /// Creates an agent that is linked and knows of no upstream.
+    pub fn unannounced() -> Self {
+        let mut agent = Self::unlinked(SupervisorPolicy::default());
+        agent.link();
+        agent
+    }
+
+    fn link(&mut self) {
+        self.supervisor
+            .linked(self.now, LINK, ENTRY, None, self.now, 0);
+        self.collect();
+    }
+
+    fn unlinked(policy: SupervisorPolicy) -> Self {
         let now = Instant::now();
-        let mut agent = Self {
+        Self {
             now,
             supervisor: Supervisor::new(policy, 100),
             starts: Vec::new(),
@@ -70,12 +91,7 @@
             last_end: 0,
             started_ms: 1,
             clock_ms: 10_000,
-        };
-        agent.announce("up-1", 1, false);
-        agent.answer_hold(&[], &[]);
-        agent.supervisor.linked(now, LINK, ENTRY, None, now, 0);
-        agent.collect();
-        agent
+        }
     }
 
     pub fn announce(
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the supervisor: capacity, leases, unanswered starts and upstream health.
 
+mod announcements;
 mod claims;
 mod drains;
 mod fences;
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -133,7 +133,7 @@
     }
 
     /// Returns a channel of announcements to store: those that differ from the previous one in the
-    /// incarnation, the capacity or whether the upstream is leaving.
+    /// incarnation, the service, the capacity or whether the upstream is leaving.
     pub(crate) fn upstream_changes(&self) -> Receiver<Announcement> {
         self.upstream_changes.1.clone()
     }
@@ -215,7 +215,8 @@
     /// Restores the upstream from the announcement that the agent's previous incarnation stored.
     pub(crate) fn restore_upstream(self: &Arc<Self>, announcement: Announcement) {
         self.handle(|now, state| {
-            if state.supervisor.upstream().is_none() {
+            // What the upstream itself has confirmed meanwhile is newer.
+            if state.supervisor.confirmed_upstream().is_none() {
                 let instance = &*announcement.instance;
                 spdlog::info!("restored the upstream's last state from the store", kv: {
                     instance,
@@ -234,12 +235,13 @@
 
     /// Has the upstream's state stored if it differs from what was stored last.
     fn store_upstream(&self, state: &mut State) {
-        let Some(announcement) = state.supervisor.upstream() else {
+        let Some(announcement) = state.supervisor.confirmed_upstream() else {
             return;
         };
         let is_same = |old: &Announcement| {
             old.instance == announcement.instance
                 && old.started_ms == announcement.started_ms
+                && old.service == announcement.service
                 && old.capacity == announcement.capacity
                 && old.is_leaving == announcement.is_leaving
         };
--- a/hemlockhook-leased/src/agent/mod.rs
+++ b/hemlockhook-leased/src/agent/mod.rs
@@ -24,7 +24,7 @@
 use crate::agent::core::{Core, SharedCore};
 use crate::process::{listen, serve_metrics};
 use crate::settings::AgentSettings;
-use crate::watch::{FollowPolicy, follow, put};
+use crate::watch::{FollowPolicy, follow, put, read_latest};
 
 /// Tick interval while orders are held or orphaned runs are known.
 const BUSY_TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -162,11 +162,10 @@
     U: UpstreamClient,
     S: Store,
 {
-    if let Ok(latest) = store.read_latest(RecordSet::Upstreams).await {
-        let own = latest.items.iter().rev().find(|(key, _)| *key == name);
-        if let Some(announcement) = own.and_then(|(_, value)| record::read(value)) {
-            core.restore_upstream(announcement);
-        }
+    let latest = read_latest(&*store, RecordSet::Upstreams).await;
+    let own = latest.items.iter().rev().find(|(key, _)| *key == name);
+    if let Some(announcement) = own.and_then(|(_, value)| record::read(value)) {
+        core.restore_upstream(announcement);
     }
     let changes = core.upstream_changes();
     while let Ok(announcement) = changes.recv().await {
--- a/hemlockhook-leased/src/watch.rs
+++ b/hemlockhook-leased/src/watch.rs
@@ -5,7 +5,7 @@
 
 use async_io::Timer;
 use bytes::Bytes;
-use hemlockhook_ports::leased::{Position, RecordSet, Store, StoreError};
+use hemlockhook_ports::leased::{Position, RecordBatch, RecordSet, Store, StoreError};
 
 /// Time without progress after which a call to the platform's store fails, not counting the wait that
 /// the call asks for.
@@ -122,6 +122,29 @@
     }
 }
 
+/// Reads the latest record of each key, and retries until the store has answered.
+pub(crate) async fn read_latest<S>(store: &S, records: RecordSet) -> RecordBatch
+where
+    S: Store,
+{
+    let mut backoff = MIN_BACKOFF;
+    loop {
+        match store.read_latest(records).await {
+            Ok(latest) => return latest,
+            Err(err) => {
+                let reason = err.to_string();
+                let reason = reason.as_str();
+                spdlog::debug!("reading records failed; retrying", kv: {
+                    records:? = records,
+                    reason,
+                });
+            }
+        }
+        Timer::after(backoff).await;
+        backoff = (backoff * 2).min(MAX_BACKOFF * 4);
+    }
+}
+
 /// Writes a record, and retries until the store has accepted it.
 pub(crate) async fn put<S>(store: &S, records: RecordSet, key: &str, value: Bytes)
 where
--- a/hemlockhook-leased/src/watch/tests.rs
+++ b/hemlockhook-leased/src/watch/tests.rs
@@ -6,7 +6,6 @@
 use futures_lite::FutureExt;
 use googletest::prelude::*;
 use hemlockhook_dispatch::{DrainRead, Drains};
-use hemlockhook_ports::leased::RecordBatch;
 
 use super::*;
 
