Refuse jobs that have not begun when an entry starts to refuse jobs

A job that was queued, or that waited for its claim, when its entry got SIGTERM was never answered if the grace period ended before it could start. Dispatcher::leave now answers such jobs at once as not run, with a Retry-After. A job that another entry may run, or of which tasks of an earlier submission may run, is kept until that is over, and is then refused instead of started. What has begun goes on.

At the end of the grace period the remaining jobs are answered as timed out before the process exits; their connections were closed without an answer before.

--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod drains;
 mod ends;
+mod leaving;
 mod queue;
 mod standby;
 
@@ -336,11 +337,6 @@
         agent.seq
     }
 
-    /// Refuses further jobs.
-    pub fn leave(&mut self) {
-        self.is_leaving = true;
-    }
-
     /// Handles timeouts and places queued tasks.
     pub fn tick(&mut self, now: Instant) {
         self.started.get_or_insert(now);
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -73,6 +73,9 @@
 
     /// Places queued tasks in queue order, as far as agents can accept them.
     pub(super) fn place_queued(&mut self, now: Instant) {
+        if self.is_leaving {
+            self.refuse_unbegun(now);
+        }
         if !self.is_placement_due() {
             return;
         }
--- a/hemlockhook-dispatch/tests/dispatcher/fixture.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/fixture.rs
@@ -6,8 +6,8 @@
 
 use hemlockhook_dispatch::agent::UpstreamState;
 use hemlockhook_dispatch::entry::{
-    Action, AgentHello, AgentKey, AgentReport, Answer, DispatchPolicy, Dispatcher, Order, Refusal,
-    Submission,
+    Action, AgentHello, AgentKey, AgentReport, Answer, DispatchPolicy, Dispatcher, JobKey, Order,
+    Refusal, Submission,
 };
 use hemlockhook_dispatch::{
     Amounts, AttemptEnd, ClaimAnswer, ClaimChange, ClaimStatus, JobSpec, Outcome, QueueConfig,
@@ -67,13 +67,27 @@
         job: JobSpec,
         queue_config: &Arc<QueueConfig>,
     ) -> std::result::Result<(), Refusal> {
+        self.try_submit(job, queue_config).map(|_| ())
+    }
+
+    /// Submits a job that is admitted, and returns its key.
+    pub fn submit_key(&mut self, job: JobSpec, queue_config: &Arc<QueueConfig>) -> JobKey {
+        let submitted = self.try_submit(job, queue_config);
+        submitted.expect("there is free capacity")
+    }
+
+    fn try_submit(
+        &mut self,
+        job: JobSpec,
+        queue_config: &Arc<QueueConfig>,
+    ) -> std::result::Result<JobKey, Refusal> {
         let submission = Submission {
             spec: job,
             queue_config: queue_config.clone(),
             caller_timeout: Some(Duration::from_secs(20)),
             caller_seen: Some(self.now),
         };
-        self.dispatcher.submit(self.now, submission).map(|_| ())
+        self.dispatcher.submit(self.now, submission)
     }
 
     /// Takes the orders, and assigns sequence numbers to the frames that carry them.
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -5,6 +5,7 @@
 mod drains;
 mod fixture;
 mod flood;
+mod leaving;
 mod links;
 mod odd_jobs;
 mod standby;
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -165,9 +165,24 @@
         self.lock().is_leaving = true;
     }
 
-    /// Refuses further jobs.
+    /// Refuses further jobs, and those of which nothing has begun.
     pub(crate) fn refuse_jobs(&self) {
-        self.lock().dispatcher.leave();
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let before = state.dispatcher.jobs();
+        state.dispatcher.leave(now);
+        self.flush_to(now, &mut state, &[]);
+        let jobs = state.dispatcher.jobs();
+        let refused = before.saturating_sub(jobs);
+        spdlog::info!("refusing jobs from now on", kv: { jobs, refused });
+    }
+
+    /// Answers the remaining jobs, at the end of the grace period.
+    pub(crate) fn expire(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.dispatcher.expire(now);
+        self.flush_to(now, &mut state, &[]);
     }
 
     /// Returns the number of jobs of a queue of which no task has been started.
--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -57,6 +57,9 @@
 /// Part of the grace period that remains when the process exits at the latest.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time to write the answers to the jobs that are left at the end of the grace period.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Maximum number of connections from callers.
 const MAX_CONNECTIONS: usize = 2500;
 
@@ -168,6 +171,8 @@
         spdlog::warn!("jobs were unanswered at the end of the grace period", kv: {
             jobs = core.jobs(),
         });
+        core.expire();
+        Timer::after(ANSWER_TIME).await;
     };
     finish.or(expire).await;
     drop(ready_stop);
