Answer late copies of a cancelled job as cancelled

A copy of a request that arrived seconds after its job was cancelled ran the job from the start. An entry now keeps the IDs of cancelled jobs until their deadlines, and tells the agents at which the job is claimed (at most two frames a DELETE). An agent answers later claims to the job with the new status "cancelled", also to entries that already wait for it or run it, which then answer their callers as cancelled.

An entry of the version before reads the new status as none, and an agent of that version the new field as a claim that is made once more: both behave as before.

--- a/hemlockhook-dispatch/src/agent/claims.rs
+++ b/hemlockhook-dispatch/src/agent/claims.rs
@@ -3,11 +3,14 @@
 //! The first claim to a job is granted. Claims are not released when their jobs end, but when another
 //! entry claims the same job, which is rare: the first entry is then told, and releases it as soon as
 //! nothing that it ordered runs. The claim of an entry that is silent ends when its runs have ended.
+//!
+//! A cancelled job is granted to no entry until its deadline has passed and all its runs have ended.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::agent::{LinkId, Supervisor};
+use crate::cancelled::CancelledJobs;
 use crate::{Claim, ClaimAnswer, ClaimChange, ClaimStatus, Incarnation, JobId};
 
 /// Interval at which claims whose time has passed are removed.
@@ -18,6 +21,7 @@
     by_job: BTreeMap<JobId, Claimants>,
     /// Jobs that several entries claim.
     contested: BTreeSet<JobId>,
+    cancelled: CancelledJobs,
     swept_at: Option<Instant>,
 }
 
@@ -59,6 +63,7 @@
             return;
         }
         self.swept_at = Some(now);
+        self.cancelled.sweep(now);
         let contested = &self.contested;
         self.by_job
             .retain(|job, claims| contested.contains(job) || claims.in_order[0].expires > now);
@@ -75,6 +80,9 @@
             ClaimChange::Made { hold } => {
                 self.claimed(now, entry, &claim, now + hold);
             }
+            ClaimChange::Cancelled { hold } => {
+                self.job_cancelled(now, entry, &claim.job, now + hold)
+            }
             ClaimChange::Released => {
                 if self.claims.remove(entry, &claim) == Some(0) {
                     self.first_claim_ended(now, &claim.job);
@@ -86,6 +94,9 @@
 
     fn claimed(&mut self, now: Instant, entry: Incarnation, claim: &Claim, expires: Instant) {
         let Claim { job, number, .. } = claim;
+        if self.claims.cancelled.contains(now, job) {
+            return self.answer_claim(entry, job, *number, ClaimStatus::Cancelled);
+        }
         let claims = self.claims.by_job.entry(job.clone()).or_insert(Claimants {
             in_order: Vec::new(),
             contested_at: None,
@@ -118,6 +129,22 @@
         self.claims_changed(now, job);
     }
 
+    /// Keeps a job from being claimed until the given time, and tells the entries that claim it, other than
+    /// the one that cancelled it. If too many jobs are cancelled, the claims stay as they are.
+    fn job_cancelled(&mut self, now: Instant, by: Incarnation, job: &JobId, until: Instant) {
+        if !self.claims.cancelled.insert(now, job, until) {
+            return;
+        }
+        self.claims.contested.remove(job);
+        let claims = self.claims.by_job.remove(job);
+        for claimant in claims.into_iter().flat_map(|claims| claims.in_order) {
+            if claimant.entry != by {
+                let Claimant { entry, number, .. } = claimant;
+                self.answer_claim(entry, job, number, ClaimStatus::Cancelled);
+            }
+        }
+    }
+
     /// Tells the first entry that claims a job if another one has begun to wait for it.
     fn claims_changed(&mut self, now: Instant, job: &JobId) {
         let Some(claims) = self.claims.by_job.get_mut(job) else {
--- a/hemlockhook-dispatch/src/claims.rs
+++ b/hemlockhook-dispatch/src/claims.rs
@@ -32,6 +32,11 @@
     },
     /// The entry does not have the job, and nothing that it ordered for it runs.
     Released,
+    /// The job was cancelled, and must not run at any entry.
+    Cancelled {
+        /// Time until its deadline and the end of all its runs.
+        hold: Duration,
+    },
 }
 
 /// What an agent tells an entry about its claim to a job.
@@ -55,4 +60,6 @@
     Waiting,
     /// The claim is the first, and another entry waits for its end.
     Contested,
+    /// The job was cancelled.
+    Cancelled,
 }
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The dispatcher: jobs, their queue, and the orders to agents.
 
 mod callers;
+mod cancels;
 mod capacity;
 mod claims;
 mod drains;
@@ -19,6 +20,7 @@
 use self::claims::EndingJob;
 pub(in crate::entry) use self::claims::JobClaims;
 use crate::agent::RunOrder;
+use crate::cancelled::CancelledJobs;
 use crate::drains::Drains;
 use crate::entry::agents::Agent;
 use crate::entry::estimate::Estimates;
@@ -94,6 +96,8 @@
     by_id: BTreeMap<JobId, JobKey>,
     /// Removed jobs whose cancelled attempts have yet to end.
     ending: BTreeMap<JobId, EndingJob>,
+    /// Cancelled jobs, until their deadlines.
+    cancelled: CancelledJobs,
     queue: BTreeSet<Rank>,
     estimates: Estimates,
     drains: Drains,
@@ -129,6 +133,7 @@
             jobs: SlotMap::with_key(),
             by_id: BTreeMap::new(),
             ending: BTreeMap::new(),
+            cancelled: CancelledJobs::default(),
             queue: BTreeSet::new(),
             estimates: Estimates::default(),
             drains: Drains::default(),
@@ -236,9 +241,14 @@
             queue_config,
         };
         job.open_steps();
+        let id = job.spec.id.clone();
+        if self.cancelled.contains(now, &id) {
+            let key = self.jobs.insert(job);
+            self.answer(now, key, Answer::Cancelled);
+            return Ok(key);
+        }
         self.check_capacity(now, &job, run_time)?;
 
-        let id = job.spec.id.clone();
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.enqueue(now, key);
@@ -255,16 +265,6 @@
         }
     }
 
-    /// Cancels a job by its ID. Returns false if the job is unknown.
-    pub fn cancel(&mut self, now: Instant, id: &str) -> bool {
-        let Some(&key) = self.by_id.get(id) else {
-            return false;
-        };
-        self.answer(now, key, Answer::Cancelled);
-        self.place_queued(now);
-        true
-    }
-
     /// Registers a new link of an agent, or returns why it is refused.
     pub fn linked(&mut self, now: Instant, hello: AgentHello) -> Result<AgentKey, LinkRefusal> {
         let is_known = |agent: &Agent| agent.incarnation == hello.incarnation;
@@ -349,6 +349,7 @@
         }
         self.replace_drained_agents(now);
         self.settle_claims(now);
+        self.cancelled.sweep(now);
         self.check_callers(now);
         self.place_queued(now);
     }
--- a/hemlockhook-dispatch/src/entry/dispatcher/claims.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/claims.rs
@@ -103,6 +103,12 @@
         self.at.iter_mut().find(|claim| claim.agent == agent)
     }
 
+    /// Returns the agents at which the job is claimed, with the numbers of the claims.
+    pub(super) fn made(&self) -> Vec<(AgentKey, u64)> {
+        let claims = self.at.iter();
+        claims.map(|claim| (claim.agent, claim.number)).collect()
+    }
+
     /// Returns whether a claim is granted.
     fn has_grant(&self) -> bool {
         self.at
@@ -158,6 +164,10 @@
                 claim.was_granted = true;
             }
             ClaimStatus::Waiting => claim.state = ClaimState::Waiting,
+            ClaimStatus::Cancelled => {
+                self.answer(now, key, Answer::Cancelled);
+                return self.place_queued(now);
+            }
             ClaimStatus::Contested => {
                 claim.is_contested = true;
                 self.actions.push(Action::CheckCaller(key));
@@ -310,7 +320,13 @@
         self.change_claim(agent, &id, number, ClaimChange::Made { hold });
     }
 
-    fn change_claim(&mut self, agent: AgentKey, id: &JobId, number: u64, change: ClaimChange) {
+    pub(super) fn change_claim(
+        &mut self,
+        agent: AgentKey,
+        id: &JobId,
+        number: u64,
+        change: ClaimChange,
+    ) {
         let claim = Claim {
             job: id.clone(),
             number,
--- a/hemlockhook-dispatch/src/lib.rs
+++ b/hemlockhook-dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod agent;
 mod amounts;
+mod cancelled;
 mod claims;
 mod drains;
 pub mod entry;
--- a/hemlockhook-dispatch/tests/dispatcher/claims.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/claims.rs
@@ -17,6 +17,7 @@
     /// Claims that were made and not answered.
     made: Vec<(AgentKey, Claim)>,
     released: Vec<(AgentKey, Claim)>,
+    cancelled: Vec<(AgentKey, Claim)>,
     orders: usize,
     cancels: usize,
     answers: Vec<Answer>,
@@ -32,6 +33,7 @@
             job,
             made: Vec::new(),
             released: Vec::new(),
+            cancelled: Vec::new(),
             orders: 0,
             cancels: 0,
             answers: Vec::new(),
@@ -49,6 +51,7 @@
                 Action::Claim(agent, claim) => match claim.change {
                     ClaimChange::Made { .. } => self.made.push((agent, claim)),
                     ClaimChange::Released => self.released.push((agent, claim)),
+                    ClaimChange::Cancelled { .. } => self.cancelled.push((agent, claim)),
                 },
                 Action::CheckCaller(_) | Action::Wake(_) => {}
             }
@@ -346,3 +349,60 @@
     let claim = claim.clone();
     (*agent, Claim { change, ..claim })
 }
+
+/// Guards against a late copy of the request of a cancelled job, which ran the job from the start.
+#[gtest]
+fn a_late_copy_of_a_cancelled_job_is_answered_as_cancelled_until_its_deadline() {
+    let mut entry = Entry::new();
+    let made = entry.grant_all();
+    let now = entry.fixture.now;
+    expect_that!(entry.fixture.dispatcher.cancel(now, "a"), eq(true));
+    entry.collect();
+    let told: Vec<_> = entry.cancelled.iter().map(|(agent, _)| *agent).collect();
+    expect_that!(told, eq(&vec![made[0].0, made[1].0]));
+    entry.answers.clear();
+    entry.advance(2000);
+    submit(&mut entry.fixture);
+    entry.collect();
+    expect_that!(entry.answers, eq(&vec![Answer::Cancelled]));
+    expect_that!((entry.orders, entry.made.len()), eq((2, 0)));
+
+    entry.advance(5400);
+    entry.fixture.report_all();
+    submit(&mut entry.fixture);
+    entry.collect();
+    entry.grant_all();
+    expect_that!(entry.orders, eq(4));
+}
+
+/// Guards against a late copy at an entry that did not get the request to cancel the job, and that may
+/// already run it.
+#[gtest]
+fn a_job_that_was_cancelled_at_another_entry_is_answered_as_cancelled() {
+    for granted in [0, 2] {
+        let mut entry = Entry::new();
+        let made = std::mem::take(&mut entry.made);
+        for claim in &made[..granted] {
+            entry.tell(claim, ClaimStatus::Granted);
+        }
+        entry.tell(&made[1], ClaimStatus::Cancelled);
+        expect_that!(entry.answers, eq(&vec![Answer::Cancelled]));
+        expect_that!((entry.orders, entry.cancels), eq((granted, granted)));
+    }
+}
+
+/// Guards against a job that can't be submitted again since its caller's connection was lost.
+#[gtest]
+fn a_job_whose_caller_left_runs_when_it_is_submitted_again() {
+    let mut entry = Entry::new();
+    entry.grant_all();
+    let now = entry.fixture.now;
+    entry.fixture.dispatcher.abandon(now, entry.job);
+    entry.advance(1200);
+    entry.fixture.report_all();
+    submit(&mut entry.fixture);
+    entry.collect();
+    entry.grant_all();
+    expect_that!(entry.orders, eq(4));
+    expect_that!(entry.cancelled, is_empty());
+}
--- a/hemlockhook-dispatch/tests/supervisor/claims.rs
+++ b/hemlockhook-dispatch/tests/supervisor/claims.rs
@@ -155,3 +155,51 @@
         eq(&vec![(OTHER_LINK, 9, ClaimStatus::Granted)])
     );
 }
+
+/// Guards against a late copy of a cancelled job that reaches another entry, and against entries that
+/// wait for the job or run it when it is cancelled.
+#[gtest]
+fn a_cancelled_job_is_granted_to_no_entry_until_its_time_has_passed() {
+    let mut agent = agent();
+    claim(&mut agent, LINK, 1);
+    claim(&mut agent, OTHER_LINK, 9);
+    answers(&mut agent);
+    change(
+        &mut agent,
+        OTHER_LINK,
+        9,
+        ClaimChange::Cancelled { hold: HOLD },
+    );
+    let told = vec![(LINK, 1, ClaimStatus::Cancelled)];
+    expect_that!(answers(&mut agent), eq(&told));
+    // The release of the cancelled job must not make it free.
+    change(&mut agent, LINK, 1, ClaimChange::Released);
+    agent.advance(HOLD.as_millis() as u64 - 100);
+    claim(&mut agent, LINK, 2);
+    let told = vec![(LINK, 2, ClaimStatus::Cancelled)];
+    expect_that!(answers(&mut agent), eq(&told));
+    agent.advance(200);
+    claim(&mut agent, LINK, 3);
+    let told = vec![(LINK, 3, ClaimStatus::Granted)];
+    expect_that!(answers(&mut agent), eq(&told));
+}
+
+/// Guards against an entry that is told of no cancellation since its link was down.
+#[gtest]
+fn a_claim_that_is_made_once_more_after_a_cancellation_is_answered() {
+    let mut agent = agent();
+    claim(&mut agent, LINK, 1);
+    let now = agent.now;
+    agent.supervisor.unlinked(now, LINK);
+    answers(&mut agent);
+    change(
+        &mut agent,
+        OTHER_LINK,
+        9,
+        ClaimChange::Cancelled { hold: HOLD },
+    );
+    agent.supervisor.linked(now, LINK, ENTRY, None, now, 0);
+    claim(&mut agent, LINK, 1);
+    let told = vec![(LINK, 1, ClaimStatus::Cancelled)];
+    expect_that!(answers(&mut agent), eq(&told));
+}
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -371,6 +371,11 @@
                 self.send_configuration(now, state, link);
             }
             for claim in frame.claims {
+                if claim.is_cancelled {
+                    let job = claim.job.as_str();
+                    let hold_ms = claim.hold_ms;
+                    spdlog::info!("a job must not run, since it was cancelled", kv: { job, hold_ms, link });
+                }
                 state.supervisor.claim_changed(now, link, read_claim(claim));
             }
             for task in frame.cancels {
--- a/hemlockhook-leased/src/convert.rs
+++ b/hemlockhook-leased/src/convert.rs
@@ -116,11 +116,11 @@
 
 /// Decodes a change of a claim.
 pub(crate) fn read_claim(claim: v1::JobClaim) -> Claim {
-    let change = match claim.is_released {
-        true => ClaimChange::Released,
-        false => ClaimChange::Made {
-            hold: Duration::from_millis(claim.hold_ms).min(MAX_HOLD),
-        },
+    let hold = Duration::from_millis(claim.hold_ms).min(MAX_HOLD);
+    let change = match (claim.is_released, claim.is_cancelled) {
+        (true, _) => ClaimChange::Released,
+        (false, true) => ClaimChange::Cancelled { hold },
+        (false, false) => ClaimChange::Made { hold },
     };
     Claim {
         job: claim.job.into(),
@@ -145,6 +145,14 @@
             number,
             is_released: false,
             hold_ms: hold.as_millis() as u64,
+            ..v1::JobClaim::default()
+        },
+        ClaimChange::Cancelled { hold } => v1::JobClaim {
+            job,
+            number,
+            hold_ms: hold.as_millis() as u64,
+            is_cancelled: true,
+            ..v1::JobClaim::default()
         },
     }
 }
@@ -155,6 +163,7 @@
         v1::JobClaimStatus::Granted => ClaimStatus::Granted,
         v1::JobClaimStatus::Waiting => ClaimStatus::Waiting,
         v1::JobClaimStatus::Contested => ClaimStatus::Contested,
+        v1::JobClaimStatus::Cancelled => ClaimStatus::Cancelled,
         v1::JobClaimStatus::Unspecified => return None,
     };
     Some(ClaimAnswer {
@@ -170,6 +179,7 @@
         ClaimStatus::Granted => v1::JobClaimStatus::Granted,
         ClaimStatus::Waiting => v1::JobClaimStatus::Waiting,
         ClaimStatus::Contested => v1::JobClaimStatus::Contested,
+        ClaimStatus::Cancelled => v1::JobClaimStatus::Cancelled,
     };
     v1::JobClaimAnswer {
         job: answer.job.to_string(),
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -611,12 +611,17 @@
     }
 }
 
-/// Logs an answer that shows that another entry has the job, too.
+/// Logs an answer that shows that another entry has the job, too, or that the job was cancelled.
 fn log_claim(answer: &ClaimAnswer, link: u64) {
-    if answer.status == ClaimStatus::Granted {
-        return;
-    }
     let job = &*answer.job;
+    match answer.status {
+        ClaimStatus::Granted => return,
+        ClaimStatus::Cancelled => {
+            spdlog::info!("a claimed job was cancelled before", kv: { job, link });
+            return;
+        }
+        ClaimStatus::Waiting | ClaimStatus::Contested => {}
+    }
     let status: &str = answer.status.into();
     spdlog::info!("another entry claims a job of this one", kv: { job, status, link });
 }
