Divide an agent's throughput by the demand of its entries

Agents gave each entry what it used lately, and at least an even share, so that an entry whose callers came from another one refused them while others had capacity to spare. With DispatchPolicy::sends_demand (off by default) an entry tells its agents the work that its callers ask for, also of refused jobs, averaged over half a second, divided by the number of usable agents, and capped while requests wait for its event loop. The field demand_milli is sent on frames that are sent anyway, when it has changed by a tenth. An agent divides in proportion to it, with a fifth of an even share for each entry, where all active entries send it, and as before otherwise. A new entry begins with an even share; one that is not heard of loses its share with its owner timeout.

--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use crate::agent::shares::share_by_use;
 use crate::agent::{Supervisor, SupervisorPolicy, UpstreamState};
 use crate::{AttemptEnd, ClaimAnswer, HeldAttempts, Incarnation};
 
@@ -61,6 +62,9 @@
     pub state_interval: Duration,
     /// Whether the entry requests the state of the upstream.
     pub wants_state: bool,
+    /// Work that the entry's callers ask for at this agent, in thousandths of a core; `None` if it has
+    /// not changed, or the entry does not tell.
+    pub demand_milli: Option<u32>,
 }
 
 /// Rank of a link among those of an agent: the lowest are active.
@@ -68,7 +72,7 @@
 
 #[derive(Debug, Default)]
 pub(super) struct Links {
-    owners: BTreeMap<Incarnation, Owner>,
+    pub(super) owners: BTreeMap<Incarnation, Owner>,
     by_link: BTreeMap<LinkId, Incarnation>,
     /// Entries that another incarnation has replaced, and whose runs have to be stopped.
     replaced: Vec<Incarnation>,
@@ -79,8 +83,9 @@
 }
 
 #[derive(Debug)]
-struct Owner {
-    link: Option<LinkId>,
+pub(super) struct Owner {
+    pub(super) link: Option<LinkId>,
+    pub(super) first_linked: Instant,
     /// When its last link ended.
     unlinked_at: Option<Instant>,
     rank: LinkRank,
@@ -92,10 +97,12 @@
     state_interval: Duration,
     /// Average of the processor that its runs use, in thousandths of a core.
     usage: f64,
+    /// Last demand that the entry has sent, in thousandths of a core.
+    pub(super) demand: Option<f64>,
     /// When the first report that the entry hasn't echoed was sent.
     unanswered_since: Option<Instant>,
     /// The entry's runs are stopped at this time unless a frame extends it.
-    fresh_until: Instant,
+    pub(super) fresh_until: Instant,
     /// Whether its runs were stopped because it was silent.
     is_silent: bool,
     outbox: Vec<AttemptEnd>,
@@ -247,7 +254,7 @@
     }
 
     /// Returns whether the link is active although the entry may have ordered nothing.
-    fn is_active(&self, now: Instant) -> bool {
+    pub(super) fn is_active(&self, now: Instant) -> bool {
         self.is_preferred || self.wanted_until.is_some_and(|until| until > now)
     }
 }
@@ -274,12 +281,14 @@
         }
         let owner = self.links.owners.entry(entry).or_insert_with(|| Owner {
             link: None,
+            first_linked: now,
             unlinked_at: None,
             rank,
             is_preferred: false,
             wanted_until: None,
             state_interval: DEFAULT_STATE_INTERVAL,
             usage: 0.0,
+            demand: None,
             unanswered_since: None,
             fresh_until: now,
             is_silent: false,
@@ -338,6 +347,7 @@
             return;
         };
         owner.received = Some(header.seq);
+        owner.demand = header.demand_milli.map(f64::from).or(owner.demand);
         // An echo of a report that was not sent yet would keep the entry's runs alive for good.
         let echoed = header.echoed.min(now);
         owner.fresh_until = owner.fresh_until.max(echoed + timeout);
@@ -395,6 +405,7 @@
 
         let state = self.state(now);
         let total_usage: f64 = self.links.owners.values().map(|owner| owner.usage).sum();
+        let shares = self.links.shares_by_demand(now, is_busy);
         let even_share = 1.0 / f64::from(self.links.active(now).max(1));
         let report = |id: Incarnation| {
             let owner = self.links.owners.get_mut(&id)?;
@@ -405,9 +416,9 @@
             owner.reported_at = Some(now);
             owner.reported_version = version;
             owner.unanswered_since.get_or_insert(now);
-            let share = match total_usage > 0.0 {
-                true => even_share.max(owner.usage / total_usage),
-                false => even_share,
+            let share = match &shares {
+                Some(shares) => shares.of(id),
+                None => share_by_use(owner.usage, total_usage, even_share),
             };
             let held = std::mem::take(&mut owner.is_new).then(|| {
                 let owned = self.orders.values().filter(|order| order.owner == id);
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -18,6 +18,7 @@
 mod policy;
 mod replacement;
 mod runs;
+mod shares;
 mod upstream;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -74,6 +74,8 @@
     /// Orders that `state` does not account for yet: sequence number of the frame, and
     /// requirements.
     pub(super) unacknowledged: VecDeque<(u64, Amounts)>,
+    /// Demand that was last sent on the link, in thousandths of a core.
+    pub(super) sent_demand: Option<u32>,
     /// Sequence number of the last frame sent, on any link.
     pub(super) seq: u64,
     /// Attempts of this entry at the agent, as job, step and task, with the sequence numbers of the
@@ -100,6 +102,7 @@
             awaits_first_report: true,
             state: None,
             unacknowledged: VecDeque::new(),
+            sent_demand: None,
             seq: 0,
             placed: BTreeMap::new(),
             pause_until: None,
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -4,6 +4,7 @@
 mod cancels;
 mod capacity;
 mod claims;
+mod demands;
 mod drains;
 mod ends;
 mod leaving;
@@ -23,6 +24,7 @@
 use crate::cancelled::CancelledJobs;
 use crate::drains::Drains;
 use crate::entry::agents::Agent;
+use crate::entry::demand::Demand;
 use crate::entry::estimate::Estimates;
 use crate::entry::job::{Job, Rank, Step, Task};
 use crate::entry::{
@@ -101,6 +103,7 @@
     queue: BTreeSet<Rank>,
     estimates: Estimates,
     drains: Drains,
+    demand: Demand,
     is_leaving: bool,
     /// When the first tick was handled.
     started: Option<Instant>,
@@ -137,6 +140,7 @@
             queue: BTreeSet::new(),
             estimates: Estimates::default(),
             drains: Drains::default(),
+            demand: Demand::default(),
             is_leaving: false,
             started: None,
             last_new_agent: None,
@@ -247,7 +251,9 @@
             self.answer(now, key, Answer::Cancelled);
             return Ok(key);
         }
-        self.check_capacity(now, &job, run_time)?;
+        let checked = self.check_capacity(now, &job, run_time);
+        self.count_offered(now, &job, &checked);
+        checked?;
 
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
@@ -284,6 +290,7 @@
                 agent.awaits_first_report = true;
                 agent.state = None;
                 agent.unacknowledged.clear();
+                agent.sent_demand = None;
                 key
             }
             None => {
@@ -342,6 +349,7 @@
         self.started.get_or_insert(now);
         self.update_state_interval(now);
         self.settle_lost_agents(now);
+        self.update_demand(now);
         self.time_out(now);
         self.refuse_late_jobs(now);
         if self.usable_agents(now) == 0 {
--- a/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
@@ -43,6 +43,7 @@
                 let run_time = Duration::from_millis(u64::from(ended.run_ms));
                 self.estimates
                     .learn(&job.queue_config.name, declared_run_time, run_time, pace);
+                self.count_completed(now, key, position);
                 self.task_done(now, key, position);
             }
             Outcome::Failed => {
--- a/hemlockhook-dispatch/src/entry/mod.rs
+++ b/hemlockhook-dispatch/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod agents;
+mod demand;
 mod dispatcher;
 mod estimate;
 mod job;
--- a/hemlockhook-dispatch/src/entry/policy.rs
+++ b/hemlockhook-dispatch/src/entry/policy.rs
@@ -73,6 +73,8 @@
     pub look_ahead: usize,
     /// Factor on the run time of a task on an upstream far from its data.
     pub distance_factor: f64,
+    /// Whether the entry tells agents the demand of its callers, by which they divide their throughput.
+    pub sends_demand: bool,
     /// Minimum retry delay of a refused caller.
     pub min_retry_after: Duration,
     /// Maximum retry delay of a refused caller.
@@ -109,6 +111,7 @@
             waiting_percent: 25,
             look_ahead: 24,
             distance_factor: 1.5,
+            sends_demand: false,
             min_retry_after: Duration::from_secs(1),
             max_retry_after: Duration::from_secs(10),
         }
--- a/hemlockhook-dispatch/tests/dispatcher/fixture.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/fixture.rs
@@ -37,8 +37,12 @@
 impl Fixture {
     /// Creates an entry with one agent per given pace, each of whose upstreams has `cores` cores.
     pub fn new(paces: &[f64], cores: u64) -> Self {
+        Self::with_policy(DispatchPolicy::default(), paces, cores)
+    }
+
+    pub fn with_policy(policy: DispatchPolicy, paces: &[f64], cores: u64) -> Self {
         let now = Instant::now();
-        let mut dispatcher = Dispatcher::new(DispatchPolicy::default());
+        let mut dispatcher = Dispatcher::new(policy);
         let mut agents = Vec::new();
         for (index, pace) in paces.iter().enumerate() {
             let key = dispatcher
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod claims;
+mod demand;
 mod drains;
 mod fixture;
 mod flood;
--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -261,6 +261,7 @@
             echoed: self.now,
             state_interval,
             wants_state: false,
+            demand_milli: None,
         }
     }
 
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod links;
 mod restarts;
+mod shares;
 
 use std::time::Duration;
 
--- a/hemlockhook-dispatch/tests/world/entries.rs
+++ b/hemlockhook-dispatch/tests/world/entries.rs
@@ -98,6 +98,7 @@
                 echoed,
                 state_interval: state.dispatcher.state_interval(),
                 wants_state: woken.contains(&agent),
+                demand_milli: state.dispatcher.take_demand(key),
             };
             let frame = Orders {
                 header,
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -356,6 +356,7 @@
                 echoed: self.instant_at(frame.echo_ms),
                 state_interval: Duration::from_millis(u64::from(frame.state_interval_ms)),
                 wants_state: frame.wants_state,
+                demand_milli: frame.demand_milli,
             };
             state.supervisor.frame_received(now, link, &header);
             self.receive_drains(now, state, link, frame.drains);
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -446,6 +446,8 @@
             let delay_ms = delay.as_millis() as u64;
             spdlog::warn!("the event loop fell behind", kv: { delay_ms });
         }
+        let now = self.clock.now();
+        self.lock().dispatcher.measured_delay(now, delay);
     }
 
     fn flush_to_all(&self, now: Instant, state: &mut State) {
@@ -539,6 +541,7 @@
                 link.echoed_ms = link.received_ms;
             }
             frame.echo_ms = link.echoed_ms;
+            frame.demand_milli = state.dispatcher.take_demand(key);
             frame.seq = state.dispatcher.next_seq(key);
             link.sent_at = Some(now);
             if link.tx.try_send(frame).is_err() {
