Place tasks by the learned distribution of run times

Placement multiplied a mean by 1.35, so that at a peak wide jobs took the fast upstreams or waited behind long tasks there. With the setting 'placement: by_run_times', an entry learns the ratio of run time to expected run time per queue, chooses the slowest upstream that reaches the target probability, and reserves fast capacity by the recent demand of tasks that end in time at no slow upstream. The distance from the data is no longer learned as slowness of an upstream or a queue.

--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -9,6 +9,7 @@
 mod ends;
 mod leaving;
 mod queue;
+mod run_times;
 mod standby;
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -26,7 +27,9 @@
 use crate::entry::agents::Agent;
 use crate::entry::demand::Demand;
 use crate::entry::estimate::Estimates;
+use crate::entry::fast_capacity::FastCapacity;
 use crate::entry::job::{Job, Rank, Step, Task};
+use crate::entry::run_times::RunTimes;
 use crate::entry::{
     AgentHello, AgentKey, AgentReport, Answer, DispatchPolicy, JobKey, LinkRefusal, Refusal,
 };
@@ -104,6 +107,8 @@
     estimates: Estimates,
     drains: Drains,
     demand: Demand,
+    run_times: RunTimes,
+    fast_capacity: FastCapacity,
     is_leaving: bool,
     /// When the first tick was handled.
     started: Option<Instant>,
@@ -141,6 +146,8 @@
             estimates: Estimates::default(),
             drains: Drains::default(),
             demand: Demand::default(),
+            run_times: RunTimes::default(),
+            fast_capacity: FastCapacity::default(),
             is_leaving: false,
             started: None,
             last_new_agent: None,
@@ -348,6 +355,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.started.get_or_insert(now);
         self.update_state_interval(now);
+        self.update_fast_capacity(now);
         self.settle_lost_agents(now);
         self.update_demand(now);
         self.time_out(now);
--- a/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
@@ -41,8 +41,11 @@
             Outcome::Done => {
                 let declared_run_time = job.spec.steps[id.step as usize].declared_run_time;
                 let run_time = Duration::from_millis(u64::from(ended.run_ms));
+                let queue = job.queue_config.name.clone();
+                let pace = pace * self.learned_distance(key, id.step, agent_key);
+                self.learn_ratio(key, id.step, run_time, pace);
                 self.estimates
-                    .learn(&job.queue_config.name, declared_run_time, run_time, pace);
+                    .learn(&queue, declared_run_time, run_time, pace);
                 self.count_completed(now, key, position);
                 self.task_done(now, key, position);
             }
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -10,7 +10,7 @@
 use crate::entry::job::{Job, Rank, Task};
 use crate::entry::offers::{Offer, Offers};
 use crate::entry::placement::{Candidate, choose_upstream};
-use crate::entry::{AgentKey, JobKey};
+use crate::entry::{AgentKey, JobKey, PlacementRule};
 use crate::{TaskId, TaskRef};
 
 /// Class of jobs that can still meet their objective, or that have begun.
@@ -191,6 +191,7 @@
                 key: agent_key,
                 run_time,
                 wait,
+                is_far,
                 is_near: agent.data_center == self.policy.data_center,
                 free_fraction: free.cpu as f64 / upstream.capacity.cpu.max(1) as f64,
             });
@@ -206,12 +207,17 @@
         {
             candidates.retain(|other| !task.avoid.contains(&other.key));
         }
+        if self.policy.placement == PlacementRule::ByRunTimes {
+            return self.choose_timely(now, job, step, &candidates);
+        }
         let slack = job.due.saturating_duration_since(now + DISPATCH_OVERHEAD);
         choose_upstream(&candidates, slack, state.tasks.len())
     }
 
     fn place_task(&mut self, now: Instant, key: JobKey, position: (u32, u32), agent_key: AgentKey) {
         let rank = self.rank(now, &self.jobs[key], key);
+        let distance = self.learned_distance(key, position.0, agent_key);
+        self.note_demand(key, position.0);
         let job = &mut self.jobs[key];
         let task = job.task(position).expect("a queued task exists");
         assert!(
@@ -227,7 +233,7 @@
         job.has_begun = true;
 
         let spec = &job.spec.steps[position.0 as usize];
-        let expected = job.steps[position.0 as usize].expected;
+        let expected = job.steps[position.0 as usize].expected.mul_f64(distance);
         let wait = job.useful_until.saturating_duration_since(now);
         let due_ms = match rank.start_by.checked_duration_since(now) {
             Some(left) => saturating_millis(left),
--- a/hemlockhook-dispatch/src/entry/placement.rs
+++ b/hemlockhook-dispatch/src/entry/placement.rs
@@ -13,6 +13,8 @@
     pub(super) run_time: Duration,
     /// Expected queueing time on this upstream.
     pub(super) wait: Duration,
+    /// Whether the upstream is far from the task's data.
+    pub(super) is_far: bool,
     /// Whether the upstream is in the entry's own data center.
     pub(super) is_near: bool,
     /// Fraction of the upstream's capacity that is free.
@@ -44,7 +46,7 @@
 where
     K: Copy,
 {
-    if let Some(best) = fastest_with_ample_capacity(candidates) {
+    if let Some(best) = fastest_with_ample_capacity(candidates, 0.0) {
         return Some(best);
     }
     let margin = RUN_TIME_MARGIN * (width.max(1) as f64).powf(WIDTH_EXPONENT);
@@ -65,8 +67,12 @@
     candidates.iter().min_by(by_end).map(|best| best.key)
 }
 
-/// Returns the least loaded of the fastest upstreams, if they have ample free capacity in total.
-fn fastest_with_ample_capacity<K>(candidates: &[Candidate<K>]) -> Option<K>
+/// Returns the least loaded of the fastest upstreams, if they have ample free capacity in total, beyond
+/// the fraction `reserved`.
+pub(super) fn fastest_with_ample_capacity<K>(
+    candidates: &[Candidate<K>],
+    reserved: f64,
+) -> Option<K>
 where
     K: Copy,
 {
@@ -77,7 +83,7 @@
             .filter(|c| speed_class(c.run_time) == fastest)
     };
     let free: f64 = group().map(|c| c.free_fraction).sum();
-    if free < AMPLE_FREE_FRACTION * group().count() as f64 {
+    if free < (AMPLE_FREE_FRACTION + reserved) * group().count() as f64 {
         return None;
     }
     let by_free_fraction = |a: &&Candidate<K>, b: &&Candidate<K>| {
@@ -90,6 +96,6 @@
 
 /// Returns the logarithmic speed class of a run time. Run times within a class differ by about a
 /// fifth, and their upstreams count as equally fast.
-fn speed_class(run_time: Duration) -> i32 {
+pub(super) fn speed_class(run_time: Duration) -> i32 {
     (run_time.as_secs_f64().max(0.001).ln() * 5.0).round() as i32
 }
--- a/hemlockhook-dispatch/src/entry/policy.rs
+++ b/hemlockhook-dispatch/src/entry/policy.rs
@@ -22,6 +22,16 @@
     }
 }
 
+/// How the upstream for a task is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlacementRule {
+    /// By the expected run time, with a safety factor.
+    #[default]
+    ByMean,
+    /// By the probability of an end in time, from the learned distribution of run times.
+    ByRunTimes,
+}
+
 /// Timeouts and limits of a [`Dispatcher`](crate::entry::Dispatcher).
 #[derive(Clone, Debug)]
 pub struct DispatchPolicy {
@@ -71,6 +81,8 @@
     pub waiting_percent: usize,
     /// Number of blocked jobs after which a placement round ends.
     pub look_ahead: usize,
+    /// How the upstream for a task is chosen.
+    pub placement: PlacementRule,
     /// Factor on the run time of a task on an upstream far from its data.
     pub distance_factor: f64,
     /// Whether the entry tells agents the demand of its callers, by which they divide their throughput.
@@ -110,6 +122,7 @@
             wake_pause: (Duration::from_millis(10), Duration::from_millis(500)),
             waiting_percent: 25,
             look_ahead: 24,
+            placement: PlacementRule::default(),
             distance_factor: 1.5,
             sends_demand: false,
             min_retry_after: Duration::from_secs(1),
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -11,6 +11,7 @@
 mod odd_jobs;
 mod standby;
 mod start;
+mod uneven;
 
 use std::time::Duration;
 
--- a/hemlockhook-leased/src/settings.rs
+++ b/hemlockhook-leased/src/settings.rs
@@ -5,7 +5,7 @@
 
 use garde::Validate;
 use hemlockhook_dispatch::agent::SupervisorPolicy;
-use hemlockhook_dispatch::entry::DispatchPolicy;
+use hemlockhook_dispatch::entry::{DispatchPolicy, PlacementRule};
 use serde::Deserialize;
 
 /// Duration of a lease, unless the upstream grants less, in percent of the time after which callers
@@ -71,6 +71,10 @@
     #[garde(skip)]
     #[serde(default)]
     pub drains: bool,
+    /// How the upstream for a task is chosen.
+    #[garde(skip)]
+    #[serde(default)]
+    pub placement: PlacementSetting,
     /// Minimum level of the log lines that are written.
     #[garde(skip)]
     #[serde(default)]
@@ -125,6 +129,26 @@
     pub log_level: LogLevel,
 }
 
+/// Rules for the choice of the upstream for a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementSetting {
+    /// By the expected run time.
+    #[default]
+    ByMean,
+    /// By the probability of an end in time, from the learned distribution of run times.
+    ByRunTimes,
+}
+
+impl From<PlacementSetting> for PlacementRule {
+    fn from(setting: PlacementSetting) -> Self {
+        match setting {
+            PlacementSetting::ByMean => Self::ByMean,
+            PlacementSetting::ByRunTimes => Self::ByRunTimes,
+        }
+    }
+}
+
 /// Levels of log lines, in ascending order of severity.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -161,6 +185,7 @@
             caller_check_interval: resubmit * CALLER_CHECK_PERCENT / 100,
             caller_check_delay: resubmit * CALLER_CHECK_DELAY_PERCENT / 100,
             distance_factor: self.distance_factor,
+            placement: self.placement.into(),
             ..DispatchPolicy::default()
         }
     }
