Admit jobs by the share of their class, and spread returning callers

An entry compared one expected wait with 1.5 objectives, whichever class competed for the capacity. With `overload: by_class` it follows the admitted work of each class (a queue and a size band) in a model of fair shares, admits what ends in time there or can start at once, and books the return of what it refuses in a second that is expected to carry it. Off by default.

First version, to be tuned.

--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -8,6 +8,7 @@
 mod drains;
 mod ends;
 mod leaving;
+mod overload;
 mod queue;
 mod run_times;
 mod standby;
@@ -21,6 +22,7 @@
 
 use self::claims::EndingJob;
 pub(in crate::entry) use self::claims::JobClaims;
+use self::overload::Overload;
 use crate::agent::RunOrder;
 use crate::cancelled::CancelledJobs;
 use crate::drains::Drains;
@@ -109,6 +111,7 @@
     demand: Demand,
     run_times: RunTimes,
     fast_capacity: FastCapacity,
+    overload: Overload,
     is_leaving: bool,
     /// When the first tick was handled.
     started: Option<Instant>,
@@ -148,6 +151,7 @@
             demand: Demand::default(),
             run_times: RunTimes::default(),
             fast_capacity: FastCapacity::default(),
+            overload: Overload::default(),
             is_leaving: false,
             started: None,
             last_new_agent: None,
@@ -364,6 +368,7 @@
             self.refuse_drained_jobs(now);
         }
         self.replace_drained_agents(now);
+        self.settle_classes(now);
         self.settle_claims(now);
         self.cancelled.sweep(now);
         self.check_callers(now);
--- a/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
@@ -12,7 +12,7 @@
 impl Dispatcher {
     /// Refuses a job that could not be answered while its answer is useful.
     pub(super) fn check_capacity(
-        &self,
+        &mut self,
         now: Instant,
         job: &Job,
         run_time: Duration,
@@ -49,6 +49,9 @@
             return Err(Refusal::NeverFits);
         }
 
+        if self.policy.is_admission_by_class {
+            return self.check_class(now, job, run_time);
+        }
         let wait = self.load(now, job).wait();
         if wait.is_zero() {
             // Estimates are rough, and the free capacity would otherwise be unused.
--- /dev/null
+++ b/hemlockhook-dispatch/src/entry/dispatcher/overload.rs
@@ -0,0 +1,232 @@
+//! Admission of jobs by the shares of their classes, and the return of refused callers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::{DISPATCH_OVERHEAD, Dispatcher};
+use crate::entry::agents::Agent;
+use crate::entry::classes::{ClassLoad, Classes};
+use crate::entry::job::Job;
+use crate::entry::returns::{Outlook, RefusedJob, Returns};
+use crate::entry::{JobKey, Refusal};
+
+/// Factor on the expected run time of a job that is admitted: its slowest task, and the wait at an
+/// upstream, make it longer.
+const RUN_TIME_FACTOR: f64 = 1.25;
+
+/// Part of its objective that a job may wait even if its run time takes up all of it.
+const MIN_WAIT_PART: f64 = 0.1;
+
+/// The classes and the returning callers of each service.
+#[derive(Debug, Default)]
+pub(super) struct Overload {
+    services: BTreeMap<Arc<str>, ServiceOverload>,
+    /// Class of the job that was refused last.
+    refused: Option<ClassLoad>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceOverload {
+    classes: Classes,
+    returns: Returns,
+    rate: f64,
+}
+
+/// Free capacity for the first tasks of a job, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default)]
+struct FreeRoom {
+    /// At agents to which tasks can be sent now.
+    now: u64,
+    /// At agents whose orders are paused for some milliseconds, or that have to be woken.
+    soon: u64,
+}
+
+impl Dispatcher {
+    /// Returns the load of the class of the job that was refused last for overload.
+    pub fn refused_class(&self) -> Option<&ClassLoad> {
+        self.overload.refused.as_ref()
+    }
+
+    /// Takes the classes that went over their share, or are back within it.
+    pub fn take_class_changes(&mut self) -> Vec<ClassLoad> {
+        let services = self.overload.services.values_mut();
+        services
+            .flat_map(|service| service.classes.take_changes())
+            .collect()
+    }
+
+    /// Returns the work of refused jobs that is expected to return, in core-seconds.
+    pub fn booked_returns(&self) -> f64 {
+        let services = self.overload.services.values();
+        services.map(|service| service.returns.total()).sum()
+    }
+
+    /// Refuses a job that can't be expected to be answered in time by the backlog and the share of its
+    /// class, unless it can start at once.
+    pub(super) fn check_class(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        run_time: Duration,
+    ) -> Result<(), Refusal> {
+        let rate = self.capacity_for(now, job).rate;
+        let free = self.free_room(now, job);
+        let can_start = self.can_start(job, free);
+        let work = work_of(job, |step| job.steps[step].expected);
+        let declared = work_of(job, |step| job.spec.steps[step].declared_run_time);
+        let name = &job.queue_config.service;
+        let service = self.overload.services.entry(name.clone()).or_default();
+        service.rate = rate;
+        let queue = &job.queue_config.name;
+        let class = service.classes.arrived(now, queue, declared, work, rate);
+
+        let run_time = run_time.mul_f64(RUN_TIME_FACTOR) + DISPATCH_OVERHEAD;
+        let min_limit = run_time + job.objective.mul_f64(MIN_WAIT_PART);
+        let wait = service.classes.wait(now, &class);
+        if can_start || wait.saturating_add(run_time) <= job.objective.max(min_limit) {
+            let cores: u64 = first_needs(job).sum();
+            let waiting = cores.saturating_sub(free.now + free.soon) as f64 / cores.max(1) as f64;
+            service.classes.admitted(&class, work * waiting);
+            return Ok(());
+        }
+        self.overload.refused = service.classes.load(now, &class);
+        let refused = self.refused_job(now, job);
+        let retry_after = self.book(now, name, refused);
+        Err(Refusal::Overload { retry_after })
+    }
+
+    fn refused_job(&self, now: Instant, job: &Job) -> RefusedJob {
+        let run_time = job.remaining_run_time().mul_f64(RUN_TIME_FACTOR);
+        let useful_for = job.useful_until.saturating_duration_since(now);
+        // A caller that leaves before its answer is not served.
+        let left = job.deadline.saturating_duration_since(now);
+        let latest = left.saturating_sub(run_time * 2);
+        let (min, max) = (self.policy.min_retry_after, self.policy.max_retry_after);
+        RefusedJob {
+            work: work_of(job, |step| job.steps[step].expected),
+            useful_for: useful_for.saturating_sub(run_time),
+            limits: (min, max.min(latest)),
+        }
+    }
+
+    /// Books the return of a refused job, and returns its retry delay.
+    fn book(&mut self, now: Instant, service: &Arc<str>, refused: RefusedJob) -> Duration {
+        let service = self.overload.services.entry(service.clone()).or_default();
+        let (demand, present_demand) = service.classes.total_demand(now);
+        let outlook = Outlook {
+            rate: service.rate,
+            demand,
+            present_demand,
+        };
+        service.returns.book(now, refused, outlook)
+    }
+
+    /// Books the return of an admitted job that is refused because it can't be answered in time, and
+    /// returns its retry delay.
+    pub(super) fn book_late_return(&mut self, now: Instant, key: JobKey) -> Duration {
+        let Some(job) = self.jobs.get(key) else {
+            return self.policy.min_retry_after;
+        };
+        let refused = self.refused_job(now, job);
+        self.book(now, &job.queue_config.service.clone(), refused)
+    }
+
+    /// Adapts the backlogs of the classes to the work that is queued.
+    pub(super) fn settle_classes(&mut self, now: Instant) {
+        if !self.policy.is_admission_by_class {
+            return;
+        }
+        let mut queued: BTreeMap<&Arc<str>, f64> = BTreeMap::new();
+        for rank in &self.queue {
+            let job = &self.jobs[rank.job];
+            let work = job.queued.iter().map(|&(step, _)| {
+                let cores = job.spec.steps[step as usize].need.cpu as f64 / 1000.0;
+                cores * job.steps[step as usize].expected.as_secs_f64()
+            });
+            *queued.entry(&job.queue_config.service).or_default() += work.sum::<f64>();
+        }
+        for (name, service) in &mut self.overload.services {
+            let queued = queued.get(name).copied().unwrap_or_default();
+            service.classes.settle(now, queued);
+        }
+    }
+
+    /// Returns whether free capacity is left for a job beside those that are queued.
+    fn can_start(&self, job: &Job, free: FreeRoom) -> bool {
+        if free.now + free.soon == 0 {
+            return false;
+        }
+        // What is claimed and still queued has found no room at the agents that accept tasks now.
+        let mut unclaimed = 0;
+        let mut queued = 0;
+        for rank in &self.queue {
+            let other = &self.jobs[rank.job];
+            if other.queue_config.service != job.queue_config.service {
+                continue;
+            }
+            let needs = other.queued.iter();
+            let cores: u64 = needs
+                .map(|&(step, _)| other.spec.steps[step as usize].need.cpu)
+                .sum();
+            queued += cores;
+            if !other.claims.is_held {
+                unclaimed += cores;
+            }
+            if unclaimed >= free.now && queued >= free.now + free.soon {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns the free capacity of the upstreams that have room for a first task of a job.
+    fn free_room(&self, now: Instant, job: &Job) -> FreeRoom {
+        let timeout = self.policy.agent_timeout;
+        let mut room = FreeRoom::default();
+        for agent in self.agents.values() {
+            let free = agent.free();
+            if !can_run_first(agent, job) {
+                continue;
+            }
+            match agent.usable(now, timeout) {
+                Some(_) if !agent.is_paused(now) => room.now += free.cpu,
+                Some(_) => room.soon += free.cpu,
+                None if agent.is_standing_by(now, timeout) => room.soon += free.cpu,
+                None => {}
+            }
+        }
+        room
+    }
+}
+
+/// Returns whether the last known free capacity of an agent's upstream is enough for a first task of a
+/// job.
+fn can_run_first(agent: &Agent, job: &Job) -> bool {
+    let Some(state) = agent.state.as_ref().filter(|state| state.is_usable) else {
+        return false;
+    };
+    let free = agent.free();
+    let mut first = job.spec.steps.iter().zip(&job.steps);
+    state.service == job.queue_config.service
+        && first.any(|(spec, step)| {
+            let has = |label: &Arc<str>| state.labels.contains(label);
+            step.is_open && spec.need.fits(&free) && spec.required_label.as_ref().is_none_or(has)
+        })
+}
+
+/// Returns the processor requirements of the tasks that are ready, in thousandths of a core.
+fn first_needs(job: &Job) -> impl Iterator<Item = u64> {
+    let needs = job.queued.iter();
+    needs.map(|&(step, _)| job.spec.steps[step as usize].need.cpu)
+}
+
+/// Returns the work of a job in core-seconds, with the given run times of its steps' tasks.
+fn work_of(job: &Job, run_time: impl Fn(usize) -> Duration) -> f64 {
+    let steps = job.spec.steps.iter().enumerate();
+    let work = steps.map(|(index, step)| {
+        let cores = step.need.cpu as f64 / 1000.0;
+        f64::from(step.tasks) * cores * run_time(index).as_secs_f64()
+    });
+    work.sum()
+}
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -304,7 +304,11 @@
             }
         }
         for (key, wait) in too_late {
-            let answer = self.late_answer(key, self.policy.retry_after(wait));
+            let retry_after = match self.policy.is_admission_by_class {
+                true => self.book_late_return(now, key),
+                false => self.policy.retry_after(wait),
+            };
+            let answer = self.late_answer(key, retry_after);
             self.answer(now, key, answer);
         }
     }
--- a/hemlockhook-dispatch/src/entry/mod.rs
+++ b/hemlockhook-dispatch/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod agents;
+mod classes;
 mod demand;
 mod dispatcher;
 mod estimate;
@@ -10,12 +11,14 @@
 mod offers;
 mod placement;
 mod policy;
+mod returns;
 mod run_times;
 mod sharing;
 mod timely;
 
 pub use admission::Refusal;
 pub use agents::{AgentHello, AgentKey, AgentReport, LinkRefusal};
+pub use classes::{ClassLoad, SizeBand};
 pub use dispatcher::{Action, CancelCause, Dispatcher, Order, Submission};
 pub use job::{Answer, JobKey};
 pub use policy::{DispatchPolicy, DispatchRules, PlacementRule};
--- a/hemlockhook-dispatch/src/entry/policy.rs
+++ b/hemlockhook-dispatch/src/entry/policy.rs
@@ -48,6 +48,9 @@
     /// Multiple of its latency objective that a job may be expected to take. A job that is expected
     /// to take longer is refused, unless it can start at once.
     pub admission_factor: f64,
+    /// Whether a job is admitted by the share and the backlog of its class, and refused callers are
+    /// asked to return when their work is expected to be carried, instead of by `admission_factor`.
+    pub is_admission_by_class: bool,
     /// Time after which it is checked again whether the caller of a job is still connected: before a
     /// task is placed, and while tasks run. Together with `caller_check_delay` and the timeouts of the
     /// agents it has to be shorter than the time after which a caller resubmits a job.
@@ -109,6 +112,7 @@
             agent_lost_after: Duration::from_millis(1150),
             useful_factor: 3,
             admission_factor: 1.5,
+            is_admission_by_class: false,
             caller_check_interval: Duration::from_millis(150),
             caller_check_delay: Duration::from_millis(100),
             claim_timeout: Duration::from_millis(100),
--- a/hemlockhook-leased/src/settings.rs
+++ b/hemlockhook-leased/src/settings.rs
@@ -75,6 +75,10 @@
     #[garde(skip)]
     #[serde(default)]
     pub placement: PlacementSetting,
+    /// How jobs are admitted under overload.
+    #[garde(skip)]
+    #[serde(default)]
+    pub overload: OverloadControl,
     /// Minimum level of the log lines that are written.
     #[garde(skip)]
     #[serde(default)]
@@ -149,6 +153,17 @@
     }
 }
 
+/// Ways of admitting jobs under overload.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OverloadControl {
+    /// By the expected wait alone.
+    #[default]
+    ByWait,
+    /// By the share and the backlog of the job's class.
+    ByClass,
+}
+
 /// Levels of log lines, in ascending order of severity.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -186,6 +201,7 @@
             caller_check_delay: resubmit * CALLER_CHECK_DELAY_PERCENT / 100,
             distance_factor: self.distance_factor,
             placement: self.placement.into(),
+            is_admission_by_class: self.overload == OverloadControl::ByClass,
             ..DispatchPolicy::default()
         }
     }
