Replay peaks and floods with and without admission by class

The factor on the run time of admitted jobs is 1.3 instead of 1.4, with which a small entry serves more callers in time.

--- a/hemlockhook-dispatch/src/entry/dispatcher/overload.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/overload.rs
@@ -13,9 +13,9 @@
 use crate::entry::{JobKey, Refusal};
 
 /// Factor on the expected run time of a job that is admitted: its slowest task, and the wait at an
-/// upstream, make it longer. In the replay of a peak in tests/dispatcher/overload.rs, 57% of the callers
-/// were answered in time with it, and 54% with 1.25.
-const RUN_TIME_FACTOR: f64 = 1.4;
+/// upstream, make it longer. In the replay of a peak in tests/dispatcher/overload.rs a small entry serves
+/// 52, 53 and 50% of the callers in time with 1.2, 1.3 and 1.4, and a large one 55, 56 and 58%.
+const RUN_TIME_FACTOR: f64 = 1.3;
 
 /// Time in which the capacity of a class serves what it was admitted beyond it, at which no more of its
 /// jobs are queued. Up to it, the wait that they are admitted with falls in proportion, so that a
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod links;
 mod odd_jobs;
+mod overload;
 mod standby;
 mod start;
 mod uneven;
--- a/hemlockhook-dispatch/tests/dispatcher/standby.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/standby.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use hemlockhook_dispatch::Outcome;
 use hemlockhook_dispatch::agent::UpstreamState;
-use hemlockhook_dispatch::entry::{Action, AgentKey, DispatchPolicy, Refusal};
+use hemlockhook_dispatch::entry::{Action, AgentKey, DispatchPolicy, Dispatcher, Refusal};
 
-use crate::fixture::{Fixture, job, queue_config, state};
+use crate::fixture::{Fixture, hello, job, queue_config, state};
 
 /// Time without reports after which an agent counts as standing by.
 const SILENCE: Duration = Duration::from_millis(400);
@@ -113,3 +114,41 @@
     expect_that!(slow_orders(1), eq(1));
     expect_that!(slow_orders(4), eq(0));
 }
+
+/// Jobs were refused although agents that could be woken, or whose orders were only paused, had room.
+#[gtest]
+fn no_job_is_refused_while_an_agent_that_stands_by_or_is_paused_has_room() {
+    let mut fixture = Fixture::new(&[1.0; 2], 4);
+    let policy = DispatchPolicy {
+        is_admission_by_class: true,
+        ..DispatchPolicy::default()
+    };
+    fixture.dispatcher = Dispatcher::new(policy);
+    for index in 0..2 {
+        let linked = fixture
+            .dispatcher
+            .linked(fixture.now, hello(index as u64 + 1, 0));
+        fixture.agents[index] = linked.expect("the link is not refused");
+        fixture.set_state(index, state(1.0, 4, 4));
+    }
+    fixture.now += SILENCE;
+    fixture.set_state(0, state(1.0, 4, 0));
+    let config = queue_config(0);
+    let fill = |fixture: &mut Fixture, name: &str| {
+        let mut ids = (0..100).map(|index| format!("{name}-{index}"));
+        ids.position(|id| fixture.submit(job(&id, 1, 50), &config).is_err())
+    };
+    // The agent that stands by has room for four.
+    expect_that!(fill(&mut fixture, "standby"), some(ge(4)));
+
+    // The agent that stands by reports that it is full, the other one has returned a task.
+    fixture.set_state(1, state(1.0, 4, 0));
+    expect_that!(fill(&mut fixture, "full"), some(anything()));
+    let orders = fixture.orders();
+    expect_that!(orders.is_empty(), eq(false));
+    fixture.end(&orders[0], Outcome::NotStarted);
+    // None of the queued jobs is placed at an agent that is paused, and it has room for all.
+    fixture.set_state(0, state(1.0, 400, 400));
+    let submitted = fixture.submit(job("fits", 1, 50), &config);
+    expect_that!(submitted, ok(eq(&())));
+}
