--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -78,6 +78,8 @@
     replaced: Vec<Incarnation>,
     /// Incremented with each change of the state.
     state_version: u64,
+    /// Whether the last shares followed from the demand of the entries.
+    is_divided_by_demand: bool,
     /// When the averages of what each entry uses were last updated.
     usage_updated: Option<Instant>,
 }
@@ -406,6 +408,7 @@
         let state = self.state(now);
         let total_usage: f64 = self.links.owners.values().map(|owner| owner.usage).sum();
         let shares = self.links.shares_by_demand(now, is_busy);
+        self.links.is_divided_by_demand = shares.is_some();
         let even_share = 1.0 / f64::from(self.links.active(now).max(1));
         let report = |id: Incarnation| {
             let owner = self.links.owners.get_mut(&id)?;
@@ -439,6 +442,11 @@
         due.into_iter().filter_map(report).collect()
     }
 
+    /// Returns whether the last reported shares followed from the demand of the entries.
+    pub fn is_divided_by_demand(&self) -> bool {
+        self.links.is_divided_by_demand
+    }
+
     /// Takes the answers to claims, by link. They are sent apart from reports: they tell nothing of the
     /// upstream, and need no echo.
     pub fn take_claim_answers(&mut self) -> Vec<(LinkId, Vec<ClaimAnswer>)> {
--- a/hemlockhook-dispatch/src/entry/demand.rs
+++ b/hemlockhook-dispatch/src/entry/demand.rs
@@ -104,6 +104,16 @@
         self.per_agent = Some((demand / usable_agents.max(1) as f64) as u32);
     }
 
+    /// Returns what the processor of the entry can carry, in thousandths of a core; `None` if unlimited.
+    pub(super) fn cap_milli(&self) -> Option<u64> {
+        self.cap.map(|cap| cap as u64)
+    }
+
+    /// Returns the last demand for each agent, in thousandths of a core.
+    pub(super) fn per_agent_milli(&self) -> Option<u32> {
+        self.per_agent
+    }
+
     /// Returns the demand for each agent in thousandths of a core, if it differs by a tenth from what an
     /// agent was sent.
     pub(super) fn changed_since(&self, sent: Option<u32>) -> Option<u32> {
--- a/hemlockhook-dispatch/src/entry/dispatcher/demands.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/demands.rs
@@ -9,7 +9,20 @@
 impl Dispatcher {
     /// Handles a measurement of the time for which requests of callers wait for the event loop.
     pub fn measured_delay(&mut self, now: Instant, delay: Duration) {
-        self.demand.measured_delay(now, delay);
+        if self.policy.sends_demand {
+            self.demand.measured_delay(now, delay);
+        }
+    }
+
+    /// Returns the cap of the demand by the entry's own processor, in thousandths of a core; `None` if it
+    /// is not capped.
+    pub fn demand_cap_milli(&self) -> Option<u64> {
+        self.demand.cap_milli()
+    }
+
+    /// Returns the demand for each agent, in thousandths of a core; `None` if it is not told.
+    pub fn demand_milli(&self) -> Option<u32> {
+        self.demand.per_agent_milli()
     }
 
     /// Returns the demand to be sent with the next frame to an agent, in thousandths of a core, if it has
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -471,7 +471,12 @@
                 });
             }
         }
+        let was_by_demand = state.supervisor.is_divided_by_demand();
         let reports = state.supervisor.take_reports(now);
+        let by_demand = state.supervisor.is_divided_by_demand();
+        if by_demand != was_by_demand {
+            spdlog::info!("the division of the throughput among entries has changed", kv: { by_demand });
+        }
         for report in reports {
             self.send_report(now, state, report);
         }
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -452,7 +452,18 @@
             spdlog::warn!("the event loop fell behind", kv: { delay_ms });
         }
         let now = self.clock.now();
-        self.lock().dispatcher.measured_delay(now, delay);
+        let mut state = self.lock();
+        let before = state.dispatcher.demand_cap_milli();
+        state.dispatcher.measured_delay(now, delay);
+        let cap = state.dispatcher.demand_cap_milli();
+        if before.is_some() != cap.is_some() {
+            let cap_milli = cap.unwrap_or_default();
+            let is_capped = cap.is_some();
+            spdlog::info!("the cap of the demand has changed", kv: { is_capped, cap_milli });
+        }
+        if let Some(demand) = state.dispatcher.demand_milli() {
+            self.metrics.record_demand(demand);
+        }
     }
 
     fn flush_to_all(&self, now: Instant, state: &mut State) {
--- a/hemlockhook-leased/src/entry/metrics.rs
+++ b/hemlockhook-leased/src/entry/metrics.rs
@@ -21,6 +21,8 @@
     duration: Histogram<u64>,
     /// Time for which requests of callers wait for the event loop, in milliseconds.
     delay: Histogram<u64>,
+    /// Demand that is told to each agent, in thousandths of a core.
+    demand: Histogram<u64>,
 }
 
 impl EntryMetrics {
@@ -41,6 +43,7 @@
                 .u64_histogram("leased_event_loop_delay")
                 .with_unit("ms")
                 .build(),
+            demand: meter.u64_histogram("leased_demand_milli").build(),
         }
     }
 
@@ -82,4 +85,8 @@
     pub(crate) fn record_delay(&self, delay: Duration) {
         self.delay.record(delay.as_millis() as u64, &[]);
     }
+
+    pub(crate) fn record_demand(&self, demand_milli: u32) {
+        self.demand.record(u64::from(demand_milli), &[]);
+    }
 }
