--- a/hemlockhook-leased/src/convert.rs
+++ b/hemlockhook-leased/src/convert.rs
@@ -242,3 +242,35 @@
             .collect(),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against entries of one version that take a status which a later one adds for a grant.
+    #[test]
+    fn a_claim_status_of_a_later_version_is_ignored() {
+        let read = |status| {
+            let answer = v1::JobClaimAnswer {
+                status,
+                ..v1::JobClaimAnswer::default()
+            };
+            read_claim_answer(answer).map(|answer| answer.status)
+        };
+        let cancelled = v1::JobClaimStatus::Cancelled as i32;
+        assert_eq!(read(cancelled), Some(ClaimStatus::Cancelled));
+        assert_eq!(read(cancelled + 1), None);
+    }
+
+    /// Guards against a cancellation that is read as a claim, which would be granted.
+    #[test]
+    fn a_cancelled_claim_is_read_as_it_was_written() {
+        let hold = Duration::from_secs(7);
+        let claim = Claim {
+            job: "a".into(),
+            number: 3,
+            change: ClaimChange::Cancelled { hold },
+        };
+        assert_eq!(read_claim(write_claim(&claim)), claim);
+    }
+}
