Let entries that admit jobs by class tell agents their demand

The setting overload: by_class switches both on: an entry that refuses by the share of its classes needs a share of the upstreams that follows its demand.

--- a/hemlockhook-leased/src/settings.rs
+++ b/hemlockhook-leased/src/settings.rs
@@ -202,6 +202,7 @@
             distance_factor: self.distance_factor,
             placement: self.placement.into(),
             is_admission_by_class: self.overload == OverloadControl::ByClass,
+            sends_demand: self.overload == OverloadControl::ByClass,
             ..DispatchPolicy::default()
         }
     }
