--- a/hemlockhook-dispatch/src/entry/throughput.rs
+++ b/hemlockhook-dispatch/src/entry/throughput.rs
@@ -50,6 +50,7 @@
     /// Returns the expected rate in core-seconds per second, given the nominal one.
     pub(super) fn rate(&self, nominal: f64) -> f64 {
         let rate = (self.work + nominal * TRUST_TIME_S) / (self.time + TRUST_TIME_S);
-        rate.clamp(nominal * LIMITS.0, nominal * LIMITS.1)
+        // Not `clamp`, which panics if the reported pace of an upstream is not a number.
+        rate.max(nominal * LIMITS.0).min(nominal * LIMITS.1)
     }
 }
--- a/hemlockhook-leased/src/lib.rs
+++ b/hemlockhook-leased/src/lib.rs
@@ -16,5 +16,5 @@
 mod settings;
 mod watch;
 
-pub use settings::{AgentSettings, EntrySettings, LogLevel};
+pub use settings::{AgentSettings, EntrySettings, LogLevel, OverloadControl};
 pub use watch::STORE_TIMEOUT;
