Count the memory of HTTP and gRPC requests of a process

Bodies were bounded one by one, not in total, and a frame kept the whole read buffer of its connection.

A ledger, shared by all servers of a process, counts connections, the buffers of bodies, gRPC calls and unfinished messages. At its limit it gives up the body that has waited longest for its end. Counted links have smaller frames, buffers and windows. Servers that are started without a ledger are as before; nothing uses one yet.

--- a/hemlockhook-runtime/src/grpc.rs
+++ b/hemlockhook-runtime/src/grpc.rs
@@ -1,6 +1,7 @@
 //! tonic servers and clients over hyper, without the tokio runtime.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
@@ -22,7 +23,12 @@
 use tower_service::Service;
 
 use crate::executor::{Executor, HyperExecutor};
-use crate::http::accept;
+mod calls;
+
+pub use calls::CallBody;
+
+use crate::grpc::calls::CallMemory;
+use crate::http::{RequestMemory, accept};
 use crate::io::{HyperIo, Stream};
 use crate::tasks::{TaskSet, closed};
 use crate::timer::ConnTimer;
@@ -45,6 +51,20 @@
 /// Maximum number of concurrent requests on one connection.
 const MAX_STREAMS: u32 = 4096;
 
+/// HTTP/2 flow-control window of a counted connection and of each of its streams, in bytes. HTTP/2 frames
+/// wait for their readers within it, before they are counted.
+const COUNTED_WINDOW: u32 = 128 * 1024;
+
+/// Size of the read buffer of a counted connection, in bytes.
+const COUNTED_READ_BUFFER: usize = 16 * 1024;
+
+/// Maximum size of a frame received on a counted connection, in bytes; the least that HTTP/2 allows.
+const COUNTED_MAX_FRAME: u32 = 16 * 1024;
+
+/// Memory of a counted connection besides its calls, in bytes: the read buffer, a frame that is
+/// received, one that is sent, tables of header fields and the task. An estimate from their sizes.
+const COUNTED_CONNECTION_BYTES: usize = 64 * 1024;
+
 /// Time that a write may wait for the peer before the connection is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -66,7 +86,43 @@
 /// future closes the listener and every connection.
 pub async fn serve<S>(ex: Arc<Executor>, listener: TcpListener, stop: Receiver<()>, service: S)
 where
-    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+    S: Service<Request<CallBody>, Response = Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+    S::Future: Send + 'static,
+{
+    serve_with(ex, listener, None, stop, service).await;
+}
+
+/// Like [`serve`], and counts connections, calls and unfinished messages in `memory`. Connections
+/// have smaller buffers.
+pub async fn serve_counted<S>(
+    ex: Arc<Executor>,
+    listener: TcpListener,
+    memory: RequestMemory,
+    stop: Receiver<()>,
+    service: S,
+) where
+    S: Service<Request<CallBody>, Response = Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+    S::Future: Send + 'static,
+{
+    serve_with(ex, listener, Some(memory), stop, service).await;
+}
+
+async fn serve_with<S>(
+    ex: Arc<Executor>,
+    listener: TcpListener,
+    memory: Option<RequestMemory>,
+    stop: Receiver<()>,
+    service: S,
+) where
+    S: Service<Request<CallBody>, Response = Response<Body>, Error = Infallible>
         + Clone
         + Send
         + Sync
@@ -78,35 +134,61 @@
         if connections.len() >= MAX_CONNECTIONS {
             continue;
         }
-        let conn = serve_connection(ex.clone(), stream, stop.clone(), service.clone());
+        let held = match &memory {
+            None => None,
+            Some(memory) => match memory.admit(COUNTED_CONNECTION_BYTES).await {
+                Some(held) => Some(Arc::new(CallMemory::new(memory.clone(), held))),
+                None => continue,
+            },
+        };
+        let conn = serve_connection(ex.clone(), stream, held, stop.clone(), service.clone());
         connections.spawn(conn);
     }
     drop(listener);
     connections.join().await;
 }
 
-async fn serve_connection<S>(ex: Arc<Executor>, stream: TcpStream, stop: Receiver<()>, service: S)
-where
-    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+async fn serve_connection<S>(
+    ex: Arc<Executor>,
+    stream: TcpStream,
+    memory: Option<Arc<CallMemory>>,
+    stop: Receiver<()>,
+    service: S,
+) where
+    S: Service<Request<CallBody>, Response = Response<Body>, Error = Infallible>
         + Clone
         + Send
         + Sync
         + 'static,
     S::Future: Send + 'static,
 {
-    let service = service_fn(move |req| service.clone().call(req));
+    let (frame, buffer) = match memory {
+        Some(_) => (COUNTED_MAX_FRAME, COUNTED_READ_BUFFER),
+        None => (MAX_FRAME, READ_BUFFER),
+    };
+    let (stream_window, connection_window) = match memory {
+        Some(_) => (COUNTED_WINDOW, COUNTED_WINDOW),
+        None => (STREAM_WINDOW, CONNECTION_WINDOW),
+    };
+    let call_memory = memory.clone();
+    let service = service_fn(move |req: Request<Incoming>| {
+        let memory = call_memory.clone();
+        service
+            .clone()
+            .call(req.map(|body| CallBody::new(body, memory)))
+    });
     let conn = server::conn::http2::Builder::new(HyperExecutor(ex))
         .timer(ConnTimer::default())
-        .initial_stream_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW)
-        .max_frame_size(MAX_FRAME)
+        .initial_stream_window_size(stream_window)
+        .initial_connection_window_size(connection_window)
+        .max_frame_size(frame)
         .max_send_buf_size(SEND_BUFFER)
         .max_concurrent_streams(MAX_STREAMS)
         .max_header_list_size(MAX_HEAD)
         .keep_alive_interval(KEEP_ALIVE)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
         .serve_connection(
-            HyperIo::new(Stream::new(stream, WRITE_TIMEOUT), READ_BUFFER),
+            HyperIo::new(Stream::new(stream, WRITE_TIMEOUT), buffer),
             service,
         );
     let mut conn = pin!(conn);
@@ -115,12 +197,20 @@
         closed(&stop).await;
         true
     };
+    let given_up = poll_fn(|cx| match &memory {
+        Some(memory) => memory.poll_given_up(cx),
+        None => Poll::Pending,
+    });
     let ended = async {
         // A connection error affects only its client.
         let _ = conn.as_mut().await;
         false
     };
-    if ended.or(stopped).await {
+    let given_up = async {
+        given_up.await;
+        false
+    };
+    if ended.or(given_up).or(stopped).await {
         conn.as_mut().graceful_shutdown();
         let _ = conn.await;
     }
--- a/hemlockhook-runtime/src/http/server.rs
+++ b/hemlockhook-runtime/src/http/server.rs
@@ -6,6 +6,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -18,7 +19,10 @@
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1::{self, Connection};
 use hyper::service::{HttpService, service_fn};
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 
+use super::ledger::Phase;
+use super::memory::{BodyMemory, Held, RequestMemory};
 use crate::executor::Executor;
 use crate::io::{HyperIo, Stream};
 use crate::tasks::{TaskSet, closed};
@@ -33,6 +37,14 @@
 /// Size of a connection's read buffer, in bytes.
 const READ_BUFFER: usize = 4096;
 
+/// Memory of a connection besides the body that is read: hyper's read buffer of up to 16 KiB for the
+/// head, its write buffer of 8 KiB, the read buffer of 4 KiB and the task. Measured with unfinished
+/// heads of 16 KiB: 29 KiB.
+const CONNECTION_BYTES: usize = 29 * 1024;
+
+/// Size of the kernel's receive buffer of a counted connection, in bytes. What it holds is not counted.
+const RECEIVE_BUFFER: usize = 64 * 1024;
+
 /// Response to a connection above [`ServerLimits::max_connections`].
 const BUSY: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -74,6 +86,27 @@
     }
 }
 
+/// Like [`serve`], and counts connections and bodies in `memory`. Handlers read bodies with
+/// [`read_counted_body`](super::read_counted_body).
+pub async fn serve_counted<F, Fut>(
+    ex: Arc<Executor>,
+    listener: TcpListener,
+    limits: ServerLimits,
+    memory: RequestMemory,
+    stop: Receiver<()>,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let handler = move |req| {
+        let response = handler(req);
+        async move { Ok::<_, Infallible>(response.await) }
+    };
+    let connect = move |stream| (stream, handler.clone());
+    serve_streams_counted(ex, listener, limits, memory, stop, connect).await;
+}
+
 /// Accepts connections and serves each one in a task of its own on `ex`.
 ///
 /// When `stop` is closed, it stops accepting, waits for requests in flight and returns. Dropping
@@ -130,6 +163,52 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<BoxError>,
     E: Into<BoxError> + 'static,
+{
+    accept_streams(ex, listener, limits, None, stop, connect).await;
+}
+
+/// Like [`serve_streams`], and counts connections and bodies in `memory`. A new connection may take
+/// the place of a body or a request head that has waited longest for its end.
+pub async fn serve_streams_counted<C, IO, F, Fut, B, E>(
+    ex: Arc<Executor>,
+    listener: TcpListener,
+    limits: ServerLimits,
+    memory: RequestMemory,
+    stop: Receiver<()>,
+    connect: C,
+) where
+    C: Fn(Stream) -> (IO, F),
+    IO: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    F: Fn(Request<Incoming>) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Result<Response<B>, E>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BoxError>,
+    E: Into<BoxError> + 'static,
+{
+    // Connections inherit the size from their listener. Without it, the kernel grows each to megabytes.
+    if let Err(err) = set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER) {
+        let reason = err.to_string();
+        let reason = reason.as_str();
+        spdlog::warn!("the size of receive buffers can't be set", kv: { reason });
+    }
+    accept_streams(ex, listener, limits, Some(memory), stop, connect).await;
+}
+
+async fn accept_streams<C, IO, F, Fut, B, E>(
+    ex: Arc<Executor>,
+    listener: TcpListener,
+    limits: ServerLimits,
+    memory: Option<RequestMemory>,
+    stop: Receiver<()>,
+    connect: C,
+) where
+    C: Fn(Stream) -> (IO, F),
+    IO: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    F: Fn(Request<Incoming>) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Result<Response<B>, E>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BoxError>,
+    E: Into<BoxError> + 'static,
 {
     let connections = TaskSet::new(ex);
     while let Some(stream) = accept(&listener, &stop).await {
@@ -137,8 +216,18 @@
             refuse(stream).await;
             continue;
         }
+        let held = match &memory {
+            None => None,
+            Some(memory) => match memory.admit(CONNECTION_BYTES).await {
+                Some(held) => Some(Arc::new(held)),
+                None => {
+                    refuse(stream).await;
+                    continue;
+                }
+            },
+        };
         let (io, handler) = connect(Stream::new(stream, limits.write_timeout));
-        let conn = serve_connection(io, limits, stop.clone(), handler);
+        let conn = serve_connection(io, limits, held, stop.clone(), handler);
         connections.spawn(conn);
     }
     drop(listener);
@@ -175,6 +264,7 @@
 async fn serve_connection<IO, F, Fut, B, E>(
     io: IO,
     limits: ServerLimits,
+    held: Option<Arc<Held>>,
     stop: Receiver<()>,
     handler: F,
 ) where
@@ -187,19 +277,37 @@
 {
     // Boxed to be `Unpin`, so that the connection can be split into its parts after a timeout.
     let handler = Arc::new(handler);
-    let service = service_fn(move |req| Box::pin(handler(req)));
+    let request_held = held.clone();
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        let held = request_held.clone();
+        if let Some(held) = &held {
+            held.set_phase(Phase::Work);
+            req.extensions_mut().insert(BodyMemory(held.clone()));
+        }
+        let response = handler(req);
+        Box::pin(async move {
+            let response = response.await;
+            if let Some(held) = held {
+                held.set_phase(Phase::Head);
+            }
+            response
+        })
+    });
     let conn = http1::Builder::new()
         .timer(ConnTimer::default())
         .header_read_timeout(limits.header_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_head)
         .serve_connection(HyperIo::new(io, READ_BUFFER), service);
-    finish_connection(conn, stop).await;
+    finish_connection(conn, held, stop).await;
 }
 
 /// Drives a connection until it closes, and shuts it down gracefully once `stop` is closed.
-async fn finish_connection<IO, S, B>(mut conn: Connection<HyperIo<IO>, S>, stop: Receiver<()>)
-where
+async fn finish_connection<IO, S, B>(
+    mut conn: Connection<HyperIo<IO>, S>,
+    held: Option<Arc<Held>>,
+    stop: Receiver<()>,
+) where
     IO: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     S: HttpService<Incoming, ResBody = B> + Unpin,
     S::Future: Unpin,
@@ -211,12 +319,22 @@
         closed(&stop).await;
         None
     };
-    let ended = async { Some(poll_fn(|cx| conn.poll_without_shutdown(cx)).await) };
+    // The connection is polled first: if its body was given up, it sends its response before it ends.
+    let poll_end = |cx: &mut Context<'_>, conn: &mut Connection<HyperIo<IO>, S>| match conn
+        .poll_without_shutdown(cx)
+    {
+        Poll::Ready(end) => Poll::Ready(end),
+        Poll::Pending => match &held {
+            Some(held) => held.poll_given_up(cx).map(Ok),
+            None => Poll::Pending,
+        },
+    };
+    let ended = async { Some(poll_fn(|cx| poll_end(cx, &mut conn)).await) };
     let end = match ended.or(stopped).await {
         Some(end) => end,
         None => {
             Pin::new(&mut conn).graceful_shutdown();
-            poll_fn(|cx| conn.poll_without_shutdown(cx)).await
+            poll_fn(|cx| poll_end(cx, &mut conn)).await
         }
     };
 
