Bound the memory of leased work's clients in total

1,000 clients that stop one byte short of 256 KiB took an entry to 275 MB, while the smallest entry has 120 MB.

All servers of an entry and of an agent share one ledger, limited by the settings memory_mb and file_descriptors. A body that is given up is answered with 503 and Retry-After, unless the entry knows of its job: the connection is then closed without a response, since a 503 promises that the job has not run. Log line and metrics tell of it.

--- a/hemlockhook-leased/src/agent/announcements.rs
+++ b/hemlockhook-leased/src/agent/announcements.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use hemlockhook_ports::leased::{AnnouncementProtocol, UpstreamClient, UpstreamEvent};
-use hemlockhook_runtime::http::read_body;
-use http::{Request, Response};
+use hemlockhook_runtime::http::{BodyError, BodyMemory, read_counted_body};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -43,9 +43,11 @@
     }
 
     pub(crate) async fn answer(self, req: Request<Incoming>) -> Response<Full<Bytes>> {
-        let (head, body) = req.into_parts();
-        let body = match read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
+        let (mut head, body) = req.into_parts();
+        let memory = head.extensions.remove::<BodyMemory>();
+        let body = match read_counted_body(memory, body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
             Ok(body) => body,
+            Err(BodyError::Overloaded) => return overloaded(),
             Err(err) => {
                 let reason = err.to_string();
                 let reason = reason.as_str();
@@ -73,3 +75,14 @@
         self.protocol.write(is_accepted)
     }
 }
+
+/// Returns the response to an announcement that was given up for lack of memory. The server's log tells
+/// how many were.
+fn overloaded() -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let headers = res.headers_mut();
+    headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    res
+}
--- a/hemlockhook-leased/src/agent/mod.rs
+++ b/hemlockhook-leased/src/agent/mod.rs
@@ -16,13 +16,14 @@
 use hemlockhook_ports::leased::{AnnouncementProtocol, RecordSet, Store, UpstreamClient};
 use hemlockhook_runtime::clock::BootClock;
 use hemlockhook_runtime::executor::Executor;
-use hemlockhook_runtime::http::ServerLimits;
+use hemlockhook_runtime::http::{RequestMemory, ServerLimits};
 use hemlockhook_runtime::metrics::Metrics;
 use hemlockhook_runtime::{http, settings, signal};
 
 use crate::agent::announcements::AnnouncementService;
 use crate::agent::core::{Core, SharedCore};
 use crate::process::{listen, serve_metrics};
+use crate::request_memory;
 use crate::settings::AgentSettings;
 use crate::watch::{FollowPolicy, follow, put, read_latest};
 
@@ -83,6 +84,10 @@
     let core = Arc::new(Core::new(ex.clone(), settings, clock, upstreams, &metrics));
     let store = Arc::new(store);
     let (stop, stopped) = async_channel::bounded::<()>(1);
+    let limits = request_memory::limits(settings.memory_mb, settings.file_descriptors);
+    let memory = RequestMemory::new(limits);
+    request_memory::export(&memory, &metrics);
+    ex.spawn(request_memory::report(memory.clone())).detach();
     spdlog::info!("starting the agent", kv: {
         name = settings.name.as_str(),
         incarnation = core.incarnation(),
@@ -90,13 +95,13 @@
 
     if let Some(addr) = settings.metrics_address {
         let listener = listen("metrics_address", addr).await?;
-        serve_metrics(&ex, listener, stopped.clone(), metrics);
+        serve_metrics(&ex, listener, memory.clone(), stopped.clone(), metrics);
     }
     let service = AnnouncementService::new(core.clone(), Arc::new(announcements));
     let limits = ServerLimits::default();
     let handler = move |req| service.clone().answer(req);
-    ex.spawn(http::serve(ex.clone(), listener, limits, stopped, handler))
-        .detach();
+    let serve = http::serve_counted(ex.clone(), listener, limits, memory, stopped, handler);
+    ex.spawn(serve).detach();
     ex.spawn(persist_upstream(
         core.clone(),
         store.clone(),
--- a/hemlockhook-leased/src/entry/callers.rs
+++ b/hemlockhook-leased/src/entry/callers.rs
@@ -1,13 +1,15 @@
 //! Serves requests of callers.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hemlockhook_dispatch::entry::{Answer, JobKey, Submission};
+use hemlockhook_dispatch::entry::{Answer, JobKey, Refusal, Submission};
 use hemlockhook_ports::leased::{CallerProtocol, Reply};
-use hemlockhook_runtime::http::read_body;
+use hemlockhook_runtime::http::{BodyError, BodyMemory, read_counted_body};
 use hemlockhook_runtime::io::Peer;
+use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -20,6 +22,9 @@
 /// Timeout of reading the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after which a caller should retry whose body was given up for lack of memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The HTTP service for callers.
 pub(crate) struct CallerService<C> {
     core: SharedCore,
@@ -44,38 +49,54 @@
     }
 
     /// Handles a request that was received from `peer`. The future is dropped if the caller
-    /// disconnects.
-    pub(crate) async fn answer(self, peer: Peer, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// disconnects. An error closes the connection without a response.
+    pub(crate) async fn answer(
+        self,
+        peer: Peer,
+        req: Request<Incoming>,
+    ) -> io::Result<Response<Full<Bytes>>> {
         let reply = match req.uri().path() == self.protocol.ready_path() {
-            true => Reply::Ready(self.core.is_ready()),
+            true => Ok(Reply::Ready(self.core.is_ready())),
             false => self.reply(peer, req).await,
         };
+        let is_given_up = reply.is_err();
+        let reply = match reply {
+            Ok(reply) => reply,
+            // A response would say that the job has not run.
+            Err(GivenUp { is_known: true }) => return Err(io::ErrorKind::ConnectionAborted.into()),
+            Err(GivenUp { is_known: false }) => {
+                let retry_after = MEMORY_RETRY_AFTER;
+                Reply::Job(Answer::NotRun(Refusal::Overload { retry_after }))
+            }
+        };
         let mut res = self.protocol.write(&reply);
-        if self.core.is_leaving() {
+        if is_given_up || self.core.is_leaving() {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(header::CONNECTION, close);
         }
-        res
+        Ok(res)
     }
 
-    async fn reply(&self, peer: Peer, req: Request<Incoming>) -> Reply {
-        let (head, body) = req.into_parts();
+    async fn reply(&self, peer: Peer, req: Request<Incoming>) -> Result<Reply, GivenUp> {
+        let (mut head, body) = req.into_parts();
+        let memory = head.extensions.remove::<BodyMemory>();
         let initial = self.core.configuration();
         let max_body = initial.max_body.unwrap_or(DEFAULT_MAX_BODY_BYTES);
-        let body = match read_body(body, max_body, BODY_TIMEOUT).await {
+        let body = match read_counted_body(memory, body, max_body, BODY_TIMEOUT).await {
             Ok(body) => body,
-            Err(err) => return Reply::Malformed(err.to_string()),
+            // The server's log tells how many were given up.
+            Err(BodyError::Overloaded) => {
+                let is_known = self.is_known_job(&head);
+                return Err(GivenUp { is_known });
+            }
+            Err(err) => return Ok(Reply::Malformed(err.to_string())),
         };
         // Read again, since a newer configuration may have arrived during the read of the body.
         let configuration = self.core.configuration();
         if configuration.version == 0 {
-            return Reply::NoConfiguration;
+            return Ok(Reply::NoConfiguration);
         }
-        let host = head
-            .headers
-            .get(header::HOST)
-            .and_then(|host| host.to_str().ok());
-        let host = host.map(without_port).unwrap_or_default();
+        let host = host(&head);
         let path = head.uri.path();
         let Some(queue) = configuration.queue(host, path) else {
             let version = configuration.version;
@@ -84,17 +105,20 @@
                 path,
                 version,
             });
-            return Reply::UnknownQueue;
+            return Ok(Reply::UnknownQueue);
         };
 
         let id = &path[queue.path_prefix.len()..];
-        match head.method {
+        let reply = match head.method {
             Method::GET if id.is_empty() => Reply::Waiting(self.core.waiting_jobs(&queue.name)),
             Method::POST if !id.is_empty() => {
                 let spec = match self.protocol.read_job(id.into(), &body) {
                     Ok(spec) => spec,
-                    Err(err) => return Reply::Malformed(err.to_string()),
+                    Err(err) => return Ok(Reply::Malformed(err.to_string())),
                 };
+                // The job keeps a copy of what it needs, which the bytes that are counted until the
+                // response stand for.
+                drop(body);
                 let seen = self.core.now();
                 let submission = Submission {
                     spec,
@@ -107,7 +131,16 @@
             Method::DELETE if self.core.cancel(id) => Reply::Cancelled,
             Method::GET | Method::DELETE => Reply::UnknownJob,
             _ => Reply::Malformed("no such request".to_owned()),
-        }
+        };
+        Ok(reply)
+    }
+
+    /// Returns whether the request is for a job of which this entry knows.
+    fn is_known_job(&self, head: &Parts) -> bool {
+        let configuration = self.core.configuration();
+        let path = head.uri.path();
+        let queue = configuration.queue(host(head), path);
+        queue.is_some_and(|queue| self.core.is_known(&path[queue.path_prefix.len()..]))
     }
 
     async fn run(&self, peer: Peer, submission: Submission) -> Answer {
@@ -146,6 +179,19 @@
     }
 }
 
+/// The body of a request was given up for lack of memory.
+struct GivenUp {
+    /// Whether the entry knows of the job from an earlier request, so that it may have run.
+    is_known: bool,
+}
+
+/// Returns the host of a request without its port, or an empty string.
+fn host(head: &Parts) -> &str {
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    host.map(without_port).unwrap_or_default()
+}
+
 fn without_port(host: &str) -> &str {
     host.split_once(':').map_or(host, |(host, _)| host)
 }
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -200,6 +200,11 @@
         is_known
     }
 
+    /// Returns whether a job with this id is not answered.
+    pub(crate) fn is_known(&self, id: &str) -> bool {
+        self.lock().dispatcher.has_job(id)
+    }
+
     /// Sets the decoder of configurations. Without one, configurations are ignored.
     pub(crate) fn set_configuration_decoder(&self, decode: ConfigurationDecoder) {
         self.lock().decode_configuration = Some(decode);
--- a/hemlockhook-leased/src/entry/mod.rs
+++ b/hemlockhook-leased/src/entry/mod.rs
@@ -5,7 +5,6 @@
 mod links;
 mod metrics;
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -20,7 +19,7 @@
 use hemlockhook_proto::v1::leased_server::LeasedServer;
 use hemlockhook_runtime::clock::BootClock;
 use hemlockhook_runtime::executor::{Executor, run_with_priority};
-use hemlockhook_runtime::http::ServerLimits;
+use hemlockhook_runtime::http::{RequestMemory, ServerLimits};
 use hemlockhook_runtime::io::Stream;
 use hemlockhook_runtime::metrics::Metrics;
 use hemlockhook_runtime::{grpc, http, signal};
@@ -29,6 +28,7 @@
 use crate::entry::core::{Core, SharedCore};
 use crate::entry::links::LinkService;
 use crate::process::{listen, serve_metrics};
+use crate::request_memory;
 use crate::settings::EntrySettings;
 use crate::watch::{FollowPolicy, ReadRecords, follow, put};
 
@@ -102,6 +102,10 @@
     let store = Arc::new(store);
     let protocol = Arc::new(protocol);
     let (stop, stopped) = async_channel::bounded(1);
+    let limits = request_memory::limits(settings.memory_mb, settings.file_descriptors);
+    let memory = RequestMemory::new(limits);
+    request_memory::export(&memory, &metrics);
+    ex.spawn(request_memory::report(memory.clone())).detach();
     spdlog::info!("starting the entry", kv: {
         name = settings.name.as_str(),
         incarnation = core.incarnation(),
@@ -109,14 +113,15 @@
 
     if let Some(addr) = settings.metrics_address {
         let listener = listen("metrics_address", addr).await?;
-        serve_metrics(&ex, listener, stopped.clone(), metrics);
+        serve_metrics(&ex, listener, memory.clone(), stopped.clone(), metrics);
     }
     let links = LinkService::new(urgent.clone(), core.clone());
     let links = LeasedServer::new(links).max_decoding_message_size(MAX_FRAME_BYTES);
     urgent
-        .spawn(grpc::serve(
+        .spawn(grpc::serve_counted(
             urgent.clone(),
             links_listener,
+            memory.clone(),
             stopped.clone(),
             links,
         ))
@@ -149,11 +154,19 @@
         ex.clone(),
         ready_listener,
         limits,
+        memory.clone(),
         ready_stopped,
         service.clone(),
     );
     ex.spawn(serve_ready).detach();
-    let serve_callers = serve_callers(ex.clone(), callers_listener, limits, stopped, service);
+    let serve_callers = serve_callers(
+        ex.clone(),
+        callers_listener,
+        limits,
+        memory,
+        stopped,
+        service,
+    );
     let serve_callers = ex.spawn(serve_callers);
 
     signal::wait_for_termination().await;
@@ -184,6 +197,7 @@
     ex: Arc<Executor>,
     listener: TcpListener,
     limits: ServerLimits,
+    memory: RequestMemory,
     stopped: Receiver<()>,
     service: CallerService<C>,
 ) where
@@ -192,13 +206,10 @@
     let connect = move |stream: Stream| {
         let peer = stream.peer();
         let service = service.clone();
-        let answer = move |req| {
-            let response = service.clone().answer(peer.clone(), req);
-            async move { Ok::<_, Infallible>(response.await) }
-        };
+        let answer = move |req| service.clone().answer(peer.clone(), req);
         (stream, answer)
     };
-    http::serve_streams(ex, listener, limits, stopped, connect).await;
+    http::serve_streams_counted(ex, listener, limits, memory, stopped, connect).await;
 }
 
 async fn follow_configuration<C, S>(core: SharedCore, protocol: Arc<C>, store: Arc<S>)
--- a/hemlockhook-leased/src/lib.rs
+++ b/hemlockhook-leased/src/lib.rs
@@ -13,6 +13,7 @@
 mod drains;
 pub mod entry;
 mod process;
+mod request_memory;
 mod settings;
 mod watch;
 
--- a/hemlockhook-leased/src/settings.rs
+++ b/hemlockhook-leased/src/settings.rs
@@ -79,6 +79,14 @@
     #[garde(skip)]
     #[serde(default)]
     pub overload: OverloadControl,
+    /// Memory of the machine, in millions of bytes.
+    #[garde(inner(range(min = 16, max = 1_000_000)))]
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
+    /// Number of file descriptors that the process may open.
+    #[garde(inner(range(min = 256, max = 10_000_000)))]
+    #[serde(default)]
+    pub file_descriptors: Option<u32>,
     /// Minimum level of the log lines that are written.
     #[garde(skip)]
     #[serde(default)]
@@ -127,6 +135,14 @@
     #[garde(skip)]
     #[serde(default)]
     pub drains: bool,
+    /// Memory of the machine, in millions of bytes.
+    #[garde(inner(range(min = 16, max = 1_000_000)))]
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
+    /// Number of file descriptors that the process may open.
+    #[garde(inner(range(min = 256, max = 10_000_000)))]
+    #[serde(default)]
+    pub file_descriptors: Option<u32>,
     /// Minimum level of the log lines that are written.
     #[garde(skip)]
     #[serde(default)]
--- a/hemlockhook/tests/platform/daemon.rs
+++ b/hemlockhook/tests/platform/daemon.rs
@@ -68,6 +68,23 @@
         status.is_none()
     }
 
+    /// Returns the largest resident size that the process has had, in KiB.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
+    pub fn peak_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process has not been waited for");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|text| text.split_whitespace().next()?.parse().ok());
+        peak.expect("the process has not ended")
+    }
+
+    /// Returns the number of descriptors that the process has open.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
+    pub fn descriptors(&self) -> usize {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        open.expect("the process has not been waited for").count()
+    }
+
     /// Kills the process without waiting until it has exited.
     pub fn send_kill(&self) {
         self.signal(rustix::process::Signal::KILL);
--- a/hemlockhook/tests/platform/deployment.rs
+++ b/hemlockhook/tests/platform/deployment.rs
@@ -40,6 +40,12 @@
     pub caller_links: Vec<Relay>,
     /// What agents reach each entry through, in a deployment of [`Deployment::start_relayed`].
     pub agent_links: Vec<Relay>,
+    /// Addresses of each entry for callers, readiness, links and metrics.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
+    pub entry_addresses: Vec<[SocketAddr; 4]>,
+    /// Addresses of each agent for announcements and metrics.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
+    pub agent_addresses: Vec<[SocketAddr; 2]>,
     metrics: Vec<HttpClient>,
     callers: Vec<HttpClient>,
     ready: Vec<HttpClient>,
@@ -52,24 +58,43 @@
 impl Deployment {
     /// Starts a deployment with a configuration, and waits until all entries are ready.
     pub fn start(name: &str, entries: usize, workers: usize) -> Self {
-        Self::start_with(name, entries, &vec![None; workers], false)
+        Self::start_with(name, entries, &vec![None; workers], false, ["", ""])
+    }
+
+    /// Starts a deployment whose entries and agents have these additional lines in their settings.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
+    pub fn start_limited(name: &str, entries: usize, workers: usize, limits: [&str; 2]) -> Self {
+        Self::start_with(name, entries, &vec![None; workers], false, limits)
     }
 
     /// Starts a deployment whose callers and agents reach each entry only through relays.
     pub fn start_relayed(name: &str, entries: usize, workers: usize) -> Self {
-        Self::start_with(name, entries, &vec![None; workers], true)
+        Self::start_with(name, entries, &vec![None; workers], true, ["", ""])
     }
 
     /// Starts a deployment that follows drains, with a worker in each of the given data centers.
+    #[allow(dead_code, reason = "not used by the tests of crowds")]
     pub fn start_in(name: &str, entries: usize, data_centers: &[&str]) -> Self {
         let data_centers: Vec<_> = data_centers.iter().copied().map(Some).collect();
-        Self::start_with(name, entries, &data_centers, false)
+        Self::start_with(
+            name,
+            entries,
+            &data_centers,
+            false,
+            ["drains: true
+"; 2],
+        )
     }
 
-    /// Starts a deployment with a worker for each element of `workers`: its data center if the
-    /// deployment follows drains.
-    fn start_with(name: &str, entries: usize, workers: &[Option<&str>], is_relayed: bool) -> Self {
-        let follows_drains = workers.iter().any(Option::is_some);
+    /// Starts a deployment with a worker for each element of `workers`, in its data center if it has
+    /// one. `lines` are added to the settings of entries and agents.
+    fn start_with(
+        name: &str,
+        entries: usize,
+        workers: &[Option<&str>],
+        is_relayed: bool,
+        [entry_lines, agent_lines]: [&str; 2],
+    ) -> Self {
         let threads = Threads::start("standin", 2);
         let ex = threads.traffic();
         let (stop, stopped) = async_channel::bounded(1);
@@ -94,6 +119,8 @@
             store_links: Vec::new(),
             caller_links: Vec::new(),
             agent_links: Vec::new(),
+            entry_addresses: Vec::new(),
+            agent_addresses: Vec::new(),
             metrics: Vec::new(),
             callers: Vec::new(),
             ready: Vec::new(),
@@ -113,8 +140,11 @@
             let text = format!(
                 "name: entry-{index}\ndata_center: here\ncallers_address: {callers}\n\
                  ready_address: {ready}\nlinks_address: {link}\nmetrics_address: {metrics}\n\
-                 store_address: {store}\ndrains: {follows_drains}\n"
+                 store_address: {store}
+{entry_lines}"
             );
+            let addresses_of_entry = [callers, ready, link, metrics];
+            deployment.entry_addresses.push(addresses_of_entry);
             deployment.store_links.push(store_link);
             deployment
                 .metrics
@@ -143,14 +173,22 @@
         for (index, data_center) in workers.iter().enumerate() {
             let data_center = data_center.unwrap_or("here");
             let worker = WorkerStandin::new(&format!("w-{index}"), deployment.observations.clone());
-            let [announcements, upstream] = [(); 2].map(|()| addresses.allocate());
+            let [announcements, upstream, metrics] = [(); 3].map(|()| addresses.allocate());
+            deployment.agent_addresses.push([announcements, metrics]);
             let standin = worker.clone();
             let handler = move |req| standin.clone().handle(req);
             listen(&ex, upstream, stopped.clone(), handler);
             let text = format!(
-                "name: agent-{index}\ndata_center: {data_center}\nannouncements_address: {announcements}\n\
-                 upstream_address: {upstream}\nstore_address: {store_addr}\ndrains: {follows_drains}\n\
-                 entries: [{}]\n",
+                "name: agent-{index}
+data_center: {data_center}
+announcements_address: {announcements}
+\
+                 upstream_address: {upstream}
+metrics_address: {metrics}
+\
+                 store_address: {store_addr}
+entries: [{}]
+{agent_lines}",
                 links
                     .iter()
                     .map(|link| format!("\"{link}\""))
