Keep tasks that slow each other down on different upstreams

Some tasks slow each other down on one machine, and placement did not know it. With 'interference: learn', agents estimate by least squares how much the tasks of each queue slow down beside those of each other one, and report it with the state. With 'interference: avoid', an entry combines the estimates and prefers, among candidates equal in speed, distance and wait, the one with the least harm. Orders carry a hash of the queue's name; without it nothing is learned. No frame is added.

Placement by run times gets its log lines, metrics and notes as well.

--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -115,6 +115,8 @@
     received: Option<u64>,
     reported_version: u64,
     reported_at: Option<Instant>,
+    /// Version of the slowdowns of pairs that was last reported on the link.
+    reported_pairs: u64,
     /// Whether the next report is the first one on the link.
     is_new: bool,
 }
@@ -300,6 +302,7 @@
             received: None,
             reported_version: 0,
             reported_at: None,
+            reported_pairs: 0,
             is_new: true,
         });
         if let Some(old) = owner.link.replace(link) {
@@ -309,6 +312,7 @@
         owner.is_silent = owner.fresh_until < now;
         owner.reported_version = 0;
         owner.reported_at = None;
+        owner.reported_pairs = 0;
         owner.is_new = true;
         owner.rank = rank;
         owner.unanswered_since = None;
@@ -406,6 +410,10 @@
         }
 
         let state = self.state(now);
+        let pairs = self
+            .interference
+            .as_ref()
+            .map(|known| (known.version(), known.pairs()));
         let total_usage: f64 = self.links.owners.values().map(|owner| owner.usage).sum();
         let shares = self.links.shares_by_demand(now, is_busy);
         self.links.is_divided_by_demand = shares.is_some();
@@ -431,10 +439,19 @@
                 }
             });
             let state = state.clone().filter(|_| has_news || held.is_some());
+            let pairs = pairs.filter(|(known, _)| *known != owner.reported_pairs);
+            let pairs = pairs.filter(|_| state.is_some()).map(|(known, pairs)| {
+                owner.reported_pairs = known;
+                pairs.to_vec()
+            });
             Some(Report {
                 link,
                 ends: std::mem::take(&mut owner.outbox),
-                state: state.map(|state| UpstreamState { share, ..state }),
+                state: state.map(|state| UpstreamState {
+                    share,
+                    pairs,
+                    ..state
+                }),
                 held,
                 orders_seen: owner.received.unwrap_or_default(),
             })
@@ -476,6 +493,8 @@
             pace: self.reported_pace(now),
             entries: self.links.active(now),
             share: 1.0,
+            running: self.running_kinds(),
+            pairs: None,
         })
     }
 }
--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -85,6 +85,7 @@
                 let run_time = order.run_time;
                 let expected = order.order.expected;
                 self.health.record_success(run_time, expected);
+                self.run_succeeded(now, key, run_time, expected);
             }
             Outcome::Failed => self.health.record_failure(now, &job),
             _ => {}
@@ -107,6 +108,7 @@
                 Some(key) => {
                     listed.insert(key);
                     self.orders[key].observed_running(now, row.percent);
+                    self.run_began(now, key);
                 }
                 None => self.stop_orphan(now, row),
             }
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -12,6 +12,7 @@
 mod due;
 mod ended;
 mod health;
+mod interference;
 mod links;
 mod lists;
 mod order;
@@ -33,6 +34,7 @@
     StopCall, StopResult,
 };
 pub use health::{Health, HealthPolicy};
+pub use interference::{Interference, MAX_KINDS, PairSlowdown, TaskKind};
 pub use links::{FrameHeader, LinkId, LinkRank, Report};
 pub use order::{Order, Phase, RunOrder, StopCause};
 pub use policy::{SafetyRules, SupervisorPolicy};
@@ -76,6 +78,8 @@
     links: Links,
     claims: Claims,
     health: Health,
+    /// What is learned of the slowdown of runs by others; `None` if nothing is.
+    interference: Option<Interference>,
     /// Runs on the upstream without an order, with the time of the last stop call.
     orphans: BTreeMap<(TaskId, RunNumber), Instant>,
     /// Highest run number of tasks that have ended on the upstream, and the time of the end.
@@ -95,7 +99,9 @@
     /// Creates a supervisor without an upstream. `fence` is its initial fencing token.
     pub fn new(policy: SupervisorPolicy, fence: u64) -> Self {
         let health = Health::new(policy.health.clone());
+        let interference = policy.learns_interference.then(Interference::default);
         Self {
+            interference,
             policy,
             upstream: None,
             candidate: None,
@@ -274,6 +280,7 @@
                     progressed_at: now,
                 };
                 order.started_at = Some(now);
+                self.run_began(now, key);
             }
             (_, None) => {
                 if self.policy.rules.fences_unanswered_starts {
@@ -410,6 +417,7 @@
             .decay_idle_pace(now, self.reserved() == Amounts::default());
         self.drop_old_ends(now);
         self.note_warm_upstream(now);
+        self.update_interference(now);
         self.settle_claims(now);
         self.hold(now, self.policy.hold_wait);
         self.start_waiting(now);
--- a/hemlockhook-dispatch/src/agent/order.rs
+++ b/hemlockhook-dispatch/src/agent/order.rs
@@ -5,6 +5,7 @@
 
 use strum::IntoStaticStr;
 
+use crate::agent::TaskKind;
 use crate::{Amounts, Incarnation, RunNumber, TaskRef};
 
 /// An entry's order to run a task.
@@ -24,6 +25,8 @@
     pub due_ms: i32,
     /// Maximum time that the order may wait for capacity.
     pub wait: Duration,
+    /// Kind of the task; 0 if unknown.
+    pub kind: TaskKind,
 }
 
 /// Reason for which a run is stopped.
--- a/hemlockhook-dispatch/src/agent/policy.rs
+++ b/hemlockhook-dispatch/src/agent/policy.rs
@@ -83,6 +83,8 @@
     /// Factor on the reported pace of an upstream while it is cold after its start. At 1, announcements
     /// that an upstream is cold have no effect.
     pub cold_pace_factor: f64,
+    /// Whether the slowdown of runs by others on the same upstream is learned and reported.
+    pub learns_interference: bool,
     /// Thresholds and pauses for unhealthy upstreams.
     pub health: HealthPolicy,
 }
@@ -107,6 +109,7 @@
             announcement_timeout: Duration::from_secs(6),
             waiting_percent: 30,
             cold_pace_factor: 1.0,
+            learns_interference: false,
             health: HealthPolicy::default(),
         }
     }
--- a/hemlockhook-dispatch/src/agent/runs.rs
+++ b/hemlockhook-dispatch/src/agent/runs.rs
@@ -152,6 +152,9 @@
 
     pub(super) fn finish(&mut self, now: Instant, key: OrderKey, end: End) {
         let order = self.orders.remove(key).expect("an order is finished once");
+        if let Some(interference) = &mut self.interference {
+            interference.ended(now, key);
+        }
         match order.phase.run() {
             Some(run) => {
                 let task = order.order.task.task.clone();
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -1,11 +1,12 @@
 //! The state of the agent's upstream, as far as it is known.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::Amounts;
 use crate::agent::clock::ClockBound;
-use crate::agent::{MAX_UNANSWERED_HOLDS, SafetyRules};
+use crate::agent::{MAX_UNANSWERED_HOLDS, PairSlowdown, SafetyRules, TaskKind};
 
 /// Time without announcements after which another incarnation replaces the known one, although its
 /// start time is unknown.
@@ -74,6 +75,10 @@
     /// Part of the upstream's throughput that the entry can count on: what it used of late, and at
     /// least the same part as each other entry with an active link.
     pub share: f64,
+    /// Number of tasks of each kind that run, if the agent learns of interference.
+    pub running: BTreeMap<TaskKind, u32>,
+    /// Slowdowns of pairs, if they differ from those last reported on the link.
+    pub pairs: Option<Vec<PairSlowdown>>,
 }
 
 #[derive(Debug)]
--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -7,7 +7,7 @@
 use slotmap::new_key_type;
 use strum::IntoStaticStr;
 
-use crate::agent::UpstreamState;
+use crate::agent::{PairSlowdown, TaskKind, UpstreamState};
 use crate::entry::JobKey;
 use crate::{Amounts, AttemptEnd, HeldAttempts, Incarnation};
 
@@ -71,11 +71,13 @@
     pub(super) awaits_first_report: bool,
     /// The upstream's state by a report on the current link.
     pub(super) state: Option<UpstreamState>,
-    /// Orders that `state` does not account for yet: sequence number of the frame, and
-    /// requirements.
-    pub(super) unacknowledged: VecDeque<(u64, Amounts)>,
+    /// Orders that `state` does not account for yet: sequence number of the frame,
+    /// requirements and kind.
+    pub(super) unacknowledged: VecDeque<(u64, Amounts, TaskKind)>,
     /// Demand that was last sent on the link, in thousandths of a core.
     pub(super) sent_demand: Option<u32>,
+    /// Slowdowns of pairs of kinds that it has learned.
+    pub(super) pairs: Vec<PairSlowdown>,
     /// Sequence number of the last frame sent, on any link.
     pub(super) seq: u64,
     /// Attempts of this entry at the agent, as job, step and task, with the sequence numbers of the
@@ -103,6 +105,7 @@
             state: None,
             unacknowledged: VecDeque::new(),
             sent_demand: None,
+            pairs: Vec::new(),
             seq: 0,
             placed: BTreeMap::new(),
             pause_until: None,
@@ -141,12 +144,24 @@
             return Amounts::default();
         };
         let mut free = state.free;
-        for (_, need) in &self.unacknowledged {
+        for (_, need, _) in &self.unacknowledged {
             free = free.saturating_sub(need);
         }
         free
     }
 
+    /// Returns how many tasks of each kind run at the upstream, with the orders in flight.
+    pub(super) fn running(&self) -> BTreeMap<TaskKind, u32> {
+        let mut running = match &self.state {
+            Some(state) => state.running.clone(),
+            None => BTreeMap::new(),
+        };
+        for &(_, _, kind) in self.unacknowledged.iter().filter(|(_, _, kind)| *kind != 0) {
+            *running.entry(kind).or_default() += 1;
+        }
+        running
+    }
+
     /// Estimates how many orders are queued at the agent.
     pub(super) fn waiting(&self) -> usize {
         let Some(state) = &self.state else {
@@ -155,7 +170,7 @@
         // Orders in flight that exceed the free capacity will be queued.
         let mut free = state.free;
         let mut waiting = state.waiting as usize;
-        for (_, need) in &self.unacknowledged {
+        for (_, need, _) in &self.unacknowledged {
             match need.fits(&free) {
                 true => free = free.saturating_sub(need),
                 false => waiting += 1,
@@ -168,7 +183,7 @@
         while self
             .unacknowledged
             .front()
-            .is_some_and(|&(sent, _)| sent <= seq)
+            .is_some_and(|&(sent, ..)| sent <= seq)
         {
             self.unacknowledged.pop_front();
         }
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -7,6 +7,7 @@
 mod demands;
 mod drains;
 mod ends;
+mod interference;
 mod leaving;
 mod overload;
 mod queue;
@@ -30,6 +31,7 @@
 use crate::entry::demand::Demand;
 use crate::entry::estimate::Estimates;
 use crate::entry::fast_capacity::FastCapacity;
+use crate::entry::interference::{InterferingPairs, PairChange};
 use crate::entry::job::{Job, Rank, Step, Task};
 use crate::entry::run_times::RunTimes;
 use crate::entry::{
@@ -112,6 +114,8 @@
     run_times: RunTimes,
     fast_capacity: FastCapacity,
     overload: Overload,
+    interfering: InterferingPairs,
+    pair_changes: Vec<PairChange>,
     is_leaving: bool,
     /// When the first tick was handled.
     started: Option<Instant>,
@@ -152,6 +156,8 @@
             run_times: RunTimes::default(),
             fast_capacity: FastCapacity::default(),
             overload: Overload::default(),
+            interfering: InterferingPairs::default(),
+            pair_changes: Vec::new(),
             is_leaving: false,
             started: None,
             last_new_agent: None,
@@ -336,7 +342,10 @@
         agent.acknowledge_orders(report.orders_seen);
         let is_first = agent.awaits_first_report;
         agent.awaits_first_report &= report.held.is_none() && report.state.is_none();
-        if let Some(state) = report.state {
+        if let Some(mut state) = report.state {
+            if let Some(pairs) = state.pairs.take() {
+                agent.pairs = pairs;
+            }
             agent.state = Some(state);
         }
         for ended in &report.ends {
@@ -360,6 +369,7 @@
         self.started.get_or_insert(now);
         self.update_state_interval(now);
         self.update_fast_capacity(now);
+        self.judge_interference(now);
         self.settle_lost_agents(now);
         self.update_demand(now);
         self.time_out(now);
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -216,16 +216,18 @@
         {
             candidates.retain(|other| !task.avoid.contains(&other.key));
         }
-        if self.policy.placement == PlacementRule::ByRunTimes {
-            return self.choose_timely(now, job, step, &candidates);
-        }
         let slack = job.due.saturating_duration_since(now + DISPATCH_OVERHEAD);
-        choose_upstream(&candidates, slack, state.tasks.len())
+        let chosen = match self.policy.placement {
+            PlacementRule::ByMean => choose_upstream(&candidates, slack, state.tasks.len()),
+            PlacementRule::ByRunTimes => self.choose_timely(now, job, step, &candidates),
+        }?;
+        Some(self.least_disturbed(key, &candidates, chosen))
     }
 
     fn place_task(&mut self, now: Instant, key: JobKey, position: (u32, u32), agent_key: AgentKey) {
         let rank = self.rank(now, &self.jobs[key], key);
         let distance = self.learned_distance(key, position.0, agent_key);
+        let kind = self.task_kind(key);
         self.note_demand(key, position.0);
         let job = &mut self.jobs[key];
         let task = job.task(position).expect("a queued task exists");
@@ -264,11 +266,12 @@
             class: rank.class,
             due_ms,
             wait,
+            kind,
         };
         let agent = &mut self.agents[agent_key];
         let seq = agent.seq + 1;
         agent.placed.insert((key, position.0, position.1), seq);
-        agent.unacknowledged.push_back((seq, run.need));
+        agent.unacknowledged.push_back((seq, run.need, kind));
         self.actions.push(Action::Run(Order {
             agent: agent_key,
             seq,
--- a/hemlockhook-dispatch/src/entry/dispatcher/run_times.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/run_times.rs
@@ -13,6 +13,17 @@
         self.policy.placement == PlacementRule::ByRunTimes
     }
 
+    /// Returns the mean paces of fast and slow upstreams, if there are both and tasks are placed by run
+    /// times.
+    pub fn upstream_paces(&self) -> Option<(f64, f64)> {
+        self.fast_capacity.paces()
+    }
+
+    /// Returns the fraction of the fast upstreams' capacity that is reserved for tasks that need it.
+    pub fn reserved_fast_fraction(&self) -> f64 {
+        self.fast_capacity.reserved_fraction()
+    }
+
     /// Chooses the upstream for a task of a job's step.
     pub(super) fn choose_timely(
         &self,
--- a/hemlockhook-dispatch/src/entry/fast_capacity.rs
+++ b/hemlockhook-dispatch/src/entry/fast_capacity.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Returns the mean paces of the fast and of the slow upstreams, if there are both.
+    pub(super) fn paces(&self) -> Option<(f64, f64)> {
+        self.paces
+    }
+
     /// Returns the fraction of the fast upstreams' capacity that is reserved.
     pub(super) fn reserved_fraction(&self) -> f64 {
         if self.paces.is_none() || self.cores <= 0.0 {
--- a/hemlockhook-dispatch/src/entry/policy.rs
+++ b/hemlockhook-dispatch/src/entry/policy.rs
@@ -86,6 +86,8 @@
     pub look_ahead: usize,
     /// How the upstream for a task is chosen.
     pub placement: PlacementRule,
+    /// Whether tasks that slow each other down are kept apart, as far as other upstreams are as good.
+    pub avoids_interference: bool,
     /// Factor on the run time of a task on an upstream far from its data.
     pub distance_factor: f64,
     /// Whether the entry tells agents the demand of its callers, by which they divide their throughput.
@@ -127,6 +129,7 @@
             waiting_percent: 25,
             look_ahead: 24,
             placement: PlacementRule::default(),
+            avoids_interference: false,
             distance_factor: 1.5,
             sends_demand: false,
             min_retry_after: Duration::from_secs(1),
--- a/hemlockhook-dispatch/tests/dispatcher/fixture.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/fixture.rs
@@ -1,6 +1,6 @@
 //! An entry with agents, whose events a test delivers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -231,6 +231,8 @@
         pace,
         entries: 1,
         share: 1.0,
+        running: BTreeMap::new(),
+        pairs: None,
     }
 }
 
--- a/hemlockhook-dispatch/tests/dispatcher/odd_jobs.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/odd_jobs.rs
@@ -80,6 +80,8 @@
         pace,
         entries: 1,
         share: 1.0,
+        running: Default::default(),
+        pairs: None,
     };
     let report = AgentReport {
         orders_seen: 0,
--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -53,7 +53,7 @@
         })
     }
 
-    fn with_policy(policy: SupervisorPolicy) -> Self {
+    pub fn with_policy(policy: SupervisorPolicy) -> Self {
         let mut agent = Self::unlinked(policy);
         agent.announce("up-1", 1, false);
         agent.answer_hold(&[], &[]);
@@ -171,6 +171,7 @@
             class: 0,
             due_ms: 100,
             wait: Duration::from_secs(1),
+            kind: 7,
         };
         self.supervisor.ordered(self.now, LINK, order);
         self.collect();
--- a/hemlockhook-dispatch/tests/supervisor/links.rs
+++ b/hemlockhook-dispatch/tests/supervisor/links.rs
@@ -155,3 +155,20 @@
     expect_that!(agent.starts, is_empty());
     expect_that!(agent.supervisor.orders().count(), eq(0));
 }
+
+/// Guards against larger reports of agents that are not to learn of interference.
+#[gtest]
+fn running_kinds_are_reported_only_if_interference_is_learned() {
+    let running = |learns_interference| {
+        let mut agent = Agent::with_policy(SupervisorPolicy {
+            learns_interference,
+            ..SupervisorPolicy::default()
+        });
+        agent.start("a");
+        agent.start("b");
+        let state = agent.supervisor.state(agent.now);
+        state.map(|state| state.running.into_iter().collect::<Vec<_>>())
+    };
+    expect_that!(running(true), some(elements_are![eq(&(7, 2))]));
+    expect_that!(running(false), some(is_empty()));
+}
--- a/hemlockhook-leased/src/convert.rs
+++ b/hemlockhook-leased/src/convert.rs
@@ -1,6 +1,6 @@
 //! Conversion between messages of the processes and types of `hemlockhook-dispatch`.
 
-use hemlockhook_dispatch::agent::{RunOrder, UpstreamState};
+use hemlockhook_dispatch::agent::{MAX_KINDS, PairSlowdown, RunOrder, TaskKind, UpstreamState};
 use hemlockhook_dispatch::{
     Amounts, AttemptEnd, Claim, ClaimAnswer, ClaimChange, ClaimStatus, Drains, Outcome, TaskId,
     TaskRef,
@@ -65,6 +65,7 @@
         class: order.class,
         due_ms: order.due_ms,
         wait: Duration::from_millis(u64::from(order.wait_ms)),
+        kind: order.kind,
     })
 }
 
@@ -78,6 +79,7 @@
         class: order.class,
         due_ms: order.due_ms,
         wait_ms: order.wait.as_millis() as u32,
+        kind: order.kind,
     }
 }
 
@@ -204,6 +206,16 @@
             0 => 1.0 / f64::from(state.entries.max(1)),
             permille => f64::from(permille) / PERMILLE,
         },
+        running: state
+            .running
+            .iter()
+            .take(MAX_KINDS)
+            .map(|row| (row.kind, row.tasks))
+            .collect(),
+        pairs: state.interference.map(|learned| {
+            let pairs = learned.pairs.into_iter().take(MAX_KINDS * MAX_KINDS);
+            pairs.map(read_pair).collect()
+        }),
     }
 }
 
@@ -220,6 +232,32 @@
         pace_permille: (state.pace * PERMILLE) as u32,
         entries: state.entries,
         share_permille: ((state.share * PERMILLE) as u32).max(1),
+        running: state.running.iter().map(write_count).collect(),
+        interference: state.pairs.as_ref().map(|pairs| v1::LearnedInterference {
+            pairs: pairs.iter().map(write_pair).collect(),
+        }),
+    }
+}
+
+fn write_count((&kind, &tasks): (&TaskKind, &u32)) -> v1::KindCount {
+    v1::KindCount { kind, tasks }
+}
+
+fn read_pair(pair: v1::PairSlowdown) -> PairSlowdown {
+    PairSlowdown {
+        kind: pair.kind,
+        other: pair.other,
+        log_factor: f64::from(pair.log_factor_permille) / PERMILLE,
+        weight: f64::from(pair.weight),
+    }
+}
+
+fn write_pair(pair: &PairSlowdown) -> v1::PairSlowdown {
+    v1::PairSlowdown {
+        kind: pair.kind,
+        other: pair.other,
+        log_factor_permille: (pair.log_factor * PERMILLE).round() as i32,
+        weight: pair.weight as u32,
     }
 }
 
--- a/hemlockhook-leased/src/entry/core.rs
+++ b/hemlockhook-leased/src/entry/core.rs
@@ -1,6 +1,7 @@
 //! The entry's state, and the conversion of the dispatcher's actions to frames and answers.
 
 mod callers;
+mod placement;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -19,6 +20,7 @@
 use hemlockhook_types::{Clock, new_incarnation};
 
 use self::callers::Waiters;
+use self::placement::LoggedSpeeds;
 use crate::convert::{
     read_claim_answer, read_end, read_state, read_task, write_claim, write_order, write_task,
 };
@@ -72,6 +74,7 @@
     is_leaving: bool,
     /// When an agent was last known to accept work.
     last_usable: Option<Instant>,
+    logged_speeds: LoggedSpeeds,
 }
 
 struct Link {
@@ -114,6 +117,7 @@
                 drains: KnownDrains::new(settings.drains, metrics),
                 is_leaving: false,
                 last_usable: None,
+                logged_speeds: LoggedSpeeds::default(),
             }),
             address,
         }
@@ -444,6 +448,7 @@
             let booked = state.dispatcher.booked_returns();
             self.metrics.record_booked_returns(booked);
         }
+        self.report_placement(now, &mut state);
         state.share_configuration(now);
         self.flush_to_all(now, &mut state);
         state.dispatcher.jobs() > 0
--- a/hemlockhook-leased/src/entry/metrics.rs
+++ b/hemlockhook-leased/src/entry/metrics.rs
@@ -23,6 +23,9 @@
     delay: Histogram<u64>,
     /// Demand that is told to each agent, in thousandths of a core.
     demand: Histogram<u64>,
+    /// Fraction of the fast upstreams' capacity that is reserved.
+    reserved_fast_fraction: Gauge<f64>,
+    interfering_pairs: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -44,6 +47,8 @@
                 .with_unit("ms")
                 .build(),
             demand: meter.u64_histogram("leased_demand_milli").build(),
+            reserved_fast_fraction: meter.f64_gauge("leased_fast_capacity_reserved").build(),
+            interfering_pairs: meter.u64_gauge("leased_interfering_pairs").build(),
         }
     }
 
@@ -82,6 +87,12 @@
         self.ignored_configurations.add(1, &[]);
     }
 
+    pub(crate) fn record_placement(&self, reserved_fast_fraction: f64, interfering_pairs: u64) {
+        self.reserved_fast_fraction
+            .record(reserved_fast_fraction, &[]);
+        self.interfering_pairs.record(interfering_pairs, &[]);
+    }
+
     pub(crate) fn record_delay(&self, delay: Duration) {
         self.delay.record(delay.as_millis() as u64, &[]);
     }
--- a/hemlockhook-leased/src/settings.rs
+++ b/hemlockhook-leased/src/settings.rs
@@ -87,6 +87,10 @@
     #[garde(inner(range(min = 256, max = 10_000_000)))]
     #[serde(default)]
     pub file_descriptors: Option<u32>,
+    /// What is done about tasks that slow each other down on one upstream.
+    #[garde(skip)]
+    #[serde(default)]
+    pub interference: EntryInterference,
     /// Minimum level of the log lines that are written.
     #[garde(skip)]
     #[serde(default)]
@@ -143,6 +147,10 @@
     #[garde(inner(range(min = 256, max = 10_000_000)))]
     #[serde(default)]
     pub file_descriptors: Option<u32>,
+    /// What is done about tasks that slow each other down on the upstream.
+    #[garde(skip)]
+    #[serde(default)]
+    pub interference: AgentInterference,
     /// Minimum level of the log lines that are written.
     #[garde(skip)]
     #[serde(default)]
@@ -180,6 +188,28 @@
     ByClass,
 }
 
+/// What an entry does about tasks that slow each other down on one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EntryInterference {
+    /// Nothing.
+    #[default]
+    Ignore,
+    /// They are kept apart, as far as other upstreams are as good.
+    Avoid,
+}
+
+/// What an agent does about tasks that slow each other down on its upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AgentInterference {
+    /// Nothing.
+    #[default]
+    Ignore,
+    /// It measures the slowdown, and reports it to entries.
+    Learn,
+}
+
 /// Levels of log lines, in ascending order of severity.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -219,6 +249,7 @@
             placement: self.placement.into(),
             is_admission_by_class: self.overload == OverloadControl::ByClass,
             sends_demand: self.overload == OverloadControl::ByClass,
+            avoids_interference: self.interference == EntryInterference::Avoid,
             ..DispatchPolicy::default()
         }
     }
@@ -235,6 +266,7 @@
             owner_timeout: resubmit * OWNER_TIMEOUT_PERCENT / 100,
             owner_lost_after: resubmit * AGENT_LOST_PERCENT / 100,
             cold_pace_factor: if self.drains { COLD_PACE_FACTOR } else { 1.0 },
+            learns_interference: self.interference == AgentInterference::Learn,
             ..SupervisorPolicy::default()
         }
     }
