--- a/hemlockhook-dispatch/src/agent/interference.rs
+++ b/hemlockhook-dispatch/src/agent/interference.rs
@@ -147,7 +147,7 @@
         }
     }
 
-    /// Updates the pairs that are reported, at most once each [`REPORT_INTERVAL`]. Returns whether they
+    /// Updates the pairs that are reported, at most once each `REPORT_INTERVAL`. Returns whether they
     /// have changed.
     pub fn update(&mut self, now: Instant) -> bool {
         let is_due = |at: Instant| now.saturating_duration_since(at) >= REPORT_INTERVAL;
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -1,5 +1,7 @@
 //! The agent's state, and the conversion of the supervisor's actions to calls and frames.
 
+mod calls;
+
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -9,8 +11,7 @@
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use hemlockhook_dispatch::agent::{
-    Action, Announcement, AnnouncementStatus, FrameHeader, HoldCall, LinkId, LinkRank, Report,
-    StartCall, StartResult, StopCall, StopResult, Supervisor,
+    Action, Announcement, AnnouncementStatus, FrameHeader, LinkId, LinkRank, Report, Supervisor,
 };
 use hemlockhook_ports::leased::UpstreamClient;
 use hemlockhook_proto::v1;
@@ -482,81 +483,6 @@
         }
     }
 
-    async fn start(self: Arc<Self>, call: StartCall) {
-        let key = call.key;
-        let task = call.task.clone();
-        let run = call.run;
-        let attempt = call.attempt;
-        let entry = call.owner;
-        let called = self.clock.now();
-        let result = self.upstreams.start(call).await;
-        let took_ms = self
-            .clock
-            .now()
-            .saturating_duration_since(called)
-            .as_millis() as u64;
-        let job = &*task.job;
-        let index = task.index;
-        match result {
-            StartResult::Started { .. } => {
-                spdlog::info!("a task was started", kv: {
-                    job,
-                    task = index,
-                    run,
-                    attempt,
-                    entry,
-                    took_ms,
-                });
-            }
-            _ => {
-                spdlog::info!("the upstream did not confirm a start", kv: {
-                    job,
-                    task = index,
-                    run,
-                    attempt,
-                    entry,
-                    took_ms,
-                    result:? = result,
-                });
-            }
-        }
-        if result == StartResult::NoAnswer {
-            self.metrics.record_unanswered("start");
-        }
-        self.handle(|now, state| state.supervisor.start_answered(now, key, result));
-    }
-
-    async fn stop(self: Arc<Self>, call: StopCall) {
-        let task = call.task.clone();
-        let run = call.run;
-        let cause: &str = call.cause.into();
-        let result = self.upstreams.stop(call).await;
-        let job = &*task.task.job;
-        let index = task.task.index;
-        spdlog::info!("a stop call has ended", kv: {
-            job,
-            task = index,
-            run,
-            cause,
-            result:? = result,
-        });
-        if result == StopResult::Unsettled {
-            self.metrics.record_unanswered("stop");
-        }
-        self.handle(|now, state| state.supervisor.stop_answered(now, &task, result));
-    }
-
-    async fn hold(self: Arc<Self>, call: HoldCall) {
-        let sent = self.clock.now();
-        let wait = call.wait;
-        let result = self.upstreams.renew_lease(call).await;
-        if result.is_none() {
-            self.metrics.record_unanswered("hold");
-            spdlog::warn!("the upstream did not answer a hold call");
-        }
-        self.handle(|now, state| state.supervisor.hold_answered(now, sent, wait, result));
-    }
-
     fn send_report(&self, now: Instant, state: &mut State, report: Report) {
         for end in &report.ends {
             self.metrics.record_end(end);
