Let a new connection take the place of a stalled one at a full port

Clients that stopped in the middle of a request head could hold all connections that a port accepts. Callers then got 503 from the entry for as long as these clients came back, although memory and descriptors were left.

A server refused connections above its own limit before it asked the ledger, which lets the connection that has waited longest for its client make way.

The limit of a port is now kept in the ledger. A connection above it takes the place of the one at the same port that has waited longest for its client, as at the limit on all connections. Only if all are in work, the newcomer is refused.

--- a/hemlockhook-runtime/src/grpc.rs
+++ b/hemlockhook-runtime/src/grpc.rs
@@ -68,7 +68,8 @@
 /// Time that a write may wait for the peer before the connection is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Maximum number of open connections; further ones are closed at once.
+/// Maximum number of open connections. At a server that counts its memory, a further one takes the place
+/// of one without a call; else it is closed at once.
 const MAX_CONNECTIONS: usize = 4096;
 
 /// Maximum size of a request's header list, in bytes.
@@ -130,16 +131,15 @@
     S::Future: Send + 'static,
 {
     let connections = TaskSet::new(ex.clone());
+    let port = memory.map(|memory| memory.port(MAX_CONNECTIONS));
     while let Some(stream) = accept(&listener, &stop).await {
-        if connections.len() >= MAX_CONNECTIONS {
-            continue;
-        }
-        let held = match &memory {
-            None => None,
-            Some(memory) => match memory.admit(COUNTED_CONNECTION_BYTES).await {
-                Some(held) => Some(Arc::new(CallMemory::new(memory.clone(), held))),
+        let held = match &port {
+            Some(port) => match port.admit(COUNTED_CONNECTION_BYTES).await {
+                Some(held) => Some(Arc::new(CallMemory::new(port.shared().clone(), held))),
                 None => continue,
             },
+            None if connections.len() >= MAX_CONNECTIONS => continue,
+            None => None,
         };
         let conn = serve_connection(ex.clone(), stream, held, stop.clone(), service.clone());
         connections.spawn(conn);
--- a/hemlockhook-runtime/src/http/ledger.rs
+++ b/hemlockhook-runtime/src/http/ledger.rs
@@ -5,16 +5,22 @@
 
 use bytes::{Bytes, BytesMut};
 use slab::Slab;
+use slotmap::{SlotMap, new_key_type};
 
 /// Size of the first buffer of a body, in bytes. It doubles as bytes arrive.
 const FIRST_BUFFER_BYTES: usize = 4096;
 
+new_key_type! {
+    /// Identifies a port in the ledger.
+    pub(crate) struct PortKey;
+}
+
 /// Limits on what the requests of a process may hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryLimits {
     /// Maximum memory of connections and bodies, in bytes.
     pub bytes: usize,
-    /// Maximum number of connections.
+    /// Maximum number of connections of all ports together.
     pub connections: usize,
 }
 
@@ -60,25 +66,42 @@
     /// Memory of its body, in bytes.
     held: usize,
     buf: BytesMut,
-    is_connection: bool,
+    /// Port that accepted the connection; `None` for a stream of a connection.
+    port: Option<PortKey>,
     waker: Option<Waker>,
 }
 
+/// A port that accepts connections.
+#[derive(Debug)]
+struct Port {
+    max_connections: usize,
+    /// Open connections that were not given up.
+    lasting: usize,
+}
+
 /// Accounts for the memory of requests, and decides which are given up.
 #[derive(Debug)]
 pub(crate) struct Ledger {
     limits: MemoryLimits,
     holders: Slab<Holder>,
+    ports: SlotMap<PortKey, Port>,
     used: MemoryUse,
     /// Connections that were given up and are still open.
     ending: usize,
 }
 
+impl Holder {
+    fn waits_for_client(&self) -> bool {
+        matches!(self.phase, Phase::Head | Phase::Body)
+    }
+}
+
 impl Ledger {
     pub(crate) fn new(limits: MemoryLimits) -> Self {
         Self {
             limits,
             holders: Slab::new(),
+            ports: SlotMap::with_key(),
             used: MemoryUse::default(),
             ending: 0,
         }
@@ -93,27 +116,36 @@
         self.ending
     }
 
-    /// Adds a holder with its fixed cost, for which others may be given up.
+    /// Adds a port with a limit of its own on its connections.
+    pub(crate) fn add_port(&mut self, max_connections: usize) -> PortKey {
+        self.ports.insert(Port {
+            max_connections,
+            lasting: 0,
+        })
+    }
+
+    /// Adds a holder with its fixed cost, for which others may be given up. `port` is that of a new
+    /// connection, or `None` for a stream of a connection.
     pub(crate) fn open(
         &mut self,
         fixed: usize,
-        is_connection: bool,
+        port: Option<PortKey>,
         now: Instant,
     ) -> Result<usize, Exhausted> {
         self.make_room(fixed)?;
-        let lasting = self.used.connections - self.ending;
-        if is_connection && lasting >= self.limits.connections {
-            self.give_up_oldest(|phase| matches!(phase, Phase::Head | Phase::Body))?;
+        if let Some(port) = port {
+            self.make_place(port)?;
+            self.ports[port].lasting += 1;
         }
         self.used.bytes += fixed;
-        self.used.connections += usize::from(is_connection);
+        self.used.connections += usize::from(port.is_some());
         Ok(self.holders.insert(Holder {
             phase: Phase::Head,
             since: now,
             fixed,
             held: 0,
             buf: BytesMut::new(),
-            is_connection,
+            port,
             waker: None,
         }))
     }
@@ -121,12 +153,17 @@
     /// Removes a holder.
     pub(crate) fn close(&mut self, key: usize) {
         let holder = self.holders.remove(key);
-        if holder.phase != Phase::GivenUp {
-            self.used.bytes -= holder.fixed + holder.held;
-        } else if holder.is_connection {
-            self.ending -= 1;
+        match (holder.phase, holder.port) {
+            (Phase::GivenUp, Some(_)) => self.ending -= 1,
+            (Phase::GivenUp, None) => {}
+            (_, port) => {
+                self.used.bytes -= holder.fixed + holder.held;
+                if let Some(port) = port {
+                    self.ports[port].lasting -= 1;
+                }
+            }
         }
-        self.used.connections -= usize::from(holder.is_connection);
+        self.used.connections -= usize::from(holder.port.is_some());
     }
 
     pub(crate) fn phase(&self, key: usize) -> Phase {
@@ -210,20 +247,36 @@
     /// Gives up bodies, and then connections without a request, until the bytes fit.
     fn make_room(&mut self, bytes: usize) -> Result<(), Exhausted> {
         while self.used.bytes + bytes > self.limits.bytes {
-            let body = self.give_up_oldest(|phase| phase == Phase::Body);
-            body.or_else(|_| self.give_up_oldest(|phase| phase == Phase::Head))
+            let body = self.give_up_oldest(|holder| holder.phase == Phase::Body);
+            body.or_else(|_| self.give_up_oldest(|holder| holder.phase == Phase::Head))
                 .inspect_err(|_| self.used.refused += 1)?;
         }
         Ok(())
     }
 
-    /// Gives up the holder that has been in one of some phases for the longest time.
+    /// Gives up a connection that waits for its client, if a port or all of them together have as many
+    /// connections as they may have.
+    fn make_place(&mut self, port: PortKey) -> Result<(), Exhausted> {
+        let lasting = self.used.connections - self.ending;
+        let is_full = lasting >= self.limits.connections;
+        let is_port_full = self.ports[port].lasting >= self.ports[port].max_connections;
+        match (is_port_full, is_full) {
+            (false, false) => return Ok(()),
+            (true, _) => {
+                self.give_up_oldest(|holder| holder.port == Some(port) && holder.waits_for_client())
+            }
+            (false, true) => self.give_up_oldest(Holder::waits_for_client),
+        }
+        .inspect_err(|_| self.used.refused += 1)
+    }
+
+    /// Gives up the candidate that has been in its phase for the longest time.
     fn give_up_oldest<F>(&mut self, is_candidate: F) -> Result<(), Exhausted>
     where
-        F: Fn(Phase) -> bool,
+        F: Fn(&Holder) -> bool,
     {
         let candidates = self.holders.iter_mut();
-        let candidates = candidates.filter(|(_, holder)| is_candidate(holder.phase));
+        let candidates = candidates.filter(|(_, holder)| is_candidate(holder));
         let oldest = candidates.min_by_key(|(_, holder)| holder.since);
         let Some((_, holder)) = oldest else {
             return Err(Exhausted);
@@ -233,7 +286,10 @@
             _ => self.used.closed_connections += 1,
         }
         self.used.bytes -= holder.fixed + holder.held;
-        self.ending += usize::from(holder.is_connection);
+        if let Some(port) = holder.port {
+            self.ending += 1;
+            self.ports[port].lasting -= 1;
+        }
         holder.phase = Phase::GivenUp;
         holder.held = 0;
         holder.buf = BytesMut::new();
@@ -254,16 +310,18 @@
 
     const FIXED: usize = 1000;
 
-    /// Returns a ledger of 100,000 bytes and the bodies of connections that began one second apart.
+    /// Returns a ledger of 100,000 bytes, and the bodies of connections to one port that began one second
+    /// apart.
     fn with_bodies(connections: usize) -> (Ledger, Vec<usize>, Instant) {
         let mut ledger = Ledger::new(MemoryLimits {
             bytes: 100_000,
             connections: 4,
         });
         let start = Instant::now();
+        let port = ledger.add_port(100);
         let open = |index| {
             let now = start + Duration::from_secs(index as u64);
-            let key = ledger.open(FIXED, true, now).expect("there is room");
+            let key = ledger.open(FIXED, Some(port), now).expect("there is room");
             ledger.set_phase(key, Phase::Body, now);
             key
         };
@@ -324,7 +382,8 @@
     fn a_new_connection_takes_the_place_of_the_one_that_has_waited_longest() {
         let (mut ledger, keys, now) = with_bodies(4);
         ledger.set_phase(keys[0], Phase::Work, now);
-        expect_that!(ledger.open(FIXED, true, now), ok(anything()));
+        let port = ledger.add_port(100);
+        expect_that!(ledger.open(FIXED, Some(port), now), ok(anything()));
         let expected = [Phase::Work, Phase::GivenUp, Phase::Body, Phase::Body];
         expect_that!(phases(&ledger, &keys), eq(&expected));
         expect_that!(ledger.ending(), eq(1));
--- a/hemlockhook-runtime/src/http/memory.rs
+++ b/hemlockhook-runtime/src/http/memory.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures_lite::future;
 
-use super::ledger::{Ledger, MemoryLimits, MemoryUse, Phase};
+use super::ledger::{Ledger, MemoryLimits, MemoryUse, Phase, PortKey};
 
 /// Connections that were given up and may still be open when another one is accepted.
 const ENDING_CONNECTIONS: usize = 32;
@@ -31,28 +31,23 @@
         self.lock().used()
     }
 
-    /// Counts a new connection, for which others may be given up. Returns `None` if requests in work
-    /// hold everything.
-    pub(crate) async fn admit(&self, bytes: usize) -> Option<Held> {
-        if self.lock().ending() >= ENDING_CONNECTIONS {
-            // Their tasks have been woken, and run before this one continues.
-            future::yield_now().await;
-        }
-        if self.lock().ending() >= ENDING_CONNECTIONS {
-            return None;
+    /// Returns the account of a port with a limit of its own on its connections.
+    pub(crate) fn port(&self, max_connections: usize) -> PortMemory {
+        PortMemory {
+            key: self.lock().add_port(max_connections),
+            memory: self.clone(),
         }
-        self.open(bytes, true)
     }
 
     /// Counts one of the streams of a connection, which waits for the end of its first message.
     pub(crate) fn open_stream(&self, bytes: usize) -> Option<Held> {
-        let held = self.open(bytes, false)?;
+        let held = self.open(bytes, None)?;
         held.set_phase(Phase::Body);
         Some(held)
     }
 
-    fn open(&self, bytes: usize, is_connection: bool) -> Option<Held> {
-        let key = self.lock().open(bytes, is_connection, Instant::now());
+    fn open(&self, bytes: usize, port: Option<PortKey>) -> Option<Held> {
+        let key = self.lock().open(bytes, port, Instant::now());
         let key = key.ok()?;
         Some(Held {
             memory: self.clone(),
@@ -65,6 +60,33 @@
     }
 }
 
+/// Memory of the connections that a port accepts.
+#[derive(Debug)]
+pub(crate) struct PortMemory {
+    memory: RequestMemory,
+    key: PortKey,
+}
+
+impl PortMemory {
+    /// Returns the memory that the port shares with others.
+    pub(crate) fn shared(&self) -> &RequestMemory {
+        &self.memory
+    }
+
+    /// Counts a new connection, for which others may be given up. Returns `None` if requests in work
+    /// hold everything.
+    pub(crate) async fn admit(&self, bytes: usize) -> Option<Held> {
+        if self.memory.lock().ending() >= ENDING_CONNECTIONS {
+            // Their tasks have been woken, and run before this one continues.
+            future::yield_now().await;
+        }
+        if self.memory.lock().ending() >= ENDING_CONNECTIONS {
+            return None;
+        }
+        self.memory.open(bytes, Some(self.key))
+    }
+}
+
 /// The memory of the connection on which a request was received, in the request's extensions.
 #[derive(Clone, Debug)]
 pub struct BodyMemory(pub(crate) Arc<Held>);
--- a/hemlockhook-runtime/src/http/server.rs
+++ b/hemlockhook-runtime/src/http/server.rs
@@ -64,7 +64,9 @@
     pub body_timeout: Duration,
     /// Time that a write may wait for the client before the connection is closed.
     pub write_timeout: Duration,
-    /// Maximum number of open connections; further ones are answered with 503 and closed.
+    /// Maximum number of open connections. At a server that counts its memory, a further one takes the
+    /// place of the connection that has waited longest for its client. Else, and if all are in work,
+    /// it is answered with 503 and closed.
     pub max_connections: usize,
     /// Maximum number of headers in a request.
     pub max_headers: usize,
@@ -211,21 +213,20 @@
     E: Into<BoxError> + 'static,
 {
     let connections = TaskSet::new(ex);
+    let port = memory.map(|memory| memory.port(limits.max_connections));
     while let Some(stream) = accept(&listener, &stop).await {
-        if connections.len() >= limits.max_connections {
+        let held = match &port {
+            Some(port) => port.admit(CONNECTION_BYTES).await.map(Arc::new),
+            None => None,
+        };
+        let is_full = match &port {
+            Some(_) => held.is_none(),
+            None => connections.len() >= limits.max_connections,
+        };
+        if is_full {
             refuse(stream).await;
             continue;
         }
-        let held = match &memory {
-            None => None,
-            Some(memory) => match memory.admit(CONNECTION_BYTES).await {
-                Some(held) => Some(Arc::new(held)),
-                None => {
-                    refuse(stream).await;
-                    continue;
-                }
-            },
-        };
         let (io, handler) = connect(Stream::new(stream, limits.write_timeout));
         let conn = serve_connection(io, limits, held, stop.clone(), handler);
         connections.spawn(conn);
--- a/hemlockhook/tests/crowd/clients.rs
+++ b/hemlockhook/tests/crowd/clients.rs
@@ -193,7 +193,8 @@
     conn.write_all(&frame)
 }
 
-fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+/// Connects with timeouts on reads and writes.
+pub fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
     let conn = TcpStream::connect_timeout(&addr, IO_TIMEOUT)?;
     conn.set_write_timeout(Some(IO_TIMEOUT))?;
     conn.set_read_timeout(Some(IO_TIMEOUT))?;
@@ -201,7 +202,7 @@
 }
 
 /// Opens connections on several threads, each of which opens an equal part of them.
-fn on_threads<F>(clients: usize, open: F) -> Vec<TcpStream>
+pub fn on_threads<F>(clients: usize, open: F) -> Vec<TcpStream>
 where
     F: Fn(usize) -> Vec<TcpStream> + Sync,
 {
--- a/hemlockhook/tests/crowd/main.rs
+++ b/hemlockhook/tests/crowd/main.rs
@@ -8,6 +8,7 @@
 #[path = "../platform/deployment.rs"]
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 mod deployment;
+mod full_ports;
 #[path = "../support/relay.rs"]
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 mod relay;
@@ -19,7 +20,7 @@
 mod worker;
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use googletest::prelude::*;
 
@@ -56,13 +57,17 @@
 /// Held by each test, so that the crowds come one at a time.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
+fn one_at_a_time() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Starts an entry and an agent, lets a crowd connect, and checks both processes while it is
 /// connected and an ordinary job afterwards.
 fn check_crowd<F, T>(name: &str, connect: F)
 where
     F: FnOnce(&Deployment) -> T,
 {
-    let _lock = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let _lock = one_at_a_time();
     let mut deployment = Deployment::start_limited(name, 1, 1, LIMITS);
     let crowd = connect(&deployment);
     let descriptors = [
--- a/hemlockhook/tests/platform/deployment.rs
+++ b/hemlockhook/tests/platform/deployment.rs
@@ -345,6 +345,17 @@
         values.sum()
     }
 
+    /// Requests the metrics of an entry, and returns the status of the response.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
+    pub fn metrics_status(&self, entry: usize) -> Option<u16> {
+        let req = Request::get("/metrics")
+            .body(Full::default())
+            .expect("a valid request");
+        let send = self.metrics[entry].send(req, 1 << 20, WAIT_TIMEOUT);
+        let res = async_io::block_on(send).ok()?;
+        Some(res.status().as_u16())
+    }
+
     /// Returns whether an entry has a queue with this prefix.
     pub fn has_queue(&self, entry: usize, prefix: &str) -> bool {
         self.queue_status(entry, prefix) == Some(200)
