Refuse jobs whose payload is larger than allowed

One client could end an entry with one request: the peak of an entry with memory_mb 64 was 2,180,728 KiB under 400 clients with jobs of 500 tasks and a payload of 200,000 bytes, of which the accounts knew 262,144 bytes each.

Only the size of the body limited the payload, and each order of a task carries a copy of it.

A job with a payload of more than 4,096 bytes is now refused as unsupported; the interface allows 4,000. The test failed before, and passes with this change.

--- a/hemlockhook-dispatch/src/job.rs
+++ b/hemlockhook-dispatch/src/job.rs
@@ -10,6 +10,9 @@
 /// Maximum number of tasks of a job.
 pub const MAX_TASKS: u64 = 4096;
 
+/// Maximum size of a payload, in bytes. Each order of a task carries a copy of it.
+pub const MAX_PAYLOAD_BYTES: usize = 4096;
+
 /// Maximum expected run time of a task. Declared run times beyond it count as this one.
 pub const MAX_RUN_TIME: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -69,6 +72,8 @@
     Steps,
     /// The job has more than [`MAX_TASKS`] tasks.
     Tasks,
+    /// The payload is larger than [`MAX_PAYLOAD_BYTES`].
+    Payload,
 }
 
 impl JobSpec {
@@ -97,6 +102,7 @@
             _ if self.steps.is_empty() => Some(Unsupported::Steps),
             _ if self.steps.iter().enumerate().any(is_misordered) => Some(Unsupported::Steps),
             _ if self.tasks() > MAX_TASKS => Some(Unsupported::Tasks),
+            _ if self.payload.len() > MAX_PAYLOAD_BYTES => Some(Unsupported::Payload),
             _ => None,
         }
     }
--- /dev/null
+++ b/hemlockhook/tests/crowd/jobs.rs
@@ -0,0 +1,68 @@
+//! Crowds whose jobs are whole and valid, and cost more than their bytes.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+
+use crate::check_crowd;
+use crate::clients::{connect, on_threads};
+
+/// Clients of each crowd. Each submits one job and waits for its answer.
+const CLIENTS: usize = 400;
+
+/// Tasks of the jobs whose payload is larger than allowed.
+const LARGE_PAYLOAD_TASKS: usize = 500;
+
+/// Size of the payload of these jobs, in bytes.
+const LARGE_PAYLOAD_BYTES: usize = 200_000;
+
+/// Time that a task runs and is declared to run, in milliseconds.
+const RUN_MS: usize = 1000;
+
+/// Lets a crowd submit the same job, each client under an ID of its own.
+fn check_jobs(name: &str, job: &Value) {
+    let body = job.to_string();
+    check_crowd(name, |deployment| {
+        let [callers, ..] = deployment.entry_addresses[0];
+        submit_all(callers, CLIENTS, &body)
+    });
+}
+
+/// Submits jobs, and returns the open connections, from which nothing is read.
+pub fn submit_all(addr: SocketAddr, clients: usize, body: &str) -> Vec<TcpStream> {
+    on_threads(clients, |clients| {
+        let open = (0..clients).filter_map(|_| submit(addr, body).ok());
+        open.collect()
+    })
+}
+
+fn submit(addr: SocketAddr, body: &str) -> std::io::Result<TcpStream> {
+    let mut conn = connect(addr)?;
+    let id = format!("{:016x}", fastrand::u64(..));
+    let len = body.len();
+    let head = format!(
+        "POST /desk/{id} HTTP/1.1\r\nhost: desk.example\r\n\
+         hemlockhook-deadline-milliseconds: 20000\r\ncontent-length: {len}\r\n\r\n"
+    );
+    conn.write_all(format!("{head}{body}").as_bytes())?;
+    Ok(conn)
+}
+
+/// Returns a job of steps, whose payload is the run time of its tasks.
+fn job(steps: &Value) -> Value {
+    json!({"spec": RUN_MS.to_string(), "bestEffort": true, "steps": steps})
+}
+
+fn step(tasks: usize) -> Value {
+    json!({"count": tasks, "cpu": 1, "estimatedMs": RUN_MS})
+}
+
+/// Guards against payloads that only the size of the body limits.
+#[gtest]
+fn jobs_with_a_payload_beyond_the_limit_stay_within_memory() {
+    let mut job = job(&json!([step(LARGE_PAYLOAD_TASKS)]));
+    job["spec"] = json!("x".repeat(LARGE_PAYLOAD_BYTES));
+    check_jobs("large-payloads", &job);
+}
--- a/hemlockhook/tests/crowd/main.rs
+++ b/hemlockhook/tests/crowd/main.rs
@@ -9,6 +9,7 @@
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 mod deployment;
 mod full_ports;
+mod jobs;
 #[path = "../support/relay.rs"]
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 mod relay;
