Count the memory of jobs while they are unanswered

Whole, valid jobs cost an entry several times their bytes: with memory_mb 64 its peak was 89,448 KiB under 400 clients with jobs of 1,500 steps.

Only the bytes of the body were counted. A step of a job takes some 350 bytes besides, and a task of which a request states only the number takes 56 bytes, and more while it is placed.

The estimated memory of a decoded job is now counted until its answer, like the body. If requests in work hold everything, the job is refused before it is admitted, like a body that is given up.

The test of jobs of many steps failed before, and passes with this change. The one of jobs of many tasks passed before, since the event loop of the entry stood still under the same load (132 s for three tests); it is a guard for what follows.

--- a/hemlockhook-dispatch/src/entry/job.rs
+++ b/hemlockhook-dispatch/src/entry/job.rs
@@ -8,7 +8,7 @@
 
 use crate::entry::dispatcher::JobClaims;
 use crate::entry::{AgentKey, Refusal};
-use crate::{JobSpec, QueueConfig};
+use crate::{JobSpec, QueueConfig, StepSpec};
 
 new_key_type! {
     /// Identifies a job admitted by an entry.
@@ -31,6 +31,33 @@
     TimedOut,
 }
 
+/// Size of an allocation's header and of what rounding up adds to it, in bytes.
+const ALLOCATION_BYTES: usize = 16;
+
+/// Memory of a task besides its state, in bytes: its entries among the attempts at an agent, the
+/// unacknowledged orders and the cancelled attempts, each with its part of a tree or a table.
+const PLACED_TASK_BYTES: usize = 192;
+
+/// Returns the memory that an entry keeps for a job until it is answered, in bytes.
+///
+/// A few bytes of a request can state thousands of tasks.
+pub fn job_memory(spec: &JobSpec) -> usize {
+    let label = |label: &Option<Arc<str>>| {
+        let bytes = label
+            .as_ref()
+            .map(|label| label.len() + 2 * ALLOCATION_BYTES);
+        bytes.unwrap_or_default()
+    };
+    let task = size_of::<Task>() + size_of::<(u32, u32)>() + PLACED_TASK_BYTES;
+    let step = |step: &StepSpec| {
+        let dependencies = step.depends_on.capacity() * size_of::<usize>();
+        let labels = label(&step.required_label) + label(&step.preferred_label);
+        let fixed = size_of::<StepSpec>() + size_of::<Step>() + 2 * ALLOCATION_BYTES;
+        fixed + dependencies + labels + step.tasks as usize * task
+    };
+    spec.payload.len() + spec.steps.iter().map(step).sum::<usize>()
+}
+
 /// A job that an entry has admitted and not answered yet.
 #[derive(Debug)]
 pub(super) struct Job {
--- a/hemlockhook-dispatch/src/entry/mod.rs
+++ b/hemlockhook-dispatch/src/entry/mod.rs
@@ -23,6 +23,6 @@
 pub use classes::{ClassLoad, SizeBand};
 pub use dispatcher::{Action, CancelCause, Dispatcher, Order, Submission};
 pub use interference::PairChange;
-pub use job::{Answer, JobKey};
+pub use job::{Answer, JobKey, job_memory};
 pub use policy::{DispatchPolicy, DispatchRules, PlacementRule};
 pub use sharing::{ConfigurationSharing, ConfigurationSource};
--- a/hemlockhook-leased/src/entry/callers.rs
+++ b/hemlockhook-leased/src/entry/callers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hemlockhook_dispatch::entry::{Answer, JobKey, Refusal, Submission};
+use hemlockhook_dispatch::entry::{self, Answer, JobKey, Refusal, Submission};
 use hemlockhook_ports::leased::{CallerProtocol, Reply};
 use hemlockhook_runtime::http::{BodyError, BodyMemory, read_counted_body};
 use hemlockhook_runtime::io::Peer;
@@ -80,6 +80,7 @@
     async fn reply(&self, peer: Peer, req: Request<Incoming>) -> Result<Reply, GivenUp> {
         let (mut head, body) = req.into_parts();
         let memory = head.extensions.remove::<BodyMemory>();
+        let job_memory = memory.clone();
         let initial = self.core.configuration();
         let max_body = initial.max_body.unwrap_or(DEFAULT_MAX_BODY_BYTES);
         let body = match read_counted_body(memory, body, max_body, BODY_TIMEOUT).await {
@@ -116,8 +117,15 @@
                     Ok(spec) => spec,
                     Err(err) => return Ok(Reply::Malformed(err.to_string())),
                 };
-                // The job keeps a copy of what it needs, which the bytes that are counted until the
-                // response stand for.
+                // The bytes of the body stay counted, and stand for a part of what the job keeps. The number
+                // of tasks is checked first: it may be out of range.
+                let is_supported = spec.unsupported(queue).is_none();
+                let kept = job_memory.filter(|_| is_supported);
+                let needed = || entry::job_memory(&spec).saturating_sub(body.len());
+                if kept.is_some_and(|memory| !memory.hold(needed())) {
+                    let is_known = self.core.is_known(id);
+                    return Err(GivenUp { is_known });
+                }
                 drop(body);
                 let seen = self.core.now();
                 let submission = Submission {
--- a/hemlockhook-runtime/src/http/memory.rs
+++ b/hemlockhook-runtime/src/http/memory.rs
@@ -91,6 +91,14 @@
 #[derive(Clone, Debug)]
 pub struct BodyMemory(pub(crate) Arc<Held>);
 
+impl BodyMemory {
+    /// Counts what a request holds besides its body until the response. Returns false if requests in work
+    /// hold everything.
+    pub fn hold(&self, bytes: usize) -> bool {
+        self.0.hold(bytes)
+    }
+}
+
 /// Memory of one connection and the body that is read from it. Dropping it releases the memory.
 #[derive(Debug)]
 pub(crate) struct Held {
--- a/hemlockhook/tests/crowd/jobs.rs
+++ b/hemlockhook/tests/crowd/jobs.rs
@@ -12,6 +12,12 @@
 /// Clients of each crowd. Each submits one job and waits for its answer.
 const CLIENTS: usize = 400;
 
+/// Tasks of each job, the most that a job may have.
+const TASKS: usize = 4096;
+
+/// Steps of the jobs with many steps.
+const STEPS: usize = 1500;
+
 /// Tasks of the jobs whose payload is larger than allowed.
 const LARGE_PAYLOAD_TASKS: usize = 500;
 
@@ -59,6 +65,12 @@
     json!({"count": tasks, "cpu": 1, "estimatedMs": RUN_MS})
 }
 
+/// Guards against tasks that cost memory while the job's few bytes are counted.
+#[gtest]
+fn jobs_of_many_tasks_stay_within_memory() {
+    check_jobs("many-tasks", &job(&json!([step(TASKS)])));
+}
+
 /// Guards against payloads that only the size of the body limits.
 #[gtest]
 fn jobs_with_a_payload_beyond_the_limit_stay_within_memory() {
@@ -66,3 +78,22 @@
     job["spec"] = json!("x".repeat(LARGE_PAYLOAD_BYTES));
     check_jobs("large-payloads", &job);
 }
+
+/// Guards against steps, labels and dependencies that cost more memory than their bytes.
+#[gtest]
+fn jobs_of_many_steps_stay_within_memory() {
+    let step = |index: usize| {
+        let mut step = step(1);
+        step["after"] = json!([index.saturating_sub(1), index.saturating_sub(2)]);
+        step["requirements"] = json!("a");
+        step["affinity"] = json!("r1-1");
+        match index {
+            0 => step["after"] = json!([]),
+            1 => step["after"] = json!([0]),
+            _ => {}
+        }
+        step
+    };
+    let steps: Vec<_> = (0..STEPS).map(step).collect();
+    check_jobs("many-steps", &job(&json!(steps)));
+}
