Limit the orders that an agent has not acknowledged

A job of 4,096 small tasks was sent to the agents at once, with a copy of its payload for each task. Under 400 clients with such jobs and a payload of 4,000 bytes an entry with memory_mb 64 peaked at 129,860 KiB, and with the memory of jobs counted still at 123,528 KiB. Its event loop stood still for seconds, so that links ended: the free capacity of an agent is computed from its unacknowledged orders, and was computed again for each further order.

An agent now gets no further orders while 64 are unacknowledged. It acknowledges them with each report. The rest stays in the queue of the entry, where jobs that are due earlier go first.

The test of long payloads failed before, and passes with this change.

--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -11,6 +11,10 @@
 use crate::entry::JobKey;
 use crate::{Amounts, AttemptEnd, HeldAttempts, Incarnation};
 
+/// Maximum number of orders to an agent that it has not acknowledged. It bounds the memory of their copies
+/// in frames, and the cost of [`Agent::free`]. An agent acknowledges them with each report.
+const MAX_UNACKNOWLEDGED: usize = 64;
+
 new_key_type! {
     /// Identifies an agent known to an entry.
     pub struct AgentKey;
@@ -138,6 +142,11 @@
         self.pause_until.is_some_and(|until| until > now)
     }
 
+    /// Returns whether the agent has to acknowledge orders before it is sent further ones.
+    pub(super) fn is_window_full(&self) -> bool {
+        self.unacknowledged.len() >= MAX_UNACKNOWLEDGED
+    }
+
     /// Returns the last known free capacity of the upstream, minus the orders in flight.
     pub(super) fn free(&self) -> Amounts {
         let Some(state) = &self.state else {
--- a/hemlockhook-dispatch/src/entry/offers.rs
+++ b/hemlockhook-dispatch/src/entry/offers.rs
@@ -36,7 +36,8 @@
     pub(super) fn new(agents: &SlotMap<AgentKey, Agent>, now: Instant, timeout: Duration) -> Self {
         let offer = |(key, agent): (AgentKey, &Agent)| {
             agent.usable(now, timeout)?;
-            (!agent.is_paused(now)).then(|| Offer::new(key, agent))
+            let is_open = !agent.is_paused(now) && !agent.is_window_full();
+            is_open.then(|| Offer::new(key, agent))
         };
         Self {
             offers: agents.iter().filter_map(offer).collect(),
@@ -50,8 +51,11 @@
 
     /// Updates the offer of an agent to which an order was just sent.
     pub(super) fn ordered(&mut self, key: AgentKey, agent: &Agent) {
-        if let Some(offer) = self.offers.iter_mut().find(|offer| offer.key == key) {
-            *offer = Offer::new(key, agent);
+        let index = self.offers.iter().position(|offer| offer.key == key);
+        match index {
+            Some(index) if agent.is_window_full() => _ = self.offers.remove(index),
+            Some(index) => self.offers[index] = Offer::new(key, agent),
+            None => {}
         }
     }
 
--- a/hemlockhook/tests/crowd/jobs.rs
+++ b/hemlockhook/tests/crowd/jobs.rs
@@ -18,6 +18,9 @@
 /// Steps of the jobs with many steps.
 const STEPS: usize = 1500;
 
+/// Size of the largest payload of a job, in bytes.
+const PAYLOAD_BYTES: usize = 4000;
+
 /// Tasks of the jobs whose payload is larger than allowed.
 const LARGE_PAYLOAD_TASKS: usize = 500;
 
@@ -71,6 +74,14 @@
     check_jobs("many-tasks", &job(&json!([step(TASKS)])));
 }
 
+/// Guards against a payload that is copied for each task.
+#[gtest]
+fn jobs_of_many_tasks_and_a_long_payload_stay_within_memory() {
+    let mut job = job(&json!([step(TASKS)]));
+    job["spec"] = json!("x".repeat(PAYLOAD_BYTES));
+    check_jobs("many-payloads", &job);
+}
+
 /// Guards against payloads that only the size of the body limits.
 #[gtest]
 fn jobs_with_a_payload_beyond_the_limit_stay_within_memory() {
