Bound the calls to an upstream that are in flight, and pause between retries

One client with a job of thousands of small tasks took an upstream away for good. Callers were refused with no_upstream also after the client had left.

The calls of an agent share 16 connections, and their timeout of 40 ms includes the wait for one. Hundreds of starts at once timed out before they were sent. Each was then stopped every 40 ms, without end, which kept the upstream busy, so that hold calls timed out as well. With an upstream that takes 4 ms for each call, an agent made 1,600 starts in a minute of which none was confirmed, and 12,800 stop calls.

Start and stop calls in flight are now bounded (16 and 8), and each call has a connection of its own. The bounds are halved while calls are unanswered, to 4 and 2, and rise again with answers. The pause between the stop calls of a run doubles up to 320 ms. An agent has at most 1,024 runs and 256 waiting orders, whose number only the amounts bounded before.

The three tests of the supervisor show the bounds and the pauses.

--- a/hemlockhook-dispatch/src/agent/due.rs
+++ b/hemlockhook-dispatch/src/agent/due.rs
@@ -5,6 +5,9 @@
 use crate::agent::ended::{AllEnded, End};
 use crate::agent::{Order, OrderKey, Phase, StopCause, Supervisor};
 
+/// Maximum number of times that the pause between stop calls is doubled.
+const MAX_DOUBLINGS: u32 = 8;
+
 impl Supervisor {
     pub(super) fn return_expired(&mut self, now: Instant) {
         let expired = |&&(_, _, key): &&(u32, Instant, OrderKey)| self.orders[key].expires <= now;
@@ -29,29 +32,54 @@
         }
     }
 
-    pub(super) fn retry_stops(&mut self, now: Instant) {
-        let retry = self.policy.stop_retry_interval;
-        let mut retries = Vec::new();
-        for order in self.orders.values_mut() {
-            match &mut order.phase {
-                Phase::Stopping {
-                    run,
-                    cause,
-                    acked: None,
-                    sent,
-                    ..
-                } if now.saturating_duration_since(*sent) >= retry => {
-                    *sent = now;
-                    retries.push((order.order.task.clone(), *run, *cause));
-                }
-                _ => {}
-            }
+    /// Makes the stop calls that are due, those first that have been due for longest.
+    pub(super) fn call_due_stops(&mut self, now: Instant) {
+        let in_flight = self.orders.values().filter(|order| order.is_stop_called());
+        let free = self.stop_window.size().saturating_sub(in_flight.count());
+        if free == 0 {
+            return;
         }
-        for (task, run, cause) in retries {
+        let due = |(key, order): (OrderKey, &Order)| self.stop_due(order).map(|at| (at, key));
+        let due = self.orders.iter().filter_map(due);
+        let mut due: Vec<_> = due.filter(|&(at, _)| at <= now).collect();
+        due.sort_unstable();
+        for (_, key) in due.into_iter().take(free) {
+            let order = &mut self.orders[key];
+            let Phase::Stopping {
+                run,
+                cause,
+                sent,
+                calls,
+                is_called,
+                ..
+            } = &mut order.phase
+            else {
+                continue;
+            };
+            *sent = now;
+            *calls += 1;
+            *is_called = true;
+            let (run, cause) = (*run, *cause);
+            let task = order.order.task.clone();
             self.call_stop(task, run, cause);
         }
     }
 
+    /// Returns when the next stop call of an order is due, if it needs one.
+    fn stop_due(&self, order: &Order) -> Option<Instant> {
+        let first = self.policy.stop_retry_interval;
+        let pause = |calls: u32| {
+            let doubled = first.saturating_mul(1 << (calls - 1).min(MAX_DOUBLINGS));
+            doubled.min(self.policy.max_stop_retry_interval)
+        };
+        match order.phase {
+            Phase::Stopping { acked: Some(_), .. } => None,
+            Phase::Stopping { calls: 0, sent, .. } => Some(sent),
+            Phase::Stopping { sent, calls, .. } => Some(sent + pause(calls)),
+            _ => None,
+        }
+    }
+
     /// Ends the runs on an upstream that does not answer, once their leases have expired.
     pub(super) fn settle_expired_leases(&mut self, now: Instant) {
         let upstream = self.upstream.as_ref();
--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -157,10 +157,17 @@
     /// Stops a run without an order, such as one that an earlier incarnation of the agent started.
     pub(super) fn stop_orphan(&mut self, now: Instant, row: &ActiveRun) {
         let id = (row.task.clone(), row.run);
-        let is_due =
-            |at: &Instant| now.saturating_duration_since(*at) >= self.policy.stop_retry_interval;
-        if self.orphans.get(&id).is_none_or(is_due) {
-            self.orphans.insert(id, now);
+        let interval = self.policy.stop_retry_interval;
+        let is_recent = |at: &Option<Instant>| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < interval)
+        };
+        if self.orphans.get(&id).is_some_and(is_recent) {
+            return;
+        }
+        let called = self.orphans.values().filter(|at| is_recent(at)).count();
+        let is_called = called < self.stop_window.size();
+        self.orphans.insert(id, is_called.then_some(now));
+        if is_called {
             let task = TaskRef {
                 task: row.task.clone(),
                 attempt: 0,
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -6,6 +6,7 @@
 //! it.
 
 mod call;
+mod call_window;
 mod claims;
 mod clock;
 mod drained;
@@ -40,6 +41,7 @@
 pub use policy::{SafetyRules, SupervisorPolicy};
 pub use upstream::{Announcement, AnnouncementStatus, UpstreamState};
 
+use call_window::CallWindow;
 use claims::Claims;
 use ended::{AllEnded, End};
 use links::Links;
@@ -78,10 +80,12 @@
     links: Links,
     claims: Claims,
     health: Health,
+    start_window: CallWindow,
+    stop_window: CallWindow,
     /// What is learned of the slowdown of runs by others; `None` if nothing is.
     interference: Option<Interference>,
-    /// Runs on the upstream without an order, with the time of the last stop call.
-    orphans: BTreeMap<(TaskId, RunNumber), Instant>,
+    /// Runs on the upstream without an order, with the time of the last stop call if one was made.
+    orphans: BTreeMap<(TaskId, RunNumber), Option<Instant>>,
     /// Highest run number of tasks that have ended on the upstream, and the time of the end.
     ended_runs: BTreeMap<TaskId, (RunNumber, Instant)>,
     /// Whether a hold call that waits for an end is in flight.
@@ -100,7 +104,10 @@
     pub fn new(policy: SupervisorPolicy, fence: u64) -> Self {
         let health = Health::new(policy.health.clone());
         let interference = policy.learns_interference.then(Interference::default);
+        let (start_calls, stop_calls) = (policy.start_calls, policy.stop_calls);
         Self {
+            start_window: CallWindow::new(start_calls.0, start_calls.1),
+            stop_window: CallWindow::new(stop_calls.0, stop_calls.1),
             interference,
             policy,
             upstream: None,
@@ -251,6 +258,8 @@
     pub fn start_answered(&mut self, now: Instant, key: OrderKey, result: StartResult) {
         // After a pause of this process, the leases of a silent entry must not be renewed.
         self.stop_silent_owners(now);
+        let is_answered = result != StartResult::NoAnswer;
+        self.start_window.record(now, is_answered);
         if !self.orders.contains_key(key) {
             return;
         }
@@ -320,6 +329,8 @@
         if let StopResult::Stopped { clock_ms } = result {
             self.read_clock(now, None, Some(clock_ms));
         }
+        let is_answered = result != StopResult::Unsettled;
+        self.stop_window.record(now, is_answered);
         let key = self.by_task.get(&task.task).copied();
         if result == StopResult::OldFence {
             let called = key.and_then(|key| match self.orders[key].phase {
@@ -331,18 +342,22 @@
         let Some(key) = key else {
             return;
         };
-        let Phase::Stopping { acked, .. } = &mut self.orders[key].phase else {
+        let Phase::Stopping {
+            acked, is_called, ..
+        } = &mut self.orders[key].phase
+        else {
             return;
         };
+        *is_called = false;
         match result {
             StopResult::Stopped { .. } => {
                 acked.get_or_insert(now);
                 self.hold(now, Duration::ZERO);
             }
-            // The next tick retries the stop, so that a refused connection is not retried in a busy
-            // loop.
+            // Retried after a pause, so that a refused connection is not retried in a busy loop.
             StopResult::OldFence | StopResult::Unsettled => {}
         }
+        self.call_due_stops(now);
     }
 
     /// Handles the upstream's answer to a hold call that was sent at `sent` with a wait of `wait`;
@@ -408,7 +423,7 @@
             upstream.clock.advance(now);
         }
         self.stop_silent_owners(now);
-        self.retry_stops(now);
+        self.call_due_stops(now);
         self.return_expired(now);
         self.settle_expired_leases(now);
         self.accept_candidate(now);
@@ -449,7 +464,7 @@
         let slots = self.capacity().cpu / need.cpu.max(1);
         let fitting = self.free().cpu / need.cpu.max(1);
         let extra = slots as usize * self.policy.waiting_percent / 100;
-        fitting as usize + extra.max(1)
+        (fitting as usize + extra.max(1)).min(self.policy.max_waiting)
     }
 
     fn accepts_work(&self, now: Instant) -> bool {
--- a/hemlockhook-dispatch/src/agent/order.rs
+++ b/hemlockhook-dispatch/src/agent/order.rs
@@ -80,8 +80,12 @@
         cause: StopCause,
         /// When the upstream acknowledged the stop.
         acked: Option<Instant>,
-        /// When the last stop call was made.
+        /// When the last stop call was made, or was due if none was.
         sent: Instant,
+        /// Number of stop calls that were made.
+        calls: u32,
+        /// Whether the last one is in flight.
+        is_called: bool,
     },
 }
 
@@ -139,6 +143,16 @@
         }
     }
 
+    /// Returns whether a start call is in flight.
+    pub(super) fn is_starting(&self) -> bool {
+        matches!(self.phase, Phase::Starting { .. })
+    }
+
+    /// Returns whether a stop call is in flight.
+    pub(super) fn is_stop_called(&self) -> bool {
+        matches!(self.phase, Phase::Stopping { is_called, .. } if is_called)
+    }
+
     /// Returns whether the order takes room at the upstream.
     pub(super) fn holds_room(&self) -> bool {
         self.phase.run().is_some()
--- a/hemlockhook-dispatch/src/agent/policy.rs
+++ b/hemlockhook-dispatch/src/agent/policy.rs
@@ -71,8 +71,19 @@
     pub wake_duration: Duration,
     /// Time constant of the averages of what each entry uses.
     pub usage_time: Duration,
-    /// Time between retries of a stop call.
+    /// Least and largest number of start calls in flight. Together with those of stop calls and two hold
+    /// calls, they have a connection each, so that no call waits for another one.
+    pub start_calls: (usize, usize),
+    /// Least and largest number of stop calls in flight.
+    pub stop_calls: (usize, usize),
+    /// Time between the first two stop calls of a run. It doubles with each further call.
     pub stop_retry_interval: Duration,
+    /// Maximum time between stop calls of a run.
+    pub max_stop_retry_interval: Duration,
+    /// Maximum number of runs at a time. It bounds the memory of orders and of the upstream's lists.
+    pub max_runs: usize,
+    /// Maximum number of orders that wait for a start.
+    pub max_waiting: usize,
     /// Time for which the run numbers of ended tasks are kept.
     pub run_retention: Duration,
     /// Time without announcements after which an upstream accepts no more work.
@@ -89,6 +100,15 @@
     pub health: HealthPolicy,
 }
 
+impl SupervisorPolicy {
+    /// Returns the maximum number of calls to the upstream in flight.
+    pub fn max_calls(&self) -> usize {
+        // One hold call waits for an end, and one is answered at once.
+        const HOLD_CALLS: usize = 2;
+        self.start_calls.1 + self.stop_calls.1 + HOLD_CALLS
+    }
+}
+
 impl Default for SupervisorPolicy {
     fn default() -> Self {
         Self {
@@ -104,7 +124,12 @@
             active_links: 8,
             wake_duration: Duration::from_secs(2),
             usage_time: Duration::from_millis(500),
+            start_calls: (4, 16),
+            stop_calls: (2, 8),
             stop_retry_interval: Duration::from_millis(40),
+            max_stop_retry_interval: Duration::from_millis(320),
+            max_runs: 1024,
+            max_waiting: 256,
             run_retention: Duration::from_secs(15),
             announcement_timeout: Duration::from_secs(6),
             waiting_percent: 30,
--- a/hemlockhook-dispatch/src/agent/runs.rs
+++ b/hemlockhook-dispatch/src/agent/runs.rs
@@ -15,13 +15,17 @@
         if !self.accepts_work(now) || awaits_orphans {
             return;
         }
-        let limit = self.health.run_limit(now);
+        let limit = self.health.run_limit(now).unwrap_or(usize::MAX);
+        let limit = limit.min(self.policy.max_runs);
         let waiting: Vec<_> = self.waiting.iter().copied().collect();
+        let starting = self.orders.values().filter(|order| order.is_starting());
+        let mut starting = starting.count();
         for (class, due, key) in waiting {
             let active = self.orders.len() - self.waiting.len();
-            if limit.is_some_and(|limit| active >= limit) {
+            if active >= limit || starting >= self.start_window.size() {
                 return;
             }
+            starting += 1;
             let need = self.orders[key].order.need;
             if !self.has_room(need) {
                 // A later order must not take the capacity that the first one waits for.
@@ -95,9 +99,10 @@
             cause,
             acked: None,
             sent: now,
+            calls: 0,
+            is_called: false,
         };
-        let task = order.order.task.clone();
-        self.call_stop(task, run, cause);
+        self.call_due_stops(now);
         if let Some(end) = End::assumed(self.policy.rules.reserves_stopping_runs, Outcome::Lost) {
             self.finish(now, key, end);
         }
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -8,6 +8,7 @@
 mod links;
 mod restarts;
 mod shares;
+mod slow_upstream;
 
 use std::time::Duration;
 
--- a/hemlockhook/src/bin/hemlockhook-agent.rs
+++ b/hemlockhook/src/bin/hemlockhook-agent.rs
@@ -27,9 +27,6 @@
 /// because calls do not leave the instance.
 const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// Maximum number of connections to the upstream.
-const UPSTREAM_CONNECTIONS: usize = 16;
-
 /// Runs the agent of one upstream: it starts tasks there on request of the entries.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version, footer(HELP_FOOTER))]
@@ -75,10 +72,10 @@
 
     log::init_rate_limited(settings.log_level.into()).wrap_err("log_level")?;
     let upstream = settings.upstream_address;
+    let connections = settings.policy().max_calls();
     let store = settings.store_address;
     hemlockhook_leased::agent::run(&settings, &args.settings, HeartbeatProtocol, |ex| {
-        let client =
-            WorkerClient::new(ex.clone(), upstream, UPSTREAM_CONNECTIONS, UPSTREAM_TIMEOUT);
+        let client = WorkerClient::new(ex.clone(), upstream, connections, UPSTREAM_TIMEOUT);
         (client, LogStore::new(ex, store, STORE_TIMEOUT))
     })?;
     Ok(ExitCode::SUCCESS)
--- a/hemlockhook/tests/crowd/main.rs
+++ b/hemlockhook/tests/crowd/main.rs
@@ -13,6 +13,7 @@
 #[path = "../support/relay.rs"]
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 mod relay;
+mod slow_upstream;
 #[path = "../platform/store.rs"]
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 mod store;
--- a/hemlockhook/tests/platform/worker.rs
+++ b/hemlockhook/tests/platform/worker.rs
@@ -98,6 +98,12 @@
     is_late: bool,
     /// Time that the clock does not count.
     suspended: Duration,
+    /// Time that each call takes, one after the other.
+    call_time: Duration,
+    /// When the calls that have arrived will have been handled.
+    busy_until: Instant,
+    /// Number of calls that have arrived.
+    calls: usize,
 }
 
 impl WorkerStandin {
@@ -123,6 +129,9 @@
                 is_mute: false,
                 is_late: false,
                 suspended: Duration::ZERO,
+                call_time: Duration::ZERO,
+                busy_until: Instant::now(),
+                calls: 0,
             })),
         }
     }
@@ -160,6 +169,31 @@
         self.lock().is_late = is_late;
     }
 
+    /// Handles calls one after the other from now on, each of which takes this time.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
+    pub fn set_call_time(&self, call_time: Duration) {
+        self.lock().call_time = call_time;
+    }
+
+    /// Returns the number of calls that have arrived.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
+    pub fn calls(&self) -> usize {
+        self.lock().calls
+    }
+
+    /// Counts a call, and waits until it and those before it are handled.
+    async fn wait_for_turn(&self) {
+        let turn = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.busy_until = state.busy_until.max(Instant::now()) + state.call_time;
+            state.busy_until
+        };
+        if turn > Instant::now() {
+            Timer::at(turn).await;
+        }
+    }
+
     /// Ends all that runs, and begins another life, which knows nothing of the one before.
     pub fn restart(&self, has_same_name: bool) {
         let mut state = self.lock();
@@ -239,6 +273,7 @@
             Timer::after(Duration::from_secs(2)).await;
             return reply(StatusCode::GATEWAY_TIMEOUT, json!({}));
         }
+        self.wait_for_turn().await;
         let call: Value = serde_json::from_slice(&body).unwrap_or_default();
         match head.uri.path() {
             "/hemlockhook/run-start" => self.start(&call).await,
