--- a/hemlockhook-dispatch/src/agent/runs.rs
+++ b/hemlockhook-dispatch/src/agent/runs.rs
@@ -19,13 +19,12 @@
         let limit = limit.min(self.policy.max_runs);
         let waiting: Vec<_> = self.waiting.iter().copied().collect();
         let starting = self.orders.values().filter(|order| order.is_starting());
-        let mut starting = starting.count();
-        for (class, due, key) in waiting {
+        let free_calls = self.start_window.size().saturating_sub(starting.count());
+        for (class, due, key) in waiting.into_iter().take(free_calls) {
             let active = self.orders.len() - self.waiting.len();
-            if active >= limit || starting >= self.start_window.size() {
+            if active >= limit {
                 return;
             }
-            starting += 1;
             let need = self.orders[key].order.need;
             if !self.has_room(need) {
                 // A later order must not take the capacity that the first one waits for.
