Refuse jobs whose work can't be done while their answer is useful

Ordinary jobs of a queue were refused for overload beside clients that submit jobs of thousands of tasks with half an upstream each.

A job was admitted or refused by the work ahead of it, whatever its own work. One that all upstreams together can't do in time was started where there was room, and counted for the demand and the backlog of its class, which ordinary jobs of the queue belong to as well.

Such a job is now refused on arrival, if jobs are admitted by class: if its work takes all upstreams more than 1.5 times the time for which its answer is useful. It does not count for its class, like a job that fits on no upstream.

--- a/hemlockhook-dispatch/src/entry/admission.rs
+++ b/hemlockhook-dispatch/src/entry/admission.rs
@@ -23,6 +23,11 @@
     },
     /// A task of the job exceeds the capacity of every upstream.
     NeverFits,
+    /// The upstreams can't do the work of the job in the time for which its answer is useful.
+    TooMuchWork {
+        /// Time after which to retry: upstreams that are away may be back.
+        retry_after: Duration,
+    },
     /// The job would be answered too late.
     Overload {
         /// Time after which to retry, by the work ahead.
@@ -38,7 +43,9 @@
     /// Returns the time after which the caller should retry; `None` if retrying does not help.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::NoUpstream { retry_after } | Self::Overload { retry_after } => Some(*retry_after),
+            Self::NoUpstream { retry_after }
+            | Self::TooMuchWork { retry_after }
+            | Self::Overload { retry_after } => Some(*retry_after),
             Self::Leaving => Some(Duration::ZERO),
             Self::Unsupported(_) | Self::NeverFits | Self::CallerLeft => None,
         }
--- a/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
@@ -50,6 +50,7 @@
         }
 
         if self.policy.is_admission_by_class {
+            self.check_work(now, job)?;
             return self.check_class(now, job, run_time);
         }
         let wait = self.load(now, job).wait();
--- a/hemlockhook-dispatch/src/entry/dispatcher/demands.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/demands.rs
@@ -43,7 +43,7 @@
 
     /// Counts the work of a job that has arrived, also if it is refused for lack of capacity.
     pub(super) fn count_offered(&mut self, now: Instant, job: &Job, checked: &Result<(), Refusal>) {
-        if let Err(Refusal::NeverFits | Refusal::Leaving) = checked {
+        if let Err(Refusal::NeverFits | Refusal::TooMuchWork { .. } | Refusal::Leaving) = checked {
             return;
         }
         let steps = 0..job.steps.len();
--- a/hemlockhook-dispatch/src/entry/dispatcher/overload.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/overload.rs
@@ -24,6 +24,10 @@
 /// and 59%).
 const MAX_EXCESS: Duration = Duration::from_millis(400);
 
+/// Multiple of the time for which its answer is useful that the work of a job may take on all upstreams.
+/// Expected run times are off by up to a half.
+const MAX_WORK_FACTOR: f64 = 1.5;
+
 /// Part of its objective that a job may wait even if its run time takes up all of it.
 const MIN_WAIT_PART: f64 = 0.1;
 
@@ -73,6 +77,26 @@
         services.map(|service| service.returns.total()).sum()
     }
 
+    /// Refuses a job whose work all upstreams together can't do while its answer is useful. It does not
+    /// count as demand of its class, whose share it would use up without ever being answered.
+    pub(super) fn check_work(&self, now: Instant, job: &Job) -> Result<(), Refusal> {
+        let timeout = self.policy.agent_timeout;
+        let states = self.agents.values();
+        let states = states.filter_map(|agent| agent.usable(now, timeout));
+        let states = states.filter(|state| state.service == job.queue_config.service);
+        let rate: f64 = states
+            .map(|state| state.capacity.cpu as f64 / 1000.0 / state.pace)
+            .sum();
+        let useful_for = job.useful_until.saturating_duration_since(now);
+        let limit = rate * useful_for.as_secs_f64() * MAX_WORK_FACTOR;
+        match work_of(job, |step| job.steps[step].expected) > limit {
+            true => Err(Refusal::TooMuchWork {
+                retry_after: self.policy.max_retry_after,
+            }),
+            false => Ok(()),
+        }
+    }
+
     /// Refuses a job that can't be expected to be answered in time by the backlog and the share of its
     /// class, unless it can start at once.
     pub(super) fn check_class(
--- /dev/null
+++ b/hemlockhook-dispatch/tests/dispatcher/large_jobs.rs
@@ -0,0 +1,39 @@
+//! Jobs that can't be answered in time, beside small ones of their queue.
+
+use googletest::prelude::*;
+use hemlockhook_dispatch::JobSpec;
+use hemlockhook_dispatch::entry::{DispatchPolicy, Refusal};
+
+use crate::fixture::{Fixture, job, queue_config};
+
+/// Cores of the upstreams together.
+const CORES: u64 = 20;
+
+/// Returns an entry that admits jobs by class.
+fn entry() -> Fixture {
+    let policy = DispatchPolicy {
+        is_admission_by_class: true,
+        ..DispatchPolicy::default()
+    };
+    Fixture::with_policy(policy, &[1.0, 1.0], CORES / 2)
+}
+
+fn small(id: usize) -> JobSpec {
+    job(&format!("small-{id}"), 1, 50)
+}
+
+/// Guards against jobs that are known not to be answered in time, and that keep others out.
+#[gtest]
+fn jobs_with_more_work_than_their_time_allows_keep_no_others_out() {
+    let mut fixture = entry();
+    let queue = queue_config(0);
+    for index in 0..20 {
+        // They take all upstreams for 100 s, and their callers wait for 20 s.
+        let spec = job(&format!("large-{index}"), 4000, 500);
+        let refused = fixture.submit(spec, &queue);
+        expect_that!(refused, err(matches_pattern!(Refusal::TooMuchWork { .. })));
+    }
+    for index in 0..20 {
+        expect_that!(fixture.submit(small(index), &queue), ok(eq(&())));
+    }
+}
--- a/hemlockhook/tests/crowd/main.rs
+++ b/hemlockhook/tests/crowd/main.rs
@@ -10,6 +10,7 @@
 mod deployment;
 mod full_ports;
 mod jobs;
+mod large_jobs;
 #[path = "../support/relay.rs"]
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 mod relay;
