Take the queued work of departed callers out of the backlog of their class

Jobs were refused for overload because of work of jobs of their class whose callers had left.

The backlog of a class only fell at the rate of its capacity, or when nothing of the service was queued. The work of a job that was dropped stayed in it.

What a dropped job has added and has not been placed now leaves the backlog with it. Work of jobs that are refused late still counts, since their callers return.

large_jobs::the_queued_work_of_a_departed_caller_leaves_its_class failed before (refused for overload), and passes with this change.

--- a/hemlockhook-dispatch/src/entry/classes.rs
+++ b/hemlockhook-dispatch/src/entry/classes.rs
@@ -184,6 +184,13 @@
         }
     }
 
+    /// Takes work out of the backlog of a class that will not be done.
+    pub(super) fn withdrawn(&mut self, key: &ClassKey, work: f64) {
+        if let Some(class) = self.classes.get_mut(key) {
+            class.backlog = (class.backlog - work).max(0.0);
+        }
+    }
+
     /// Returns the expected wait of a job with `wait` of work ahead in the queue, by the jobs that are
     /// expected to arrive in that time and to be ordered before it.
     pub(super) fn wait_with_arrivals(
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -258,6 +258,7 @@
             placed: 0,
             has_begun: false,
             rank: None,
+            backlog: None,
             spec,
             queue_config,
         };
@@ -268,7 +269,7 @@
             self.answer(now, key, Answer::Cancelled);
             return Ok(key);
         }
-        let checked = self.check_capacity(now, &job, run_time);
+        let checked = self.check_capacity(now, &mut job, run_time);
         self.count_offered(now, &job, &checked);
         checked?;
 
@@ -283,6 +284,7 @@
     /// Drops a job whose caller has disconnected, and cancels its attempts.
     pub fn abandon(&mut self, now: Instant, key: JobKey) {
         if self.jobs.contains_key(key) {
+            self.withdraw_backlog(key);
             self.remove(now, key);
             self.place_queued(now);
         }
--- a/hemlockhook-dispatch/src/entry/dispatcher/callers.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/callers.rs
@@ -20,6 +20,7 @@
             }
         }
         for &key in left {
+            self.withdraw_backlog(key);
             self.remove(now, key);
         }
         self.place_queued(now);
--- a/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
@@ -14,7 +14,7 @@
     pub(super) fn check_capacity(
         &mut self,
         now: Instant,
-        job: &Job,
+        job: &mut Job,
         run_time: Duration,
     ) -> Result<(), Refusal> {
         if self.is_leaving {
--- a/hemlockhook-dispatch/src/entry/dispatcher/overload.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/overload.rs
@@ -7,7 +7,7 @@
 use super::{DISPATCH_OVERHEAD, Dispatcher};
 use crate::entry::agents::Agent;
 use crate::entry::classes::{ClassLoad, Classes};
-use crate::entry::job::Job;
+use crate::entry::job::{Backlog, Job, Task};
 use crate::entry::returns::{Outlook, RefusedJob, Returns};
 use crate::entry::throughput::Throughput;
 use crate::entry::{JobKey, Refusal};
@@ -102,7 +102,7 @@
     pub(super) fn check_class(
         &mut self,
         now: Instant,
-        job: &Job,
+        job: &mut Job,
         run_time: Duration,
     ) -> Result<(), Refusal> {
         let free = self.free_room(now, job);
@@ -136,7 +136,12 @@
         if can_start || wait <= limit {
             let cores: u64 = first_needs(job).sum();
             let waiting = cores.saturating_sub(free.now + free.soon) as f64 / cores.max(1) as f64;
-            service.classes.admitted(now, &class, work, work * waiting);
+            let queued = work * waiting;
+            service.classes.admitted(now, &class, work, queued);
+            job.backlog = Some(Backlog {
+                class,
+                work: queued,
+            });
             return Ok(());
         }
         self.overload.refused = service.classes.load(now, &class);
@@ -145,6 +150,26 @@
         Err(Refusal::Overload { retry_after })
     }
 
+    /// Takes the work of a job whose callers have left out of the backlog of its class, as far as it was not
+    /// placed. Else others of the class would be refused for work that is not done.
+    pub(super) fn withdraw_backlog(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let Some(backlog) = &job.backlog else {
+            return;
+        };
+        let is_left = |task: &&Task| !task.is_done && task.at.is_none();
+        let left = job.spec.steps.iter().zip(&job.steps).map(|(spec, step)| {
+            let tasks = step.tasks.iter().filter(is_left).count() as f64;
+            tasks * spec.need.cpu as f64 / 1000.0 * step.expected.as_secs_f64()
+        });
+        let work = backlog.work.min(left.sum());
+        if let Some(service) = self.overload.services.get_mut(&job.queue_config.service) {
+            service.classes.withdrawn(&backlog.class, work);
+        }
+    }
+
     /// Records whether claimed work is still queued after a placement round.
     pub(super) fn note_placement(&mut self, now: Instant, is_saturated: bool) {
         for service in self.overload.services.values_mut() {
--- a/hemlockhook-dispatch/src/entry/job.rs
+++ b/hemlockhook-dispatch/src/entry/job.rs
@@ -6,6 +6,7 @@
 use slotmap::new_key_type;
 use strum::IntoStaticStr;
 
+use crate::entry::classes::ClassKey;
 use crate::entry::dispatcher::JobClaims;
 use crate::entry::{AgentKey, Refusal};
 use crate::{JobSpec, QueueConfig, StepSpec};
@@ -85,6 +86,16 @@
     pub(super) has_begun: bool,
     /// Rank in the queue, while tasks are queued.
     pub(super) rank: Option<Rank>,
+    /// What it added to the backlog of its class; `None` if it is not admitted by class.
+    pub(super) backlog: Option<Backlog>,
+}
+
+/// Work that a job has added to the backlog of its class.
+#[derive(Clone, Debug)]
+pub(super) struct Backlog {
+    pub(super) class: ClassKey,
+    /// In core-seconds.
+    pub(super) work: f64,
 }
 
 /// Rank in the queue: the lowest comes first.
--- a/hemlockhook-dispatch/tests/dispatcher/large_jobs.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/large_jobs.rs
@@ -1,8 +1,10 @@
-//! Jobs that can't be answered in time, beside small ones of their queue.
+//! Large jobs that can't be answered in time, or that nobody waits for, beside others of their queue.
+
+use std::sync::Arc;
 
 use googletest::prelude::*;
-use hemlockhook_dispatch::JobSpec;
 use hemlockhook_dispatch::entry::{DispatchPolicy, Refusal};
+use hemlockhook_dispatch::{JobSpec, QueueConfig};
 
 use crate::fixture::{Fixture, job, queue_config};
 
@@ -37,3 +39,24 @@
         expect_that!(fixture.submit(small(index), &queue), ok(eq(&())));
     }
 }
+
+/// Guards against the work of departed callers, which is no longer done, counting for their class.
+#[gtest]
+fn the_queued_work_of_a_departed_caller_leaves_its_class() {
+    let mut fixture = entry();
+    let other = Arc::new(QueueConfig {
+        name: "other".into(),
+        ..QueueConfig::clone(&queue_config(0))
+    });
+    // All cores are taken, orders wait at the upstreams, and a little work stays queued.
+    fixture.submit_key(job("busy", CORES as u32 + 8, 500), &other);
+    fixture.take_actions();
+    let queue = queue_config(0);
+    let departed = fixture.submit_key(job("departed", 24, 500), &queue);
+    expect_that!(
+        fixture.submit(job("beside", 24, 500), &queue),
+        err(matches_pattern!(Refusal::Overload { .. }))
+    );
+    fixture.dispatcher.abandon(fixture.now, departed);
+    expect_that!(fixture.submit(job("after", 24, 500), &queue), ok(eq(&())));
+}
