--- a/hemlockhook/tests/crowd/clients.rs
+++ b/hemlockhook/tests/crowd/clients.rs
@@ -23,6 +23,9 @@
 /// Largest frame of HTTP/2 that needs no setting, in bytes.
 const FRAME_BYTES: usize = 16 * 1024;
 
+/// Path of the announcements of an upstream that is not known.
+const ANNOUNCEMENT_PATH: &str = "/hemlockhook/Instances.Heartbeat/other";
+
 /// How a client sends its body.
 #[derive(Clone, Copy)]
 pub enum Sending {
@@ -50,8 +53,8 @@
             ("transfer-encoding: chunked".to_owned(), text)
         }
     };
-    let path = "/hemlockhook/Instances.Heartbeat/other";
-    let head = format!("POST {path} HTTP/1.1\r\nhost: desk.example\r\n{header}\r\n\r\n");
+    let head =
+        format!("POST {ANNOUNCEMENT_PATH} HTTP/1.1\r\nhost: desk.example\r\n{header}\r\n\r\n");
     let piece = match sending {
         Sending::Pieces => PIECE_BYTES,
         Sending::Whole | Sending::Chunks(_) => text.len(),
@@ -68,6 +71,23 @@
     })
 }
 
+/// Sends whole announcements of `size` bytes, an array of empty objects each, and returns the open
+/// connections, from which nothing is read.
+pub fn send_whole(addr: SocketAddr, clients: usize, size: usize) -> Vec<TcpStream> {
+    let body = format!("[{}{{}}]", "{},".repeat((size - 4) / 3));
+    let len = body.len();
+    let head = format!(
+        "POST {ANNOUNCEMENT_PATH} HTTP/1.1\r\nhost: desk.example\r\ncontent-length: {len}\r\n\r\n"
+    );
+    let request = head + &body;
+    on_threads(clients, |clients| {
+        let open = (0..clients).filter_map(|_| connect(addr).ok());
+        let open =
+            open.filter_map(|mut conn| conn.write_all(request.as_bytes()).ok().map(|()| conn));
+        open.collect()
+    })
+}
+
 /// Sends request heads without their ends, and returns the open connections.
 pub fn open_heads(addr: SocketAddr, clients: usize) -> Vec<TcpStream> {
     let mut head = "GET / HTTP/1.1\r\nhost: desk.example\r\nfiller: ".to_owned();
--- a/hemlockhook/tests/crowd/main.rs
+++ b/hemlockhook/tests/crowd/main.rs
@@ -1,6 +1,7 @@
 //! Slow clients in large number: the daemons stay within their memory and descriptors, and serve
 //! ordinary callers afterwards.
 
+mod churn;
 mod clients;
 #[path = "../platform/daemon.rs"]
 #[allow(dead_code, reason = "shared with the tests of the platform")]
@@ -11,6 +12,7 @@
 mod full_ports;
 mod jobs;
 mod large_jobs;
+mod other_ports;
 #[path = "../support/relay.rs"]
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 mod relay;
