Limit the payloads of unacknowledged orders

An entry with 160 agents could hold 43 MB of copies of payloads by arithmetic, 64 of 4,096 bytes for each agent, if the agents acknowledge nothing.

An agent now gets no further orders while those that it has not acknowledged have 64 KiB of payloads.

--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -11,10 +11,14 @@
 use crate::entry::JobKey;
 use crate::{Amounts, AttemptEnd, HeldAttempts, Incarnation};
 
-/// Maximum number of orders to an agent that it has not acknowledged. It bounds the memory of their copies
-/// in frames, and the cost of [`Agent::free`]. An agent acknowledges them with each report.
+/// Maximum number of orders to an agent that it has not acknowledged. It bounds the cost of
+/// [`Agent::free`]. An agent acknowledges orders with each report.
 const MAX_UNACKNOWLEDGED: usize = 64;
 
+/// Maximum size of the payloads of these orders before the last one, in bytes. It bounds the memory of
+/// their copies in frames.
+const MAX_UNACKNOWLEDGED_BYTES: usize = 64 * 1024;
+
 new_key_type! {
     /// Identifies an agent known to an entry.
     pub struct AgentKey;
@@ -58,6 +62,17 @@
     pub held: Option<HeldAttempts>,
 }
 
+/// An order that was sent to an agent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SentOrder {
+    /// Sequence number of its frame.
+    pub(super) seq: u64,
+    pub(super) need: Amounts,
+    pub(super) kind: TaskKind,
+    /// Size of its payload, in bytes.
+    pub(super) payload: usize,
+}
+
 /// An agent and its upstream.
 #[derive(Debug)]
 pub(super) struct Agent {
@@ -75,9 +90,8 @@
     pub(super) awaits_first_report: bool,
     /// The upstream's state by a report on the current link.
     pub(super) state: Option<UpstreamState>,
-    /// Orders that `state` does not account for yet: sequence number of the frame,
-    /// requirements and kind.
-    pub(super) unacknowledged: VecDeque<(u64, Amounts, TaskKind)>,
+    /// Orders that `state` does not account for yet.
+    pub(super) unacknowledged: VecDeque<SentOrder>,
     /// Demand that was last sent on the link, in thousandths of a core.
     pub(super) sent_demand: Option<u32>,
     /// Slowdowns of pairs of kinds that it has learned.
@@ -144,7 +158,9 @@
 
     /// Returns whether the agent has to acknowledge orders before it is sent further ones.
     pub(super) fn is_window_full(&self) -> bool {
+        let payloads = self.unacknowledged.iter().map(|order| order.payload);
         self.unacknowledged.len() >= MAX_UNACKNOWLEDGED
+            || payloads.sum::<usize>() >= MAX_UNACKNOWLEDGED_BYTES
     }
 
     /// Returns the last known free capacity of the upstream, minus the orders in flight.
@@ -153,7 +169,7 @@
             return Amounts::default();
         };
         let mut free = state.free;
-        for (_, need, _) in &self.unacknowledged {
+        for SentOrder { need, .. } in &self.unacknowledged {
             free = free.saturating_sub(need);
         }
         free
@@ -165,8 +181,8 @@
             Some(state) => state.running.clone(),
             None => BTreeMap::new(),
         };
-        for &(_, _, kind) in self.unacknowledged.iter().filter(|(_, _, kind)| *kind != 0) {
-            *running.entry(kind).or_default() += 1;
+        for order in self.unacknowledged.iter().filter(|order| order.kind != 0) {
+            *running.entry(order.kind).or_default() += 1;
         }
         running
     }
@@ -179,7 +195,7 @@
         // Orders in flight that exceed the free capacity will be queued.
         let mut free = state.free;
         let mut waiting = state.waiting as usize;
-        for (_, need, _) in &self.unacknowledged {
+        for SentOrder { need, .. } in &self.unacknowledged {
             match need.fits(&free) {
                 true => free = free.saturating_sub(need),
                 false => waiting += 1,
@@ -192,7 +208,7 @@
         while self
             .unacknowledged
             .front()
-            .is_some_and(|&(sent, ..)| sent <= seq)
+            .is_some_and(|order| order.seq <= seq)
         {
             self.unacknowledged.pop_front();
         }
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -7,6 +7,7 @@
 use super::{Action, DISPATCH_OVERHEAD, Dispatcher, Order};
 use crate::agent::RunOrder;
 use crate::entry::admission::Load;
+use crate::entry::agents::SentOrder;
 use crate::entry::job::{Job, Rank, Task};
 use crate::entry::offers::{Offer, Offers};
 use crate::entry::placement::{Candidate, choose_upstream};
@@ -271,7 +272,12 @@
         let agent = &mut self.agents[agent_key];
         let seq = agent.seq + 1;
         agent.placed.insert((key, position.0, position.1), seq);
-        agent.unacknowledged.push_back((seq, run.need, kind));
+        agent.unacknowledged.push_back(SentOrder {
+            seq,
+            need: run.need,
+            kind,
+            payload: run.payload.len(),
+        });
         self.actions.push(Action::Run(Order {
             agent: agent_key,
             seq,
