--- a/hemlockhook-dispatch/src/lib.rs
+++ b/hemlockhook-dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 pub use claims::{Claim, ClaimAnswer, ClaimChange, ClaimStatus};
 pub use drains::{DataCenter, DrainRead, Drains};
 pub use job::{
-    JobSpec, MAX_RUN_TIME, MAX_TASKS, QueueConfig, ServiceConfig, StepSpec, Unsupported,
+    JobSpec, MAX_PAYLOAD_BYTES, MAX_RUN_TIME, MAX_TASKS, QueueConfig, ServiceConfig, StepSpec,
+    Unsupported,
 };
 pub use task::{AttemptEnd, HeldAttempts, Incarnation, JobId, Outcome, RunNumber, TaskId, TaskRef};
