Let first stop calls wait for no others, and retry them soon

A run whose caller has left goes on until its stop is called. With the bounds it waited for retries of others that were unanswered, and retries after a lost call came at growing intervals from the first one on.

The pause grows after the third call of a run.

--- a/hemlockhook-dispatch/src/agent/due.rs
+++ b/hemlockhook-dispatch/src/agent/due.rs
@@ -5,8 +5,9 @@
 use crate::agent::ended::{AllEnded, End};
 use crate::agent::{Order, OrderKey, Phase, StopCause, Supervisor};
 
-/// Maximum number of times that the pause between stop calls is doubled.
-const MAX_DOUBLINGS: u32 = 8;
+/// Number of stop calls of a run after which the pause between them grows. The bounds on double runs
+/// allow for a lost call, so the first ones follow each other quickly.
+const EVEN_STOP_CALLS: u32 = 3;
 
 impl Supervisor {
     pub(super) fn return_expired(&mut self, now: Instant) {
@@ -33,17 +34,24 @@
     }
 
     /// Makes the stop calls that are due, those first that have been due for longest.
+    ///
+    /// Unanswered calls reduce only the retries: a first call that waited for them could come after the
+    /// caller has submitted the job elsewhere.
     pub(super) fn call_due_stops(&mut self, now: Instant) {
         let in_flight = self.orders.values().filter(|order| order.is_stop_called());
-        let free = self.stop_window.size().saturating_sub(in_flight.count());
-        if free == 0 {
-            return;
-        }
+        let mut in_flight = in_flight.count();
         let due = |(key, order): (OrderKey, &Order)| self.stop_due(order).map(|at| (at, key));
         let due = self.orders.iter().filter_map(due);
         let mut due: Vec<_> = due.filter(|&(at, _)| at <= now).collect();
         due.sort_unstable();
-        for (_, key) in due.into_iter().take(free) {
+        for (_, key) in due {
+            let limit = match self.orders[key].phase {
+                Phase::Stopping { calls: 0, .. } => self.policy.stop_calls.1,
+                _ => self.stop_window.size(),
+            };
+            if in_flight >= limit {
+                continue;
+            }
             let order = &mut self.orders[key];
             let Phase::Stopping {
                 run,
@@ -56,6 +64,8 @@
             else {
                 continue;
             };
+            // A call that is repeated had its time, and is no longer in flight.
+            in_flight += usize::from(!*is_called);
             *sent = now;
             *calls += 1;
             *is_called = true;
@@ -69,7 +79,8 @@
     fn stop_due(&self, order: &Order) -> Option<Instant> {
         let first = self.policy.stop_retry_interval;
         let pause = |calls: u32| {
-            let doubled = first.saturating_mul(1 << (calls - 1).min(MAX_DOUBLINGS));
+            let doublings = calls.saturating_sub(EVEN_STOP_CALLS);
+            let doubled = first.saturating_mul(2_u32.saturating_pow(doublings));
             doubled.min(self.policy.max_stop_retry_interval)
         };
         match order.phase {
--- a/hemlockhook-dispatch/src/agent/policy.rs
+++ b/hemlockhook-dispatch/src/agent/policy.rs
@@ -74,9 +74,9 @@
     /// Least and largest number of start calls in flight. Together with those of stop calls and two hold
     /// calls, they have a connection each, so that no call waits for another one.
     pub start_calls: (usize, usize),
-    /// Least and largest number of stop calls in flight.
+    /// Least and largest number of stop calls in flight. The least is that of retries.
     pub stop_calls: (usize, usize),
-    /// Time between the first two stop calls of a run. It doubles with each further call.
+    /// Time between the first stop calls of a run. It doubles with each call after the third.
     pub stop_retry_interval: Duration,
     /// Maximum time between stop calls of a run.
     pub max_stop_retry_interval: Duration,
