--- a/hemlockhook/tests/crowd/jobs.rs
+++ b/hemlockhook/tests/crowd/jobs.rs
@@ -4,10 +4,12 @@
 use std::net::{SocketAddr, TcpStream};
 
 use googletest::prelude::*;
+use http::Method;
 use serde_json::{Value, json};
 
-use crate::check_crowd;
 use crate::clients::{connect, on_threads};
+use crate::deployment::Deployment;
+use crate::{JOB_BYTES, LIMITS, check_crowd, one_at_a_time};
 
 /// Clients of each crowd. Each submits one job and waits for its answer.
 const CLIENTS: usize = 400;
@@ -27,6 +29,9 @@
 /// Size of the payload of these jobs, in bytes.
 const LARGE_PAYLOAD_BYTES: usize = 200_000;
 
+/// Size of the labels of the largest job, in bytes.
+const LABEL_BYTES: usize = 1000;
+
 /// Time that a task runs and is declared to run, in milliseconds.
 const RUN_MS: usize = 1000;
 
@@ -82,6 +87,25 @@
     check_jobs("many-payloads", &job);
 }
 
+/// Guards against limits that a single job within those of the interface meets: its body and its payload
+/// have the largest sizes that callers may send.
+#[gtest]
+fn the_largest_job_is_answered_in_calm() {
+    let _lock = one_at_a_time();
+    let deployment = Deployment::start_limited("largest", 1, 1, LIMITS);
+    let mut large = job(&json!([]));
+    large["spec"] = json!("x".repeat(PAYLOAD_BYTES));
+    let mut step = step(1);
+    step["affinity"] = json!("x".repeat(LABEL_BYTES));
+    let size = |job: &Value| job.to_string().len();
+    let steps = (JOB_BYTES - size(&large)) / (size(&step) + 1);
+    large["steps"] = json!(vec![step; steps]);
+    expect_that!(size(&large), le(JOB_BYTES));
+    let body = large.to_string();
+    let answer = deployment.send_request(0, Method::POST, "/desk/largest", body);
+    expect_that!(answer.map(|(status, ..)| status), some(eq(200)));
+}
+
 /// Guards against payloads that only the size of the body limits.
 #[gtest]
 fn jobs_with_a_payload_beyond_the_limit_stay_within_memory() {
