Review: a task starts on a new worker without the required label

Case 14 replaces the only worker of a kind, while it is idle, by one of another kind at the same address. Tasks that require the first kind start on it.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Needs the release build and review/build-3.sh.
+cd "$(dirname "$0")/../.." || exit 2
+here=review/14
+rm -f "$here/record.txt"
+exec target/review-3/lab other-kind target/release "$here/record.txt"
