--- a/review/lab-3/cases.rs
+++ b/review/lab-3/cases.rs
@@ -105,6 +105,28 @@
     })
 }
 
+/// Clients beside the one that is disturbed: each submits a job at the first entry and waits for its answer.
+fn others(rig: &Rig, count: u32) -> Vec<JoinHandle<Option<Response>>> {
+    let job = |number: u32| Job {
+        id: format!("00000000000005{number:02x}"),
+        count: 2,
+        cpu: 6200,
+        run_ms: 900,
+        requirement: None,
+        deadline_ms: 1500,
+        steps: 1,
+    };
+    (0..count)
+        .map(|number| client(rig, job(number), 0, 1))
+        .collect()
+}
+
+/// Runs of a job that began later than `cancel_ms` after its cancel was acknowledged.
+fn late_runs(runs: &[Run], job: &Job, cancelled_s: f64) -> Vec<Run> {
+    let is_late = |run: &&Run| run.task.starts_with(&job.id) && run.began > cancelled_s + CANCEL_S;
+    runs.iter().filter(is_late).cloned().collect()
+}
+
 /// Two runs of a task at the same time, on workers that are up.
 fn overlaps(runs: &[Run]) -> Vec<(Run, Run)> {
     let mut sorted: Vec<_> = runs.to_vec();
@@ -215,6 +237,7 @@
         deadline_ms: 1500,
         steps: 1,
     };
+    let others = others(rig, 3);
     let Ok(first) = rig.submit(0, &job) else {
         return (
             Verdict::CouldNotRun,
@@ -241,11 +264,17 @@
         rig.note_answer("the late copy", &answered);
     }
     sleep_ms(1500);
+    let are_served = others
+        .into_iter()
+        .all(|other| is_done(&other.join().ok().flatten()));
+    if !are_served {
+        return (
+            Verdict::CouldNotRun,
+            "the other clients aren't served".to_owned(),
+        );
+    }
     let runs = rig.trace.runs();
-    let late: Vec<_> = runs
-        .iter()
-        .filter(|run| run.began > cancelled_s + CANCEL_S)
-        .collect();
+    let late = late_runs(&runs, &job, cancelled_s);
     match late.first() {
         Some(run) => {
             let after = run.began - cancelled_s;
@@ -276,6 +305,7 @@
         deadline_ms: 20_000,
         steps: 6,
     };
+    let others = others(rig, 1);
     let Ok(first) = rig.submit(0, &job) else {
         return (
             Verdict::CouldNotRun,
@@ -297,11 +327,17 @@
     let answered = first.response(Duration::from_secs(16));
     rig.note_answer(&format!("POST {}", job.id), &answered);
     sleep_ms(4500);
+    let are_served = others
+        .into_iter()
+        .all(|other| is_done(&other.join().ok().flatten()));
+    if !are_served {
+        return (
+            Verdict::CouldNotRun,
+            "the other clients aren't served".to_owned(),
+        );
+    }
     let runs = rig.trace.runs();
-    let late: Vec<_> = runs
-        .iter()
-        .filter(|run| run.began > cancelled_s + CANCEL_S)
-        .collect();
+    let late = late_runs(&runs, &job, cancelled_s);
     match late.first() {
         Some(run) => {
             let after = run.began - cancelled_s;
