Start orders only on the upstream that they were placed for

Cause: an entry chooses by the last state that it has read, and an order named the room that its task needs and nothing else of that choice. The agent started it on whatever upstream it had by then. An agent without an upstream reports no state, so that the entry went on ordering by the old one until the next life had announced itself.

Agents now number the descriptions of their upstream: instance, start, service and labels. It is compared when an order arrives and where start calls are made; what waits is returned when it changes. Refused orders count as not started, and are placed again by the state in the same report. The agent logs the task, the upstream that was wanted, the one that was found, and the age of the entry's state. Orders without a number, of entries of an earlier version, are started as before.

--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -8,8 +8,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use crate::agent::descriptions::KEPT_DESCRIPTIONS;
 use crate::agent::shares::share_by_use;
-use crate::agent::{Supervisor, SupervisorPolicy, UpstreamState};
+use crate::agent::{DescriptionNumber, Supervisor, SupervisorPolicy, UpstreamState};
 use crate::{AttemptEnd, ClaimAnswer, HeldAttempts, Incarnation};
 
 /// Identifies a link between an agent and an entry.
@@ -115,6 +116,8 @@
     received: Option<u64>,
     reported_version: u64,
     reported_at: Option<Instant>,
+    /// When a state with each of the last descriptions was last reported.
+    reported_descriptions: VecDeque<(DescriptionNumber, Instant)>,
     /// Version of the slowdowns of pairs that was last reported on the link.
     reported_pairs: u64,
     /// Whether the next report is the first one on the link.
@@ -138,6 +141,17 @@
             .is_some_and(|owner| owner.link.is_some())
     }
 
+    /// Returns when an entry was last sent a state with a description.
+    pub(super) fn description_reported_at(
+        &self,
+        owner: Incarnation,
+        number: DescriptionNumber,
+    ) -> Option<Instant> {
+        let reported = &self.owners.get(&owner)?.reported_descriptions;
+        let found = reported.iter().find(|(known, _)| *known == number);
+        found.map(|&(_, at)| at)
+    }
+
     pub(super) fn state_changed(&mut self) {
         self.state_version += 1;
     }
@@ -257,6 +271,16 @@
         }
     }
 
+    fn note_description(&mut self, now: Instant, number: DescriptionNumber) {
+        match self.reported_descriptions.back_mut() {
+            Some((last, at)) if *last == number => *at = now,
+            _ => self.reported_descriptions.push_back((number, now)),
+        }
+        if self.reported_descriptions.len() > KEPT_DESCRIPTIONS {
+            self.reported_descriptions.pop_front();
+        }
+    }
+
     /// Returns whether the link is active although the entry may have ordered nothing.
     pub(super) fn is_active(&self, now: Instant) -> bool {
         self.is_preferred || self.wanted_until.is_some_and(|until| until > now)
@@ -302,6 +326,7 @@
             received: None,
             reported_version: 0,
             reported_at: None,
+            reported_descriptions: VecDeque::new(),
             reported_pairs: 0,
             is_new: true,
         });
@@ -439,6 +464,9 @@
                 }
             });
             let state = state.clone().filter(|_| has_news || held.is_some());
+            if let Some(state) = &state {
+                owner.note_description(now, state.description);
+            }
             let pairs = pairs.filter(|(known, _)| *known != owner.reported_pairs);
             let pairs = pairs.filter(|_| state.is_some()).map(|(known, pairs)| {
                 owner.reported_pairs = known;
@@ -484,6 +512,7 @@
         };
         Some(UpstreamState {
             is_usable: self.accepts_work(now),
+            description: upstream.description,
             service: upstream.announcement.service.clone(),
             instance: upstream.instance.clone(),
             capacity: upstream.capacity,
--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -236,9 +236,10 @@
     /// Handles the answer of an upstream incarnation with another name: all runs of the known one
     /// have ended.
     pub(super) fn upstream_replaced(&mut self, now: Instant, ended: AllEnded) {
+        self.upstream = None;
+        self.return_outdated(now);
         self.return_waiting(now);
         self.finish_all_as_lost(now, ended);
-        self.upstream = None;
         self.links.state_changed();
     }
 
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod call_window;
 mod claims;
 mod clock;
+mod descriptions;
 mod drained;
 mod due;
 mod ended;
@@ -34,6 +35,7 @@
     Action, ActiveRun, EndedRun, HoldCall, HoldResult, RunOutcome, StartCall, StartResult,
     StopCall, StopResult,
 };
+pub use descriptions::{Description, DescriptionNumber, OutdatedOrder};
 pub use health::{Health, HealthPolicy};
 pub use interference::{Interference, MAX_KINDS, PairSlowdown, TaskKind};
 pub use links::{FrameHeader, LinkId, LinkRank, Report};
@@ -43,6 +45,7 @@
 
 use call_window::CallWindow;
 use claims::Claims;
+use descriptions::Descriptions;
 use ended::{AllEnded, End};
 use links::Links;
 use upstream::Upstream;
@@ -69,6 +72,7 @@
     upstream: Option<Upstream>,
     /// Announcement of another upstream, while the known one is asked whether it still answers.
     candidate: Option<Announcement>,
+    descriptions: Descriptions,
     /// Fencing token of this incarnation of the agent.
     fence: u64,
     /// When the token was last raised.
@@ -96,6 +100,8 @@
     is_leaving: bool,
     /// Whether the agent's data center is drained.
     is_drained: bool,
+    /// Outdated orders that were not taken yet.
+    outdated_orders: Vec<OutdatedOrder>,
     actions: Vec<Action>,
 }
 
@@ -112,6 +118,7 @@
             policy,
             upstream: None,
             candidate: None,
+            descriptions: Descriptions::default(),
             fence,
             fence_raised_at: None,
             orders: SlotMap::with_key(),
@@ -126,6 +133,7 @@
             is_poll_pending: false,
             is_leaving: false,
             is_drained: false,
+            outdated_orders: Vec::new(),
             actions: Vec::new(),
         }
     }
@@ -219,7 +227,10 @@
         let has_room = self.waiting.len() < self.waiting_limit(&order.need);
         // The frame was delayed for so long that the entry may have placed the task elsewhere.
         let is_stale = !self.links.is_fresh(now, owner);
-        if is_stale || !self.accepts_work(now) || !self.can_ever_fit(&order.need) || !has_room {
+        let is_outdated = self.is_outdated(&order);
+        let can_run = self.accepts_work(now) && self.can_ever_fit(&order.need) && has_room;
+        if is_stale || is_outdated || !can_run {
+            self.note_outdated(now, owner, &order);
             self.refuse(now, owner, order.task);
             return;
         }
--- a/hemlockhook-dispatch/src/agent/order.rs
+++ b/hemlockhook-dispatch/src/agent/order.rs
@@ -5,7 +5,7 @@
 
 use strum::IntoStaticStr;
 
-use crate::agent::TaskKind;
+use crate::agent::{DescriptionNumber, TaskKind};
 use crate::{Amounts, Incarnation, RunNumber, TaskRef};
 
 /// An entry's order to run a task.
@@ -13,6 +13,8 @@
 pub struct RunOrder {
     /// Task to run, with the number of the attempt.
     pub task: TaskRef,
+    /// Description of the upstream that the order was placed for; `None` if the entry names none.
+    pub description: Option<DescriptionNumber>,
     /// Payload of the job.
     pub payload: Arc<str>,
     /// Resources that the task requires.
--- a/hemlockhook-dispatch/src/agent/policy.rs
+++ b/hemlockhook-dispatch/src/agent/policy.rs
@@ -4,7 +4,8 @@
 
 use crate::agent::HealthPolicy;
 
-/// Rules that prevent a task from running twice at once, and an upstream from being overcommitted.
+/// Rules that prevent a task from running twice at once or on an upstream that was not chosen for it, and an
+/// upstream from being overcommitted.
 /// Tests disable them one at a time to show that each is necessary.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SafetyRules {
@@ -25,6 +26,8 @@
     pub fences_unanswered_starts: bool,
     /// The time of a suspend does not count as time that passed for the upstream.
     pub bounds_clocks: bool,
+    /// An order is started only on the upstream that it was placed for.
+    pub compares_descriptions: bool,
 }
 
 impl Default for SafetyRules {
@@ -37,6 +40,7 @@
             waits_for_lease_ends: true,
             fences_unanswered_starts: true,
             bounds_clocks: true,
+            compares_descriptions: true,
         }
     }
 }
--- a/hemlockhook-dispatch/src/agent/replacement.rs
+++ b/hemlockhook-dispatch/src/agent/replacement.rs
@@ -26,9 +26,14 @@
             if !is_same_service {
                 return AnnouncementStatus::Foreign;
             }
+            let had_labels = upstream.announcement.labels.clone();
             if upstream.refresh(now, announcement) {
                 self.candidate = None;
             }
+            if upstream.announcement.labels != had_labels {
+                upstream.description = self.descriptions.add(&upstream.announcement);
+                self.return_outdated(now);
+            }
             self.links.state_changed();
             self.start_waiting(now);
             return AnnouncementStatus::Accepted;
@@ -113,7 +118,6 @@
     /// same name. It may have accepted calls that were meant for its predecessor.
     fn replace_upstream(&mut self, now: Instant, announcement: Announcement) {
         self.candidate = None;
-        self.return_waiting(now);
         self.orphans.clear();
         self.ended_runs.clear();
         self.health = Health::new(self.policy.health.clone());
@@ -121,9 +125,12 @@
         // one.
         self.raise_fence(now, 1);
         let old = self.upstream.as_ref().map(|old| old.instance.clone());
-        let mut upstream = Upstream::new(now, announcement, &self.policy.rules);
+        let description = self.descriptions.add(&announcement);
+        let mut upstream = Upstream::new(now, announcement, description, &self.policy.rules);
         upstream.has_predecessor = old.is_some_and(|old| old == upstream.instance);
         self.upstream = Some(upstream);
+        self.return_outdated(now);
+        self.return_waiting(now);
         for key in self.orders.keys().collect::<Vec<_>>() {
             self.orders[key].may_have_run = true;
             self.stop(now, key, StopCause::Restarted);
--- a/hemlockhook-dispatch/src/agent/runs.rs
+++ b/hemlockhook-dispatch/src/agent/runs.rs
@@ -56,7 +56,8 @@
         };
         let is_wanted = self.links.is_fresh(now, self.orders[key].owner)
             || !self.policy.rules.stops_runs_of_silent_entries;
-        let is_possible = is_wanted && !self.is_drained && self.has_room(need);
+        let is_chosen = !self.is_outdated(&self.orders[key].order);
+        let is_possible = is_wanted && is_chosen && !self.is_drained && self.has_room(need);
         let lease = self.lease_end(now).filter(|_| is_possible);
         let Some(until_ms) = lease else {
             self.finish(now, key, end);
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -6,7 +6,7 @@
 
 use crate::Amounts;
 use crate::agent::clock::ClockBound;
-use crate::agent::{MAX_UNANSWERED_HOLDS, PairSlowdown, SafetyRules, TaskKind};
+use crate::agent::{DescriptionNumber, MAX_UNANSWERED_HOLDS, PairSlowdown, SafetyRules, TaskKind};
 
 /// Time without announcements after which another incarnation replaces the known one, although its
 /// start time is unknown.
@@ -56,6 +56,9 @@
 pub struct UpstreamState {
     /// Whether new work is accepted.
     pub is_usable: bool,
+    /// Number of the description that `service`, `instance` and `labels` belong to; 0 if the agent numbers
+    /// none.
+    pub description: DescriptionNumber,
     /// Service that the upstream belongs to.
     pub service: Arc<str>,
     /// Identifies the incarnation.
@@ -84,6 +87,7 @@
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) instance: Arc<str>,
+    pub(super) description: DescriptionNumber,
     pub(super) capacity: Amounts,
     pub(super) is_leaving: bool,
 
@@ -120,7 +124,12 @@
 }
 
 impl Upstream {
-    pub(super) fn new(now: Instant, announcement: Announcement, rules: &SafetyRules) -> Self {
+    pub(super) fn new(
+        now: Instant,
+        announcement: Announcement,
+        description: DescriptionNumber,
+        rules: &SafetyRules,
+    ) -> Self {
         let mut clock = ClockBound::default();
         clock.counts_long_steps = !rules.bounds_clocks;
         if let Some(clock_ms) = announcement.clock_ms {
@@ -128,6 +137,7 @@
         }
         Self {
             instance: announcement.instance.clone(),
+            description,
             capacity: announcement.capacity,
             is_leaving: announcement.is_leaving,
             replaced_at: None,
--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -90,6 +90,9 @@
     pub(super) awaits_first_report: bool,
     /// The upstream's state by a report on the current link.
     pub(super) state: Option<UpstreamState>,
+    /// Sequence number of the last frame that was sent before `state` had its present description; 0 if it is
+    /// the first one on the link.
+    pub(super) described_after: u64,
     /// Orders that `state` does not account for yet.
     pub(super) unacknowledged: VecDeque<SentOrder>,
     /// Demand that was last sent on the link, in thousandths of a core.
@@ -121,6 +124,7 @@
             last_report: now,
             awaits_first_report: true,
             state: None,
+            described_after: 0,
             unacknowledged: VecDeque::new(),
             sent_demand: None,
             pairs: Vec::new(),
@@ -132,6 +136,18 @@
         }
     }
 
+    /// Replaces the upstream's state by a reported one.
+    pub(super) fn set_state(&mut self, mut state: UpstreamState) {
+        if let Some(pairs) = state.pairs.take() {
+            self.pairs = pairs;
+        }
+        let old = self.state.as_ref().map(|old| old.description);
+        if old.is_some_and(|old| old != state.description) {
+            self.described_after = self.seq;
+        }
+        self.state = Some(state);
+    }
+
     /// Returns the upstream's state if the agent accepts work, even if it has no free capacity now.
     pub(super) fn usable(&self, now: Instant, timeout: Duration) -> Option<&UpstreamState> {
         let is_fresh = now.saturating_duration_since(self.last_report) < timeout;
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -308,6 +308,7 @@
                 // Its first report tells what it holds and whether it accepts work.
                 agent.awaits_first_report = true;
                 agent.state = None;
+                agent.described_after = 0;
                 agent.unacknowledged.clear();
                 agent.sent_demand = None;
                 key
@@ -344,11 +345,8 @@
         agent.acknowledge_orders(report.orders_seen);
         let is_first = agent.awaits_first_report;
         agent.awaits_first_report &= report.held.is_none() && report.state.is_none();
-        if let Some(mut state) = report.state {
-            if let Some(pairs) = state.pairs.take() {
-                agent.pairs = pairs;
-            }
-            agent.state = Some(state);
+        if let Some(state) = report.state {
+            agent.set_state(state);
         }
         for ended in &report.ends {
             self.attempt_ended(now, key, ended);
--- a/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/ends.rs
@@ -33,9 +33,9 @@
         }
         task.at = None;
         job.placed -= 1;
-        self.agents[agent_key]
-            .placed
-            .remove(&(key, id.step, id.index));
+        let agent = &mut self.agents[agent_key];
+        let seq = agent.placed.remove(&(key, id.step, id.index));
+        let is_outdated = seq.is_some_and(|seq| seq <= agent.described_after);
 
         match ended.outcome {
             Outcome::Done => {
@@ -62,7 +62,11 @@
                 self.requeue(now, key, position, Some(agent_key));
             }
             Outcome::NotStarted => {
-                self.agents[agent_key].pause_until = Some(now + self.policy.full_agent_pause);
+                // An order for another upstream than the present one says nothing of its room.
+                if !is_outdated {
+                    let pause_until = now + self.policy.full_agent_pause;
+                    self.agents[agent_key].pause_until = Some(pause_until);
+                }
                 self.reset_begun(key);
                 self.requeue(now, key, position, None);
             }
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -251,7 +251,10 @@
             Some(left) => saturating_millis(left),
             None => -saturating_millis(now.saturating_duration_since(rank.start_by)),
         };
+        let agent = &mut self.agents[agent_key];
+        let state = agent.state.as_ref();
         let run = RunOrder {
+            description: state.map(|state| state.description).filter(|&it| it != 0),
             task: TaskRef {
                 task: TaskId {
                     job: job.spec.id.clone(),
@@ -269,7 +272,6 @@
             wait,
             kind,
         };
-        let agent = &mut self.agents[agent_key];
         let seq = agent.seq + 1;
         agent.placed.insert((key, position.0, position.1), seq);
         agent.unacknowledged.push_back(SentOrder {
--- a/hemlockhook-dispatch/tests/dispatcher/fixture.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/fixture.rs
@@ -222,6 +222,7 @@
     };
     UpstreamState {
         is_usable: true,
+        description: 1,
         service: "desk".into(),
         instance: "up".into(),
         capacity: amounts(cores),
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod links;
 mod odd_jobs;
+mod outdated;
 mod overload;
 mod standby;
 mod start;
--- a/hemlockhook-dispatch/tests/dispatcher/odd_jobs.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/odd_jobs.rs
@@ -71,6 +71,7 @@
         .expect("the link is not refused");
     let state = UpstreamState {
         is_usable: true,
+        description: 1,
         service: "s".into(),
         instance: "u".into(),
         capacity: amounts(capacity),
--- a/hemlockhook-dispatch/tests/random.rs
+++ b/hemlockhook-dispatch/tests/random.rs
@@ -111,6 +111,32 @@
     check_runs(suspends());
 }
 
+/// Upstreams are often replaced by others, of another kind or service.
+fn replaced_upstreams() -> Faults {
+    Faults {
+        crash_upstream: 60,
+        changes_kinds: true,
+        ..Faults::default()
+    }
+}
+
+/// Guards against a start on an upstream that took the place of the one that the entry had chosen, and is of
+/// another kind or service.
+#[gtest]
+fn no_task_starts_on_an_upstream_of_another_kind_or_service() {
+    check_runs(replaced_upstreams());
+}
+
+/// Shows that a task may start on an upstream that restarted under its own name as another kind, until its
+/// agent has read of the restart: nothing in a call tells the two lives apart.
+#[gtest]
+fn no_task_starts_on_an_upstream_that_changes_its_kind_under_its_name() {
+    check_runs(Faults {
+        changes_kinds_under_name: true,
+        ..replaced_upstreams()
+    });
+}
+
 /// A forwarder holds every fifth request for seconds, and passes on its caller's close later still.
 fn late_forwarder() -> Faults {
     Faults {
@@ -380,3 +406,12 @@
     };
     expect_that!(finds_violation_under(rules, suspends()), eq(true));
 }
+
+#[gtest]
+fn without_comparing_descriptions_a_violation_is_found() {
+    let rules = SafetyRules {
+        compares_descriptions: false,
+        ..SafetyRules::default()
+    };
+    expect_that!(finds_violation_under(rules, replaced_upstreams()), eq(true));
+}
--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlockhook_dispatch::agent::{
-    Action, ActiveRun, Announcement, AnnouncementStatus, EndedRun, FrameHeader, HoldCall,
-    HoldResult, LinkId, Report, RunOrder, RunOutcome, StartCall, StartResult, StopResult,
+    Action, ActiveRun, Announcement, AnnouncementStatus, DescriptionNumber, EndedRun, FrameHeader,
+    HoldCall, HoldResult, LinkId, Report, RunOrder, RunOutcome, StartCall, StartResult, StopResult,
     Supervisor, SupervisorPolicy,
 };
 use hemlockhook_dispatch::{
@@ -35,6 +35,8 @@
     /// Number of the last listed end.
     pub last_end: u64,
     pub started_ms: u64,
+    /// Description that orders name.
+    pub description: Option<DescriptionNumber>,
     /// The upstream's clock in its lists.
     pub clock_ms: u64,
 }
@@ -90,6 +92,7 @@
             shares: BTreeMap::new(),
             last_end: 0,
             started_ms: 1,
+            description: None,
             clock_ms: 10_000,
         }
     }
@@ -142,6 +145,23 @@
         status
     }
 
+    /// Announces the known upstream with other labels.
+    pub fn announce_labels(&mut self, labels: &[&str]) {
+        let known = self.supervisor.upstream().expect("an upstream is known");
+        let announcement = Announcement {
+            labels: labels.iter().map(|&label| label.into()).collect(),
+            ..known.clone()
+        };
+        self.supervisor.announced(self.now, announcement);
+        self.collect();
+    }
+
+    /// Returns the description in the state that the agent reports.
+    pub fn described(&self) -> Option<DescriptionNumber> {
+        let state = self.supervisor.state(self.now);
+        state.map(|state| state.description)
+    }
+
     /// Announces the known upstream with another capacity.
     pub fn announce_capacity(&mut self, capacity: Amounts) {
         let known = self.supervisor.upstream().expect("an upstream is known");
@@ -165,6 +185,7 @@
     pub fn order_needing(&mut self, job: &str, need: Amounts) {
         let order = RunOrder {
             task: attempt(job),
+            description: self.description,
             payload: "".into(),
             need,
             expected: Duration::from_millis(50),
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -6,6 +6,7 @@
 mod fences;
 mod fixture;
 mod links;
+mod outdated;
 mod restarts;
 mod shares;
 mod slow_upstream;
--- a/hemlockhook-dispatch/tests/world/calls.rs
+++ b/hemlockhook-dispatch/tests/world/calls.rs
@@ -54,6 +54,15 @@
                 if matches!(result, StartResult::Started { .. }) {
                     let job: usize = task.job["job-".len()..].parse().expect("a job's name");
                     self.jobs[job].began = true;
+                    let required = &self.jobs[job].spec.steps[0].required_label;
+                    let has_label = required.is_none() || *required == upstream.kind;
+                    if upstream.service != self.queue_config.service || !has_label {
+                        let (service, kind) = (&upstream.service, &upstream.kind);
+                        let violation = format!(
+                            "started on another kind or service: job-{job} on {service}, {kind:?}"
+                        );
+                        self.summary.violations.insert(violation);
+                    }
                     if self.jobs[job].rejected {
                         let violation = format!("started after its refusal: job-{job}");
                         self.summary.violations.insert(violation);
--- a/hemlockhook-dispatch/tests/world/faults.rs
+++ b/hemlockhook-dispatch/tests/world/faults.rs
@@ -1,6 +1,7 @@
 //! Fault injection, and the checks of invariants.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
@@ -56,6 +57,9 @@
             let now = self.now;
             let same_name = self.rng.bool();
             self.upstreams[index].restart(now, same_name);
+            if faults.changes_kinds && (!same_name || faults.changes_kinds_under_name) {
+                self.change_kind(index, same_name);
+            }
         }
         if self.rng.u32(0..1000) < faults.cut {
             let index = self.rng.usize(0..AGENTS);
@@ -84,6 +88,28 @@
         }
     }
 
+    /// Gives an upstream that has restarted another kind. If its name is new, the service may be, too.
+    fn change_kind(&mut self, index: usize, same_name: bool) {
+        let kind = self.random_kind();
+        let upstream = &mut self.upstreams[index];
+        upstream.kind = kind;
+        if !same_name {
+            upstream.service = match self.rng.u8(0..4) {
+                0 => "ledger".into(),
+                _ => "desk".into(),
+            };
+        }
+    }
+
+    /// Draws a kind of upstreams; `None` for those without a label.
+    pub(super) fn random_kind(&mut self) -> Option<Arc<str>> {
+        match self.rng.u8(0..3) {
+            0 => None,
+            1 => Some("a".into()),
+            _ => Some("b".into()),
+        }
+    }
+
     /// Resets some links of an entry, whose frames under way are lost both ways, and some
     /// connections of its callers.
     fn reset_connections(&mut self, entry: usize) {
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -45,6 +45,11 @@
     pub late_ticks: u32,
     pub cut: u32,
     pub crash_upstream: u32,
+    /// Whether jobs may require a kind of upstream, and an upstream that restarts under another name may be
+    /// of another kind or service.
+    pub changes_kinds: bool,
+    /// Whether an upstream that restarts under its name may be of another kind, too.
+    pub changes_kinds_under_name: bool,
     /// Resets of the links and callers of an entry.
     pub reset: u32,
     /// Probability that a call to an upstream is delayed and its answer lost, in permille per call.
@@ -80,6 +85,8 @@
             late_ticks: 12,
             cut: 15,
             crash_upstream: 6,
+            changes_kinds: false,
+            changes_kinds_under_name: false,
             reset: 12,
             lost_answer: 60,
             extends_unstoppable_leases: false,
@@ -365,6 +372,10 @@
             let at = self.rng.u64(50..seconds * 700);
             let tasks = self.rng.u32(1..5);
             let declared_run_time = Duration::from_millis(self.rng.u64(20..400));
+            let required_label = match self.faults.changes_kinds {
+                true => self.random_kind(),
+                false => None,
+            };
             let step = StepSpec {
                 tasks,
                 need: Amounts {
@@ -373,6 +384,7 @@
                     gpus: 0,
                 },
                 declared_run_time,
+                required_label,
                 ..StepSpec::default()
             };
             let millis = match self.rng.u8(0..10) {
@@ -681,9 +693,9 @@
             instance: upstream.instance.clone(),
             started_ms: upstream.started_ms,
             sequence: upstream.sequence,
-            service: "desk".into(),
+            service: upstream.service.clone(),
             capacity: upstream.capacity,
-            labels: Vec::new(),
+            labels: upstream.kind.iter().cloned().collect(),
             is_leaving: false,
             clock_ms: Some(upstream.clock_ms(now)),
             cold: Duration::ZERO,
--- a/hemlockhook-dispatch/tests/world/upstream.rs
+++ b/hemlockhook-dispatch/tests/world/upstream.rs
@@ -17,6 +17,10 @@
 
 pub struct Upstream {
     pub instance: Arc<str>,
+    /// Service that it belongs to.
+    pub service: Arc<str>,
+    /// Label for its kind; `None` if it has none.
+    pub kind: Option<Arc<str>>,
     pub started_ms: u64,
     pub sequence: u64,
     pub capacity: Amounts,
@@ -39,6 +43,8 @@
     pub fn new(now: Instant) -> Self {
         Self {
             instance: "up-0".into(),
+            service: "desk".into(),
+            kind: None,
             started_ms: 1,
             sequence: 0,
             capacity: Amounts {
@@ -89,11 +95,14 @@
     pub fn restart(&mut self, now: Instant, same_name: bool) {
         let restarts = self.restarts + 1;
         let start = self.start;
+        let (service, kind) = (self.service.clone(), self.kind.clone());
         let name = match same_name {
             true => self.instance.clone(),
             false => format!("up-{restarts}").into(),
         };
         *self = Self::new(now);
+        self.service = service;
+        self.kind = kind;
         self.start = start;
         self.restarts = restarts;
         self.instance = name;
--- a/hemlockhook-leased/src/agent/core.rs
+++ b/hemlockhook-leased/src/agent/core.rs
@@ -1,6 +1,7 @@
 //! The agent's state, and the conversion of the supervisor's actions to calls and frames.
 
 mod calls;
+mod outdated;
 
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -464,6 +465,9 @@
                 Action::Hold(call) => self.ex.spawn(core.hold(call)).detach(),
             }
         }
+        for order in state.supervisor.take_outdated_orders() {
+            outdated::log_outdated(&order);
+        }
         for (link, answers) in state.supervisor.take_claim_answers() {
             if let Some(link) = state.links.get(&link) {
                 link.send(v1::AgentReport {
--- a/hemlockhook-leased/src/convert.rs
+++ b/hemlockhook-leased/src/convert.rs
@@ -59,6 +59,7 @@
 pub(crate) fn read_order(order: v1::RunOrder) -> Option<RunOrder> {
     Some(RunOrder {
         task: read_task(order.task)?,
+        description: Some(order.description).filter(|&number| number != 0),
         payload: order.payload.into(),
         need: read_amounts(order.need),
         expected: Duration::from_millis(u64::from(order.expected_ms)),
@@ -73,6 +74,7 @@
 pub(crate) fn write_order(order: &RunOrder) -> v1::RunOrder {
     v1::RunOrder {
         task: Some(write_task(&order.task)),
+        description: order.description.unwrap_or_default(),
         payload: order.payload.to_string(),
         need: write_amounts(order.need),
         expected_ms: order.expected.as_millis() as u32,
@@ -194,6 +196,7 @@
 pub(crate) fn read_state(state: v1::LeasedUpstream) -> UpstreamState {
     UpstreamState {
         is_usable: state.is_usable,
+        description: state.description,
         service: state.service.into(),
         instance: state.instance.into(),
         capacity: read_amounts(state.capacity),
@@ -223,6 +226,7 @@
 pub(crate) fn write_state(state: &UpstreamState) -> v1::LeasedUpstream {
     v1::LeasedUpstream {
         is_usable: state.is_usable,
+        description: state.description,
         service: state.service.to_string(),
         instance: state.instance.to_string(),
         capacity: write_amounts(state.capacity),
--- a/hemlockhook/tests/platform/campaign.rs
+++ b/hemlockhook/tests/platform/campaign.rs
@@ -33,6 +33,9 @@
 /// Time after the last disruption after which callers are served again.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// One in this many jobs requires an upstream of the kind that all have at the start.
+const JOBS_PER_REQUIREMENT: u64 = 3;
+
 /// Time by which a forwarder passes on closes later than the requests that it held, in milliseconds.
 const END_LAG_MS: Range<u64> = 50..2000;
 
@@ -64,6 +67,9 @@
     /// An idle upstream's machine is suspended.
     Suspend,
     RestartUpstream,
+    /// An upstream of another kind or service takes the place of one, announces itself late, and is replaced
+    /// again.
+    ReplaceUpstream,
     KillEntry,
     KillAgent,
     KillAll,
@@ -225,6 +231,16 @@
                 agent.set_paused(false);
             }
             Kind::RestartUpstream => worker.restart(target % 2 == 0),
+            Kind::ReplaceUpstream => {
+                let service = if target % 3 == 0 { "ledger" } else { "desk" };
+                for (service, kind) in [(service, "b"), ("desk", "a")] {
+                    worker.set_quiet(true);
+                    worker.replace(service, kind);
+                    thread::sleep(length / 4);
+                    worker.set_quiet(false);
+                    thread::sleep(length / 4);
+                }
+            }
             Kind::KillEntry => self.restart_entry(entry, length, false),
             Kind::KillAgent => {
                 let mut agent = lock(&self.agents[upstream]);
@@ -309,7 +325,7 @@
     answers: &Answers,
 ) {
     let mut rng = Rng::with_seed(seed);
-    let mut number = 0;
+    let mut number: u64 = 0;
     while !is_over.load(Ordering::Relaxed) {
         number += 1;
         let id = format!("c{seed}n{number}");
@@ -326,7 +342,11 @@
         while attempts > 0 && !is_over.load(Ordering::Relaxed) {
             attempts -= 1;
             let entry = rng.usize(0..entries);
-            match deployment.submit_with(entry, &id, (tasks, run_ms), PATIENCE) {
+            let answer = match number % JOBS_PER_REQUIREMENT {
+                0 => deployment.submit_requiring(entry, &id, "a", (tasks, run_ms), PATIENCE),
+                _ => deployment.submit_with(entry, &id, (tasks, run_ms), PATIENCE),
+            };
+            match answer {
                 Some((200, body)) if body.contains("completed") => {
                     answers.served.fetch_add(1, Ordering::Relaxed);
                     deployment.observe(|seen| seen.check_complete(&id, tasks));
--- a/hemlockhook/tests/platform/deployment.rs
+++ b/hemlockhook/tests/platform/deployment.rs
@@ -287,6 +287,24 @@
         async_io::block_on(answer).map(|(status, _, body)| (status, body))
     }
 
+    /// Submits a job like [`Deployment::submit_with`] whose tasks require a label of their upstream.
+    #[allow(dead_code, reason = "not used by the tests of crowds")]
+    pub fn submit_requiring(
+        &self,
+        entry: usize,
+        id: &str,
+        label: &str,
+        (tasks, run_ms): (usize, u64),
+        patience: Duration,
+    ) -> Option<(u16, String)> {
+        self.observe(|seen| seen.requirements.insert(id.to_owned(), label.to_owned()));
+        let required = format!("\"requirements\":\"{label}\",\"count\"");
+        let body = job(tasks, &run_ms.to_string(), run_ms).replace("\"count\"", &required);
+        let path = format!("/desk/{id}");
+        let answer = self.request(entry, Method::POST, &path, body, patience, patience);
+        async_io::block_on(answer).map(|(status, _, body)| (status, body))
+    }
+
     /// Submits a job for a caller that says that it waits for `wait` and keeps its connection, and
     /// returns the status of the response.
     pub fn submit_waiting(
@@ -458,6 +476,10 @@
         if worker.has_left() {
             return;
         }
+        if worker.is_quiet() {
+            async_io::Timer::after(HEARTBEAT_INTERVAL).await;
+            continue;
+        }
         let path = format!("/hemlockhook/Instances.Heartbeat/{}", worker.id());
         let req = Request::post(path).body(Full::new(Bytes::from(worker.next_heartbeat())));
         // An agent that is down misses this heartbeat and gets the next one.
--- a/hemlockhook/tests/platform/main.rs
+++ b/hemlockhook/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod malformed;
 #[path = "../support/relay.rs"]
 mod relay;
+mod replaced_upstreams;
 mod reset_links;
 mod silent_upstreams;
 mod soak;
--- a/hemlockhook/tests/platform/worker.rs
+++ b/hemlockhook/tests/platform/worker.rs
@@ -23,6 +23,8 @@
 #[derive(Default)]
 pub struct Observations {
     running: BTreeMap<String, usize>,
+    /// Labels that jobs require of the worker.
+    pub requirements: BTreeMap<String, String>,
     /// Number of starts of each task.
     pub starts: BTreeMap<String, usize>,
     /// Tasks of which a run has ended as done.
@@ -79,6 +81,10 @@
     id: String,
     /// Number of the present life.
     life: u64,
+    service: String,
+    kind: String,
+    /// Whether no heartbeats are sent for now.
+    is_quiet: bool,
     started_at: Instant,
     fence: u64,
     lease_ms: u64,
@@ -114,6 +120,9 @@
             state: Arc::new(Mutex::new(State {
                 id: name.to_owned(),
                 life: 1,
+                service: "desk".to_owned(),
+                kind: "a".to_owned(),
+                is_quiet: false,
                 started_at: Instant::now(),
                 fence: 0,
                 lease_ms: 0,
@@ -151,6 +160,16 @@
         self.lock().has_left
     }
 
+    /// Sends no heartbeats from now on, or goes on with them.
+    #[allow(dead_code, reason = "not used by the tests of crowds")]
+    pub fn set_quiet(&self, is_quiet: bool) {
+        self.lock().is_quiet = is_quiet;
+    }
+
+    pub fn is_quiet(&self) -> bool {
+        self.lock().is_quiet
+    }
+
     pub fn drain(&self) {
         self.lock().is_draining = true;
     }
@@ -215,6 +234,17 @@
         state.suspended = Duration::ZERO;
     }
 
+    /// Ends all that runs. The next life has another name, and is of this service and kind.
+    #[allow(dead_code, reason = "not used by the tests of crowds")]
+    pub fn replace(&self, service: &str, kind: &str) {
+        {
+            let mut state = self.lock();
+            state.service = service.to_owned();
+            state.kind = kind.to_owned();
+        }
+        self.restart(false);
+    }
+
     pub fn id(&self) -> String {
         self.lock().id.clone()
     }
@@ -251,8 +281,8 @@
             "ready"
         };
         json!({
-            "service": "desk", "address": "127.0.0.1:1", "zone": "here", "version": "v1",
-            "slots": 8, "state": readiness, "coldMs": 0, "labels": ["a", "r1-1"],
+            "service": state.service, "address": "127.0.0.1:1", "zone": "here", "version": "v1",
+            "slots": 8, "state": readiness, "coldMs": 0, "labels": [state.kind, "r1-1"],
             "freeCapacity": {"cpu": 8000, "taskMemoryMb": 4096},
             "clockMs": clock_ms, "sequence": state.sequence, "born": state.born_ms(),
         })
@@ -368,6 +398,14 @@
                 .violations
                 .push(format!("{task} starts after its job was refused"));
         }
+        let required = observations.requirements.get(job);
+        let has_label = required.is_none_or(|label| *label == state.kind);
+        if state.service != "desk" || !has_label {
+            let (service, kind) = (&state.service, &state.kind);
+            let violation =
+                format!("{task} starts on {service}, {kind}, and requires {required:?}");
+            observations.violations.push(violation);
+        }
         if state.running.len() >= 8 {
             observations.violations.push(format!(
                 "{task} starts without a free slot at {}",
