Report to entries when an agent has no upstream

An agent that found its upstream gone reported no state until the next upstream had announced itself. Entries believed the last state, admitted jobs by it, and placed each returned order there again after 10 ms, up to the deadlines of the jobs.

The agent now reports a state without an instance, which entries take for no upstream.

an_agent_whose_upstream_is_gone_reports_that_it_has_none fails before: its last state stays usable.

--- a/hemlockhook-dispatch/src/agent/links.rs
+++ b/hemlockhook-dispatch/src/agent/links.rs
@@ -434,7 +434,7 @@
             return Vec::new();
         }
 
-        let state = self.state(now);
+        let state = self.state(now).unwrap_or_else(UpstreamState::absent);
         let pairs = self
             .interference
             .as_ref()
@@ -463,8 +463,8 @@
                     received: owner.received,
                 }
             });
-            let state = state.clone().filter(|_| has_news || held.is_some());
-            if let Some(state) = &state {
+            let state = Some(&state).filter(|_| has_news || held.is_some());
+            if let Some(state) = state {
                 owner.note_description(now, state.description);
             }
             let pairs = pairs.filter(|(known, _)| *known != owner.reported_pairs);
@@ -478,7 +478,7 @@
                 state: state.map(|state| UpstreamState {
                     share,
                     pairs,
-                    ..state
+                    ..state.clone()
                 }),
                 held,
                 orders_seen: owner.received.unwrap_or_default(),
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -84,6 +84,33 @@
     pub pairs: Option<Vec<PairSlowdown>>,
 }
 
+impl UpstreamState {
+    /// Returns the state that an agent without an upstream reports. Entries would else believe the last one,
+    /// and go on ordering.
+    pub fn absent() -> Self {
+        Self {
+            is_usable: false,
+            description: 0,
+            service: "".into(),
+            instance: "".into(),
+            capacity: Amounts::default(),
+            free: Amounts::default(),
+            labels: Vec::new(),
+            waiting: 0,
+            pace: 1.0,
+            entries: 0,
+            share: 0.0,
+            running: BTreeMap::new(),
+            pairs: None,
+        }
+    }
+
+    /// Returns whether the agent has no upstream.
+    pub fn is_absent(&self) -> bool {
+        self.instance.is_empty()
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) instance: Arc<str>,
--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -145,7 +145,7 @@
         if old.is_some_and(|old| old != state.description) {
             self.described_after = self.seq;
         }
-        self.state = Some(state);
+        self.state = Some(state).filter(|state| !state.is_absent());
     }
 
     /// Returns the upstream's state if the agent accepts work, even if it has no free capacity now.
--- a/hemlockhook-dispatch/tests/dispatcher/outdated.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/outdated.rs
@@ -1,5 +1,7 @@
 //! Orders that an agent refused because its upstream was replaced meanwhile.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use hemlockhook_dispatch::agent::UpstreamState;
 use hemlockhook_dispatch::entry::{AgentReport, Answer, Order, Refusal};
@@ -46,6 +48,20 @@
     assert_compact_debug_snapshot!(named, @"([Some(1)], [Some(2)])");
 }
 
+/// Guards against orders to an agent whose upstream is gone, and jobs that wait for it until their deadline.
+#[gtest]
+fn jobs_are_refused_while_the_only_agent_has_no_upstream() {
+    let mut fixture = Fixture::new(&[1.0], 8);
+    fixture.dispatcher.tick(fixture.now);
+    fixture.now += Duration::from_secs(10);
+    fixture.set_state(0, UpstreamState::absent());
+    let refused = fixture.submit(job("a", 1, 50), &queue_config(0));
+    expect_that!(refused, err(matches_pattern!(Refusal::NoUpstream { .. })));
+    fixture.set_state(0, state(1.0, 8, 8));
+    fixture.submit_key(job("b", 1, 50), &queue_config(0));
+    expect_that!(fixture.orders().len(), eq(1));
+}
+
 /// Guards against orders in a busy loop to an agent without room, whose upstream is the same.
 #[gtest]
 fn an_order_that_was_refused_for_another_reason_is_placed_after_a_pause() {
--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -32,6 +32,8 @@
     pub claims: Vec<(LinkId, u64, ClaimStatus)>,
     /// The last share reported on each link.
     pub shares: BTreeMap<LinkId, f64>,
+    /// The last state reported on each link, as instance and whether it accepts work.
+    pub states: BTreeMap<LinkId, (String, bool)>,
     /// Number of the last listed end.
     pub last_end: u64,
     pub started_ms: u64,
@@ -90,6 +92,7 @@
             held: Vec::new(),
             claims: Vec::new(),
             shares: BTreeMap::new(),
+            states: BTreeMap::new(),
             last_end: 0,
             started_ms: 1,
             description: None,
@@ -331,6 +334,8 @@
             self.held.extend(report.held.clone());
             if let Some(state) = &report.state {
                 self.shares.insert(report.link, state.share);
+                let known = (state.instance.to_string(), state.is_usable);
+                self.states.insert(report.link, known);
             }
         }
         self.ends
--- a/hemlockhook-dispatch/tests/supervisor/outdated.rs
+++ b/hemlockhook-dispatch/tests/supervisor/outdated.rs
@@ -50,6 +50,20 @@
     }
 }
 
+/// Guards against entries that believe the last state for as long as the next upstream has not announced itself.
+#[gtest]
+fn an_agent_whose_upstream_is_gone_reports_that_it_has_none() {
+    let mut agent = Agent::new();
+    let before = agent.states.clone();
+    find_replaced(&mut agent);
+    let without = agent.states.clone();
+    agent.announce("up-2", 2, false);
+    agent.answer_hold(&[], &[]);
+    agent.advance(100);
+    let after = agent.states.clone();
+    assert_compact_debug_snapshot!((before, without, after), @r#"({1: ("up-1", true)}, {1: ("", false)}, {1: ("up-2", true)})"#);
+}
+
 /// Guards against the same where the next life has the name of the one before.
 #[gtest]
 fn an_order_for_the_life_before_is_refused_by_the_next_one_of_the_same_name() {
