Refuse jobs at once whose label no live upstream has

A job that requires a label was admitted if any upstream of its service was usable, and then waited, mostly until its answer was too late, for an upstream that has the label: no such upstream may be up, or it is too small for a task, or it was replaced after the job was admitted.

Such a job is refused as `missing_label` with a Retry-After, on arrival, and in the queue as long as nothing of it has begun. An agent that stands by, has lost its link or is about to report may have the label, and so may an upstream within 100 ms of its announcement. Queued jobs that require a label cost one look at the labels of all agents each tick; others cost nothing.

The tests of dispatcher/labels.rs and a_job_whose_label_the_next_upstream_lacks_is_refused_for_that name a refusal that did not exist before.

--- a/hemlockhook-dispatch/src/entry/admission.rs
+++ b/hemlockhook-dispatch/src/entry/admission.rs
@@ -21,6 +21,11 @@
         /// Time after which to retry.
         retry_after: Duration,
     },
+    /// No upstream that is up has a label that the job requires, with the capacity for a task.
+    MissingLabel {
+        /// Time after which to retry: the next life of an upstream may have the label.
+        retry_after: Duration,
+    },
     /// A task of the job exceeds the capacity of every upstream.
     NeverFits,
     /// The upstreams can't do the work of the job in the time for which its answer is useful.
@@ -44,6 +49,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NoUpstream { retry_after }
+            | Self::MissingLabel { retry_after }
             | Self::TooMuchWork { retry_after }
             | Self::Overload { retry_after } => Some(*retry_after),
             Self::Leaving => Some(Duration::ZERO),
--- a/hemlockhook-dispatch/src/entry/agents.rs
+++ b/hemlockhook-dispatch/src/entry/agents.rs
@@ -19,6 +19,10 @@
 /// their copies in frames.
 const MAX_UNACKNOWLEDGED_BYTES: usize = 64 * 1024;
 
+/// Time within which an agent has read the lists of an upstream that has announced itself, so that it accepts
+/// work. Two hold calls that are not answered take 80 ms.
+const NEW_UPSTREAM_TIME: Duration = Duration::from_millis(100);
+
 new_key_type! {
     /// Identifies an agent known to an entry.
     pub struct AgentKey;
@@ -93,6 +97,8 @@
     /// Sequence number of the last frame that was sent before `state` had its present description; 0 if it is
     /// the first one on the link.
     pub(super) described_after: u64,
+    /// When the present description was first reported.
+    pub(super) described_at: Option<Instant>,
     /// Orders that `state` does not account for yet.
     pub(super) unacknowledged: VecDeque<SentOrder>,
     /// Demand that was last sent on the link, in thousandths of a core.
@@ -125,6 +131,7 @@
             awaits_first_report: true,
             state: None,
             described_after: 0,
+            described_at: None,
             unacknowledged: VecDeque::new(),
             sent_demand: None,
             pairs: Vec::new(),
@@ -137,11 +144,14 @@
     }
 
     /// Replaces the upstream's state by a reported one.
-    pub(super) fn set_state(&mut self, mut state: UpstreamState) {
+    pub(super) fn set_state(&mut self, now: Instant, mut state: UpstreamState) {
         if let Some(pairs) = state.pairs.take() {
             self.pairs = pairs;
         }
         let old = self.state.as_ref().map(|old| old.description);
+        if old != Some(state.description) {
+            self.described_at = Some(now);
+        }
         if old.is_some_and(|old| old != state.description) {
             self.described_after = self.seq;
         }
@@ -155,6 +165,16 @@
         (self.is_linked && is_fresh && state.is_usable && !self.is_drained).then_some(state)
     }
 
+    /// Returns the upstream's state if the upstream may accept work soon: also that of an agent that stands by
+    /// or has lost its link, and that of an upstream whose lists its agent has yet to read.
+    pub(super) fn live_state(&self, now: Instant) -> Option<&UpstreamState> {
+        let state = self.state.as_ref()?;
+        let is_new = self
+            .described_at
+            .is_some_and(|at| now.saturating_duration_since(at) < NEW_UPSTREAM_TIME);
+        ((state.is_usable || is_new) && !self.is_drained).then_some(state)
+    }
+
     /// Returns whether the agent is linked and about to report its state.
     pub(super) fn is_about_to_report(&self, now: Instant, timeout: Duration) -> bool {
         let is_fresh = now.saturating_duration_since(self.last_report) < timeout;
--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -8,6 +8,7 @@
 mod drains;
 mod ends;
 mod interference;
+mod labels;
 mod leaving;
 mod overload;
 mod queue;
@@ -346,7 +347,7 @@
         let is_first = agent.awaits_first_report;
         agent.awaits_first_report &= report.held.is_none() && report.state.is_none();
         if let Some(state) = report.state {
-            agent.set_state(state);
+            agent.set_state(now, state);
         }
         for ended in &report.ends {
             self.attempt_ended(now, key, ended);
@@ -377,6 +378,7 @@
         if self.usable_agents(now) == 0 {
             self.refuse_drained_jobs(now);
         }
+        self.refuse_unlabelled_jobs(now);
         self.replace_drained_agents(now);
         self.settle_classes(now);
         self.settle_claims(now);
--- a/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/capacity.rs
@@ -44,6 +44,9 @@
                 false => Err(Refusal::NoUpstream { retry_after }),
             };
         }
+        if self.lacks_label(now, job) {
+            return Err(Refusal::MissingLabel { retry_after });
+        }
         let fits = |need: &Amounts| states().any(|state| need.fits(&state.capacity));
         if !job.spec.steps.iter().all(|step| fits(&step.need)) {
             return Err(Refusal::NeverFits);
--- a/hemlockhook-dispatch/tests/dispatcher/main.rs
+++ b/hemlockhook-dispatch/tests/dispatcher/main.rs
@@ -6,6 +6,7 @@
 mod drains;
 mod fixture;
 mod flood;
+mod labels;
 mod large_jobs;
 mod leaving;
 mod links;
--- a/hemlockhook/tests/platform/replaced_upstreams.rs
+++ b/hemlockhook/tests/platform/replaced_upstreams.rs
@@ -64,6 +64,20 @@
     expect_that!(deployment.violations(), is_empty());
 }
 
+/// Guards against a job that is held until its deadline although no upstream is up that has its label.
+#[gtest]
+fn a_job_whose_label_the_next_upstream_lacks_is_refused_for_that() {
+    let deployment = Deployment::start("missing-label", 1, 1);
+    let answer = |id: &str| deployment.submit_requiring(0, id, "a", (2, RUN_MS), PATIENCE);
+    deployment.wait_for(|_| answer("first").is_some_and(|(status, _)| status == 200));
+    deployment.workers[0].replace("desk", "b");
+    let is_refused = |answer: Option<(u16, String)>| {
+        answer.is_some_and(|(status, body)| status == 503 && body.contains("missing_label"))
+    };
+    deployment.wait_for(|_| is_refused(answer("later")));
+    expect_that!(deployment.violations(), is_empty());
+}
+
 /// Guards against the same fault where the next upstream is of another service.
 #[gtest]
 fn a_task_is_not_started_on_the_next_upstream_of_another_service() {
