Compare answers of upstreams with the life that was called

An answer was handled as one of the upstream that the agent had when it arrived. A late 421 to a hold call to the life before ended the orders of the next one as lost, while they ran, so that their tasks could be placed elsewhere, too. Late clocks were read into the new life's, and calls to the old life without an answer made the new one count as silent.

Agents number the lives of their upstream. Calls carry the number, and the answer to another life's call changes nothing but the windows of calls under way; a hold call is repeated for the present life. Nothing changes on the wire. An order that is not started again since the labels have changed is logged like one that is refused on arrival.

--- a/hemlockhook-dispatch/src/agent/call.rs
+++ b/hemlockhook-dispatch/src/agent/call.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::agent::{OrderKey, StopCause};
+use crate::agent::{LifeNumber, OrderKey, StopCause};
 use crate::{Incarnation, RunNumber, TaskId, TaskRef};
 
 /// A call to the upstream, to be made by the agent.
@@ -38,6 +38,8 @@
     pub fence: u64,
     /// The upstream incarnation that the call is addressed to.
     pub instance: Arc<str>,
+    /// Number of that incarnation, which its answer is handled with.
+    pub life: LifeNumber,
 }
 
 /// A call that stops a run. If its start call arrives later, the upstream refuses it.
@@ -53,6 +55,8 @@
     pub fence: u64,
     /// The upstream incarnation that the call is addressed to.
     pub instance: Arc<str>,
+    /// Number of that incarnation, which its answer is handled with.
+    pub life: LifeNumber,
 }
 
 /// A call that renews the lease and requests the lists of active and ended runs.
@@ -68,6 +72,8 @@
     pub fence: u64,
     /// The upstream incarnation that the call is addressed to.
     pub instance: Arc<str>,
+    /// Number of that incarnation, which its answer is handled with.
+    pub life: LifeNumber,
 }
 
 /// Result of a start call.
--- a/hemlockhook-dispatch/src/agent/descriptions.rs
+++ b/hemlockhook-dispatch/src/agent/descriptions.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::agent::{Announcement, RunOrder, Supervisor};
+use crate::agent::{Announcement, OrderKey, RunOrder, Supervisor};
 use crate::{Incarnation, TaskRef};
 
 /// Numbers the descriptions that an agent has had of its upstreams, from 1.
@@ -93,8 +93,14 @@
         is_other && self.policy.rules.compares_descriptions
     }
 
-    /// Records an order that is refused or returned, if it is outdated.
-    pub(super) fn note_outdated(&mut self, now: Instant, owner: Incarnation, order: &RunOrder) {
+    /// Records an order that is held and will not be started, if it is outdated.
+    pub(super) fn note_outdated(&mut self, now: Instant, key: OrderKey) {
+        let order = self.orders[key].clone();
+        self.note_refused(now, order.owner, &order.order);
+    }
+
+    /// Records an order that is refused on arrival, if it is outdated.
+    pub(super) fn note_refused(&mut self, now: Instant, owner: Incarnation, order: &RunOrder) {
         let Some(wanted) = order.description.filter(|_| self.is_outdated(order)) else {
             return;
         };
@@ -116,8 +122,7 @@
         let waiting: Vec<_> = self.waiting.iter().map(|&(_, _, key)| key).collect();
         for key in waiting {
             if self.is_outdated(&self.orders[key].order) {
-                let order = self.orders[key].clone();
-                self.note_outdated(now, order.owner, &order.order);
+                self.note_outdated(now, key);
                 self.finish_unstarted(now, key);
             }
         }
--- a/hemlockhook-dispatch/src/agent/lists.rs
+++ b/hemlockhook-dispatch/src/agent/lists.rs
@@ -222,6 +222,7 @@
             wait,
             fence: self.fence,
             instance: upstream.instance.clone(),
+            life: upstream.life,
         }));
     }
 
@@ -277,6 +278,7 @@
             wait: Duration::ZERO,
             fence: self.fence,
             instance: upstream.instance.clone(),
+            life: upstream.life,
         }));
     }
 }
--- a/hemlockhook-dispatch/src/agent/mod.rs
+++ b/hemlockhook-dispatch/src/agent/mod.rs
@@ -41,7 +41,7 @@
 pub use links::{FrameHeader, LinkId, LinkRank, Report};
 pub use order::{Order, Phase, RunOrder, StopCause};
 pub use policy::{SafetyRules, SupervisorPolicy};
-pub use upstream::{Announcement, AnnouncementStatus, UpstreamState};
+pub use upstream::{Announcement, AnnouncementStatus, LifeNumber, UpstreamState};
 
 use call_window::CallWindow;
 use claims::Claims;
@@ -73,6 +73,8 @@
     /// Announcement of another upstream, while the known one is asked whether it still answers.
     candidate: Option<Announcement>,
     descriptions: Descriptions,
+    /// Number of the last incarnation of an upstream.
+    lives: LifeNumber,
     /// Fencing token of this incarnation of the agent.
     fence: u64,
     /// When the token was last raised.
@@ -119,6 +121,7 @@
             upstream: None,
             candidate: None,
             descriptions: Descriptions::default(),
+            lives: 0,
             fence,
             fence_raised_at: None,
             orders: SlotMap::with_key(),
@@ -230,7 +233,7 @@
         let is_outdated = self.is_outdated(&order);
         let can_run = self.accepts_work(now) && self.can_ever_fit(&order.need) && has_room;
         if is_stale || is_outdated || !can_run {
-            self.note_outdated(now, owner, &order);
+            self.note_refused(now, owner, &order);
             self.refuse(now, owner, order.task);
             return;
         }
@@ -265,8 +268,19 @@
         self.start_waiting(now);
     }
 
-    /// Handles the upstream's answer to a start call.
-    pub fn start_answered(&mut self, now: Instant, key: OrderKey, result: StartResult) {
+    /// Returns the number of the present incarnation of the upstream, which calls to it carry.
+    pub fn life(&self) -> Option<LifeNumber> {
+        self.upstream.as_ref().map(|upstream| upstream.life)
+    }
+
+    /// Handles the answer to a start call to an incarnation of the upstream.
+    pub fn start_answered(
+        &mut self,
+        now: Instant,
+        key: OrderKey,
+        life: LifeNumber,
+        result: StartResult,
+    ) {
         // After a pause of this process, the leases of a silent entry must not be renewed.
         self.stop_silent_owners(now);
         let is_answered = result != StartResult::NoAnswer;
@@ -278,7 +292,9 @@
             Phase::Starting { sent, .. } => Some(sent),
             _ => None,
         };
-        self.read_clock(now, called, result.clock_ms());
+        let is_present = self.life() == Some(life);
+        let clock_ms = result.clock_ms().filter(|_| is_present);
+        self.read_clock(now, called, clock_ms);
         let order = &mut self.orders[key];
         let Phase::Starting { run, .. } = order.phase else {
             // The run is being stopped, and its end will be read from the lists.
@@ -287,7 +303,7 @@
             }
             return;
         };
-        let ended = AllEnded::by_start(&result);
+        let ended = AllEnded::by_start(&result).filter(|_| is_present);
         let is_rule_enabled = self.policy.rules.stops_unanswered_starts;
         let end =
             End::refused(&result).or_else(|| End::assumed(is_rule_enabled, Outcome::NotStarted));
@@ -335,13 +351,23 @@
         self.start_waiting(now);
     }
 
-    /// Handles the upstream's answer to a stop call.
-    pub fn stop_answered(&mut self, now: Instant, task: &TaskRef, result: StopResult) {
+    /// Handles the answer to a stop call to an incarnation of the upstream.
+    pub fn stop_answered(
+        &mut self,
+        now: Instant,
+        task: &TaskRef,
+        life: LifeNumber,
+        result: StopResult,
+    ) {
+        let is_answered = result != StopResult::Unsettled;
+        self.stop_window.record(now, is_answered);
+        // The present incarnation was sent stop calls of its own.
+        if self.life() != Some(life) {
+            return;
+        }
         if let StopResult::Stopped { clock_ms } = result {
             self.read_clock(now, None, Some(clock_ms));
         }
-        let is_answered = result != StopResult::Unsettled;
-        self.stop_window.record(now, is_answered);
         let key = self.by_task.get(&task.task).copied();
         if result == StopResult::OldFence {
             let called = key.and_then(|key| match self.orders[key].phase {
@@ -371,12 +397,13 @@
         self.call_due_stops(now);
     }
 
-    /// Handles the upstream's answer to a hold call that was sent at `sent` with a wait of `wait`;
-    /// `None` if it did not answer.
+    /// Handles the answer to a hold call to an incarnation of the upstream, which was sent at `sent` with a
+    /// wait of `wait`; `None` if it did not answer.
     pub fn hold_answered(
         &mut self,
         now: Instant,
         sent: Instant,
+        life: LifeNumber,
         wait: Duration,
         result: Option<HoldResult>,
     ) {
@@ -385,6 +412,12 @@
             true => self.is_poll_pending = false,
             false => self.is_long_poll_pending = false,
         }
+        // Neither the clock nor the lists nor the silence of an earlier incarnation say anything of the present
+        // one, whose own hold call may have waited for this answer.
+        if self.life() != Some(life) {
+            self.hold(now, wait);
+            return;
+        }
         let Some(result) = result else {
             let upstream = self.upstream.as_mut();
             let is_silent = upstream.is_some_and(|upstream| {
--- a/hemlockhook-dispatch/src/agent/replacement.rs
+++ b/hemlockhook-dispatch/src/agent/replacement.rs
@@ -126,7 +126,9 @@
         self.raise_fence(now, 1);
         let old = self.upstream.as_ref().map(|old| old.instance.clone());
         let description = self.descriptions.add(&announcement);
-        let mut upstream = Upstream::new(now, announcement, description, &self.policy.rules);
+        self.lives += 1;
+        let numbers = (self.lives, description);
+        let mut upstream = Upstream::new(now, announcement, numbers, &self.policy.rules);
         upstream.has_predecessor = old.is_some_and(|old| old == upstream.instance);
         self.upstream = Some(upstream);
         self.return_outdated(now);
--- a/hemlockhook-dispatch/src/agent/runs.rs
+++ b/hemlockhook-dispatch/src/agent/runs.rs
@@ -60,6 +60,7 @@
         let is_possible = is_wanted && is_chosen && !self.is_drained && self.has_room(need);
         let lease = self.lease_end(now).filter(|_| is_possible);
         let Some(until_ms) = lease else {
+            self.note_outdated(now, key);
             self.finish(now, key, end);
             return;
         };
@@ -77,6 +78,7 @@
             until_ms,
             fence,
             instance: upstream.instance.clone(),
+            life: upstream.life,
         }));
         self.hold(now, self.policy.hold_wait);
     }
@@ -119,6 +121,7 @@
             cause,
             fence: self.fence,
             instance: upstream.instance.clone(),
+            life: upstream.life,
         }));
     }
 
--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -15,6 +15,9 @@
 /// Maximum time for which an upstream counts as cold, whatever it announces.
 const MAX_COLD: Duration = Duration::from_secs(600);
 
+/// Numbers the incarnations of upstreams that an agent has had, from 1.
+pub type LifeNumber = u64;
+
 /// An upstream's announcement of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Announcement {
@@ -114,6 +117,7 @@
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) instance: Arc<str>,
+    pub(super) life: LifeNumber,
     pub(super) description: DescriptionNumber,
     pub(super) capacity: Amounts,
     pub(super) is_leaving: bool,
@@ -154,7 +158,7 @@
     pub(super) fn new(
         now: Instant,
         announcement: Announcement,
-        description: DescriptionNumber,
+        (life, description): (LifeNumber, DescriptionNumber),
         rules: &SafetyRules,
     ) -> Self {
         let mut clock = ClockBound::default();
@@ -164,6 +168,7 @@
         }
         Self {
             instance: announcement.instance.clone(),
+            life,
             description,
             capacity: announcement.capacity,
             is_leaving: announcement.is_leaving,
--- a/hemlockhook-dispatch/src/entry/dispatcher/labels.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/labels.rs
@@ -20,11 +20,11 @@
     /// Returns whether a task of a job requires a label that no live upstream of its service has together with
     /// the capacity for it.
     pub(super) fn lacks_label(&self, now: Instant, job: &Job) -> bool {
-        let requires_label = job.spec.steps.iter().any(requires_label);
-        requires_label && !self.may_know_more_labels(now) && {
-            let services = [job.queue_config.service.as_ref()];
-            lacks_labels(job, &self.labelled_capacities(now, &services))
+        if !job.spec.steps.iter().any(requires_label) || self.may_know_more_labels(now) {
+            return false;
         }
+        let services = [job.queue_config.service.as_ref()];
+        lacks_labels(job, &self.labelled_capacities(now, &services))
     }
 
     /// Refuses the queued jobs that have not begun and that no live upstream has the label for. Jobs that
--- a/hemlockhook-dispatch/tests/supervisor/drains.rs
+++ b/hemlockhook-dispatch/tests/supervisor/drains.rs
@@ -6,7 +6,7 @@
 use hemlockhook_dispatch::Outcome;
 use hemlockhook_dispatch::agent::{Announcement, RunOutcome, StartResult};
 
-use crate::fixture::{Agent, attempt};
+use crate::fixture::Agent;
 
 fn set_drained(agent: &mut Agent, is_drained: bool) {
     agent.supervisor.set_drained(agent.now, is_drained);
@@ -54,9 +54,8 @@
     agent.answer_start("unanswered", StartResult::NoAnswer);
     set_drained(&mut agent, true);
     agent.answer_start("refused", StartResult::LateLease { clock_ms: 10_000 });
-    agent.supervisor.stop_answered(
-        agent.now,
-        &attempt("unanswered"),
+    agent.answer_stop(
+        "unanswered",
         hemlockhook_dispatch::agent::StopResult::Stopped { clock_ms: 10_000 },
     );
     agent.answer_hold(&[], &[]);
--- a/hemlockhook-dispatch/tests/supervisor/fixture.rs
+++ b/hemlockhook-dispatch/tests/supervisor/fixture.rs
@@ -5,8 +5,8 @@
 
 use hemlockhook_dispatch::agent::{
     Action, ActiveRun, Announcement, AnnouncementStatus, DescriptionNumber, EndedRun, FrameHeader,
-    HoldCall, HoldResult, LinkId, Report, RunOrder, RunOutcome, StartCall, StartResult, StopResult,
-    Supervisor, SupervisorPolicy,
+    HoldCall, HoldResult, LifeNumber, LinkId, Report, RunOrder, RunOutcome, StartCall, StartResult,
+    StopResult, Supervisor, SupervisorPolicy,
 };
 use hemlockhook_dispatch::{
     Amounts, AttemptEnd, ClaimStatus, HeldAttempts, Outcome, TaskId, TaskRef,
@@ -204,8 +204,9 @@
     /// Answers the start call of a job's task.
     pub fn answer_start(&mut self, job: &str, result: StartResult) {
         let call = self.starts.iter().rev().find(|call| &*call.task.job == job);
-        let key = call.expect("the task was started").key;
-        self.supervisor.start_answered(self.now, key, result);
+        let call = call.expect("the task was started");
+        let (key, life) = (call.key, call.life);
+        self.supervisor.start_answered(self.now, key, life, result);
         self.collect();
     }
 
@@ -214,9 +215,29 @@
         self.answer_start(job, StartResult::Started { clock_ms: 10_000 });
     }
 
+    /// Answers a stop call for a job's task to the present life of the upstream.
+    pub fn answer_stop(&mut self, job: &str, result: StopResult) {
+        let life = self.life();
+        self.supervisor
+            .stop_answered(self.now, &attempt(job), life, result);
+    }
+
+    /// Answers a hold call, which may be to an earlier life of the upstream.
+    pub fn answer_call(&mut self, call: &HoldCall, result: Option<HoldResult>) {
+        self.supervisor
+            .hold_answered(self.now, self.now, call.life, call.wait, result);
+        self.collect();
+    }
+
+    /// Returns the number of the present life of the upstream.
+    pub fn life(&self) -> LifeNumber {
+        self.supervisor.life().unwrap_or_default()
+    }
+
     pub fn answer_hold_with(&mut self, result: Option<HoldResult>) {
+        let life = self.life();
         self.supervisor
-            .hold_answered(self.now, self.now, Duration::ZERO, result);
+            .hold_answered(self.now, self.now, life, Duration::ZERO, result);
         self.collect();
     }
 
@@ -229,16 +250,15 @@
     pub fn answer_long_hold(&mut self, running: &[(&str, u64)], ended: &[(&str, u64, RunOutcome)]) {
         let result = self.lists(running, ended);
         let wait = SupervisorPolicy::default().hold_wait;
+        let life = self.life();
         self.supervisor
-            .hold_answered(self.now, self.now, wait, Some(result));
+            .hold_answered(self.now, self.now, life, wait, Some(result));
         self.collect();
     }
 
     /// Acknowledges the stop of a job's task, and lists nothing afterwards.
     pub fn settle_stop(&mut self, job: &str) {
-        let stopped = StopResult::Stopped { clock_ms: 10_000 };
-        self.supervisor
-            .stop_answered(self.now, &attempt(job), stopped);
+        self.answer_stop(job, StopResult::Stopped { clock_ms: 10_000 });
         self.answer_hold(&[], &[]);
     }
 
--- a/hemlockhook-dispatch/tests/supervisor/main.rs
+++ b/hemlockhook-dispatch/tests/supervisor/main.rs
@@ -43,11 +43,7 @@
     agent.answer_start("a", StartResult::Started { clock_ms: 10_000 });
     agent.supervisor.cancelled(agent.now, LINK, &attempt("a"));
     agent.order("b", 1);
-    agent.supervisor.stop_answered(
-        agent.now,
-        &attempt("a"),
-        StopResult::Stopped { clock_ms: 10_000 },
-    );
+    agent.answer_stop("a", StopResult::Stopped { clock_ms: 10_000 });
     agent.collect();
     expect_that!(agent.starts.len(), eq(1));
     agent.answer_hold(&[], &[("a", 1, RunOutcome::Stopped)]);
@@ -62,11 +58,7 @@
     expect_that!(agent.stops, eq(1));
     agent.answer_hold(&[], &[]);
     expect_that!(agent.starts.len(), eq(1));
-    agent.supervisor.stop_answered(
-        agent.now,
-        &attempt("a"),
-        StopResult::Stopped { clock_ms: 10_000 },
-    );
+    agent.answer_stop("a", StopResult::Stopped { clock_ms: 10_000 });
     agent.answer_hold(&[], &[]);
     expect_that!(agent.starts.len(), eq(2));
     expect_that!(agent.starts[1].run, gt(agent.starts[0].run));
@@ -182,11 +174,7 @@
     );
     // The start call may be in flight: the run is stopped before its task is placed elsewhere.
     expect_that!(agent.outcomes(), is_empty());
-    agent.supervisor.stop_answered(
-        agent.now,
-        &attempt("a"),
-        StopResult::Stopped { clock_ms: 10 },
-    );
+    agent.answer_stop("a", StopResult::Stopped { clock_ms: 10 });
     agent.answer_hold(&[], &[]);
     agent.announce("up-1", 2, false);
     expect_that!(agent.outcomes(), elements_are![eq(&("a", Outcome::Lost))]);
@@ -418,11 +406,7 @@
     agent.order("a", 4);
     agent.answer_start("a", StartResult::NoAnswer);
     agent.advance(450);
-    agent.supervisor.stop_answered(
-        agent.now,
-        &attempt("a"),
-        StopResult::Stopped { clock_ms: 10_000 },
-    );
+    agent.answer_stop("a", StopResult::Stopped { clock_ms: 10_000 });
     agent.answer_hold(&[], &[]);
     agent.advance(10);
     expect_that!(agent.starts.len(), eq(1));
--- a/hemlockhook-dispatch/tests/supervisor/slow_upstream.rs
+++ b/hemlockhook-dispatch/tests/supervisor/slow_upstream.rs
@@ -85,7 +85,7 @@
             let unsettled = StopResult::Unsettled;
             agent
                 .supervisor
-                .stop_answered(agent.now, &attempt("job-0"), unsettled);
+                .stop_answered(agent.now, &attempt("job-0"), 1, unsettled);
         }
         agent.advance_by_ticks(10);
     }
@@ -106,7 +106,7 @@
     let unanswered = attempt("job-1");
     agent
         .supervisor
-        .stop_answered(agent.now, &unanswered, StopResult::Unsettled);
+        .stop_answered(agent.now, &unanswered, 1, StopResult::Unsettled);
     agent
         .supervisor
         .cancelled(agent.now, LINK, &attempt("job-0"));
--- a/hemlockhook-dispatch/tests/world/calls.rs
+++ b/hemlockhook-dispatch/tests/world/calls.rs
@@ -43,6 +43,7 @@
                 until_ms,
                 fence,
                 instance,
+                life,
                 ..
             }) => {
                 let until_ms = match extends_lease {
@@ -68,17 +69,18 @@
                         self.summary.violations.insert(violation);
                     }
                 }
-                (Answered::Start(key, result), 1)
+                (Answered::Start(key, life, result), 1)
             }
             Action::Stop(StopCall {
                 task,
                 run,
                 fence,
                 instance,
+                life,
                 ..
             }) => {
                 let result = upstream.stop(now, &instance, fence, &task.task, run);
-                (Answered::Stop(task, result), 1)
+                (Answered::Stop(task, life, result), 1)
             }
             Action::Hold(HoldCall {
                 until_ms,
@@ -86,6 +88,7 @@
                 wait,
                 fence,
                 instance,
+                life,
             }) => {
                 let result = upstream.hold(now, &instance, fence, until_ms, last_seen);
                 let delay = match &result {
@@ -94,15 +97,15 @@
                     }
                     _ => 1,
                 };
-                (Answered::Hold(now, wait, result), delay)
+                (Answered::Hold(now, life, wait, result), delay)
             }
         };
         // A call to another instance tells the upstream nothing of the agent's fencing token.
         let is_carried_out = !matches!(
             answer,
-            Answered::Start(_, StartResult::OtherInstance)
-                | Answered::Stop(_, StopResult::Unsettled)
-                | Answered::Hold(_, _, Some(HoldResult::OtherInstance))
+            Answered::Start(_, _, StartResult::OtherInstance)
+                | Answered::Stop(_, _, StopResult::Unsettled)
+                | Answered::Hold(_, _, _, Some(HoldResult::OtherInstance))
         );
         if is_answered && is_carried_out {
             self.answered_at[agent] = now;
--- a/hemlockhook-dispatch/tests/world/mod.rs
+++ b/hemlockhook-dispatch/tests/world/mod.rs
@@ -13,8 +13,8 @@
 
 use fastrand::Rng;
 use hemlockhook_dispatch::agent::{
-    Action, Announcement, FrameHeader, HoldResult, LinkId, OrderKey, RunOrder, StartResult,
-    StopResult, Supervisor, SupervisorPolicy,
+    Action, Announcement, FrameHeader, HoldResult, LifeNumber, LinkId, OrderKey, RunOrder,
+    StartResult, StopResult, Supervisor, SupervisorPolicy,
 };
 use hemlockhook_dispatch::entry::{
     AgentHello, AgentKey, AgentReport, DispatchPolicy, Dispatcher, JobKey,
@@ -179,9 +179,9 @@
 }
 
 enum Answered {
-    Start(OrderKey, StartResult),
-    Stop(TaskRef, StopResult),
-    Hold(Instant, Duration, Option<HoldResult>),
+    Start(OrderKey, LifeNumber, StartResult),
+    Stop(TaskRef, LifeNumber, StopResult),
+    Hold(Instant, LifeNumber, Duration, Option<HoldResult>),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -527,13 +527,17 @@
             }
             // The call times out, and is carried out later.
             let (timeout, answer) = match &action {
-                Action::Start(call) => (40, Answered::Start(call.key, StartResult::NoAnswer)),
-                Action::Stop(call) => {
-                    (40, Answered::Stop(call.task.clone(), StopResult::Unsettled))
-                }
+                Action::Start(call) => (
+                    40,
+                    Answered::Start(call.key, call.life, StartResult::NoAnswer),
+                ),
+                Action::Stop(call) => (
+                    40,
+                    Answered::Stop(call.task.clone(), call.life, StopResult::Unsettled),
+                ),
                 Action::Hold(call) => {
                     let wait = call.wait.as_millis() as u64;
-                    (wait + 40, Answered::Hold(now, call.wait, None))
+                    (wait + 40, Answered::Hold(now, call.life, call.wait, None))
                 }
             };
             self.push(
@@ -615,11 +619,15 @@
             return;
         }
         match answer {
-            Answered::Start(key, result) => state.supervisor.start_answered(now, key, result),
-            Answered::Stop(task, result) => state.supervisor.stop_answered(now, &task, result),
-            Answered::Hold(sent, wait, result) => {
-                state.supervisor.hold_answered(now, sent, wait, result)
+            Answered::Start(key, life, result) => {
+                state.supervisor.start_answered(now, key, life, result)
+            }
+            Answered::Stop(task, life, result) => {
+                state.supervisor.stop_answered(now, &task, life, result)
             }
+            Answered::Hold(sent, life, wait, result) => state
+                .supervisor
+                .hold_answered(now, sent, life, wait, result),
         }
         self.flush_agent(agent);
     }
--- a/hemlockhook-leased/src/agent/core/calls.rs
+++ b/hemlockhook-leased/src/agent/core/calls.rs
@@ -13,6 +13,7 @@
 {
     pub(super) async fn start(self: Arc<Self>, call: StartCall) {
         let key = call.key;
+        let life = call.life;
         let task = call.task.clone();
         let run = call.run;
         let attempt = call.attempt;
@@ -52,13 +53,14 @@
         if result == StartResult::NoAnswer {
             self.metrics.record_unanswered("start");
         }
-        self.handle(|now, state| state.supervisor.start_answered(now, key, result));
+        self.handle(|now, state| state.supervisor.start_answered(now, key, life, result));
     }
 
     pub(super) async fn stop(self: Arc<Self>, call: StopCall) {
         let task = call.task.clone();
         let run = call.run;
         let cause: &str = call.cause.into();
+        let life = call.life;
         let result = self.upstreams.stop(call).await;
         let job = &*task.task.job;
         let index = task.task.index;
@@ -72,17 +74,22 @@
         if result == StopResult::Unsettled {
             self.metrics.record_unanswered("stop");
         }
-        self.handle(|now, state| state.supervisor.stop_answered(now, &task, result));
+        self.handle(|now, state| state.supervisor.stop_answered(now, &task, life, result));
     }
 
     pub(super) async fn hold(self: Arc<Self>, call: HoldCall) {
         let sent = self.clock.now();
         let wait = call.wait;
+        let life = call.life;
         let result = self.upstreams.renew_lease(call).await;
         if result.is_none() {
             self.metrics.record_unanswered("hold");
             spdlog::warn!("the upstream did not answer a hold call");
         }
-        self.handle(|now, state| state.supervisor.hold_answered(now, sent, wait, result));
+        self.handle(|now, state| {
+            state
+                .supervisor
+                .hold_answered(now, sent, life, wait, result)
+        });
     }
 }
