Keep runs of a next life until its leases are known to have ended

A run was given up and started elsewhere while it went on (TWICE): an upstream restarted under its name, carried out a start that was meant for the life before, and left calls unanswered after its agent had read of the restart. As no lease of the new life was known, all leases counted as over.

Until its lists are read, the leases of such a life count as over 3 s after it was known, the time that counts until it has announced itself.

The test of the supervisor gives the run up after 0 s before, after 3 s now. Neither was shown with real processes.

--- a/hemlockhook-dispatch/src/agent/upstream.rs
+++ b/hemlockhook-dispatch/src/agent/upstream.rs
@@ -264,6 +264,10 @@
         if let Some(at) = self.replaced_at {
             return now.saturating_duration_since(at) > REPLACED_AFTER;
         }
+        if self.has_predecessor && !self.are_runs_listed {
+            // Calls to the incarnation before, of which this one may have carried out some, gave it leases.
+            return now.saturating_duration_since(self.known_since) > REPLACED_AFTER;
+        }
         let clock_ms = self.clock.millis(now);
         self.leased_until_ms == 0 || clock_ms.is_some_and(|ms| ms >= self.leased_until_ms)
     }
--- a/hemlockhook-dispatch/tests/random.rs
+++ b/hemlockhook-dispatch/tests/random.rs
@@ -366,6 +366,22 @@
     expect_that!(summary.violations, is_empty());
 }
 
+/// Guards against a run that is given up while it goes on: the next life of an upstream carried out a start that
+/// was meant for the life before, and left calls unanswered before its lists were read.
+#[gtest]
+fn no_task_runs_twice_while_upstreams_restart_often_and_leave_calls_unanswered() {
+    let faults = Faults {
+        crash_upstream: 100,
+        lost_answer: 250,
+        reset: 0,
+        ..Faults::default()
+    };
+    for seed in (1..=CASES).chain([223]) {
+        let summary = run(seed, SafetyRules::default(), faults);
+        expect_that!(summary.violations, is_empty(), "seed {seed}");
+    }
+}
+
 /// Shows that a task may run twice if an upstream restarts while a start is under way and is cut off from its
 /// agent right after it.
 #[gtest]
--- a/hemlockhook-dispatch/tests/supervisor/restarts.rs
+++ b/hemlockhook-dispatch/tests/supervisor/restarts.rs
@@ -82,3 +82,21 @@
     let until: Vec<_> = agent.starts.iter().map(|call| call.until_ms).collect();
     assert_compact_debug_snapshot!(until, @"[10450, 10450]");
 }
+
+/// Guards against a run that is given up while it goes on: the next life had carried out the start before its
+/// agent read of the restart, and then left calls unanswered, so that nothing was known of its leases.
+#[gtest]
+fn a_run_is_not_given_up_before_the_lists_of_the_next_life_are_read() {
+    let mut agent = Agent::new();
+    agent.start("a");
+    agent.announce("up-1", 2, false);
+    let mut lost_after_ms = None;
+    for passed_ms in (0..4000).step_by(100) {
+        agent.answer_hold_with(None);
+        agent.advance_by_ticks(100);
+        if lost_after_ms.is_none() && !agent.outcomes().is_empty() {
+            lost_after_ms = Some(passed_ms);
+        }
+    }
+    assert_compact_debug_snapshot!(lost_after_ms, @"Some(3000)");
+}
