Build the answers to unbegun jobs that are refused in one place

Late jobs, jobs that only drained upstreams can run and jobs whose label no upstream has were answered by three copies of the same match. No answer changes.

--- a/hemlockhook-dispatch/src/entry/dispatcher.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher.rs
@@ -394,18 +394,21 @@
         for (key, has_begun) in expired {
             let answer = match has_begun {
                 true => Answer::TimedOut,
-                false => self.late_answer(key, self.policy.min_retry_after),
+                false => {
+                    let retry_after = self.policy.min_retry_after;
+                    self.unbegun_answer(key, Refusal::Overload { retry_after })
+                }
             };
             self.answer(now, key, answer);
         }
     }
 
-    /// Returns the answer to a job of which no task was placed and that comes too late. If another entry
-    /// has the job, it may run.
-    fn late_answer(&self, key: JobKey, retry_after: Duration) -> Answer {
+    /// Returns the answer to a job of which no task was placed and that is refused. If another entry has the
+    /// job, it may run.
+    fn unbegun_answer(&self, key: JobKey, refusal: Refusal) -> Answer {
         match self.jobs[key].claims.waits_at() {
             Some(_) => Answer::TimedOut,
-            None => Answer::NotRun(Refusal::Overload { retry_after }),
+            None => Answer::NotRun(refusal),
         }
     }
 
--- a/hemlockhook-dispatch/src/entry/dispatcher/drains.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/drains.rs
@@ -6,7 +6,7 @@
 use crate::drains::Drains;
 use crate::entry::agents::Agent;
 use crate::entry::job::Job;
-use crate::entry::{Answer, JobKey, Refusal};
+use crate::entry::{JobKey, Refusal};
 
 impl Dispatcher {
     /// Applies the set of drained data centers. Agents there get no tasks until the drain ends; their
@@ -86,11 +86,7 @@
         let refused: Vec<_> = queued.filter(is_refused).collect();
         for key in refused {
             let retry_after = self.policy.min_retry_after;
-            let answer = match self.jobs[key].claims.waits_at() {
-                // Another entry has the job, and may run it.
-                Some(_) => Answer::TimedOut,
-                None => Answer::NotRun(Refusal::NoUpstream { retry_after }),
-            };
+            let answer = self.unbegun_answer(key, Refusal::NoUpstream { retry_after });
             self.answer(now, key, answer);
         }
     }
--- a/hemlockhook-dispatch/src/entry/dispatcher/labels.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/labels.rs
@@ -8,9 +8,9 @@
 use std::time::Instant;
 
 use super::Dispatcher;
+use crate::entry::Refusal;
 use crate::entry::agents::Agent;
 use crate::entry::job::Job;
-use crate::entry::{Answer, Refusal};
 use crate::{Amounts, StepSpec};
 
 /// Capacities of the live upstreams, by their service and label.
@@ -52,11 +52,7 @@
         let refused: Vec<_> = refused.map(|&(key, _)| key).collect();
         for key in refused {
             let retry_after = self.policy.min_retry_after;
-            let answer = match self.jobs[key].claims.waits_at() {
-                // Another entry has the job, and may run it.
-                Some(_) => Answer::TimedOut,
-                None => Answer::NotRun(Refusal::MissingLabel { retry_after }),
-            };
+            let answer = self.unbegun_answer(key, Refusal::MissingLabel { retry_after });
             self.answer(now, key, answer);
         }
     }
--- a/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
+++ b/hemlockhook-dispatch/src/entry/dispatcher/queue.rs
@@ -11,7 +11,7 @@
 use crate::entry::job::{Job, Rank, Task};
 use crate::entry::offers::{Offer, Offers};
 use crate::entry::placement::{Candidate, choose_upstream};
-use crate::entry::{AgentKey, JobKey, PlacementRule};
+use crate::entry::{AgentKey, JobKey, PlacementRule, Refusal};
 use crate::{TaskId, TaskRef};
 
 /// Class of jobs that can still meet their objective, or that have begun.
@@ -328,7 +328,7 @@
                 true => self.book_late_return(now, key),
                 false => self.policy.retry_after(wait),
             };
-            let answer = self.late_answer(key, retry_after);
+            let answer = self.unbegun_answer(key, Refusal::Overload { retry_after });
             self.answer(now, key, answer);
         }
     }
